--- /dev/null
+++ b/crates/ctl/src/fault.rs
@@ -0,0 +1,82 @@
+//! Why a command failed, told once with the way out.
+
+use std::error;
+use std::fmt;
+
+use base::finding;
+use config::remote;
+
+use crate::exit_codes;
+
+/// Why a command failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    /// The document is faulty.
+    Document(finding::Findings),
+    /// The store or another operator stood in the way.
+    Remote(remote::Error),
+    /// Trial holds another document than the one named; holds trial's digest.
+    NotTried(String),
+    /// No such team in the environment.
+    NoTeam(String),
+    /// No such key in the environment.
+    NoKey,
+}
+
+impl From<remote::Error> for Fault {
+    fn from(e: remote::Error) -> Self {
+        Self::Remote(e)
+    }
+}
+
+impl From<finding::Findings> for Fault {
+    fn from(findings: finding::Findings) -> Self {
+        Self::Document(findings)
+    }
+}
+
+impl Fault {
+    /// The exit code that tells it.
+    pub(crate) fn code(&self) -> exit_codes::ExitCode {
+        match self {
+            Self::Document(_) => exit_codes::ExitCode::Usage,
+            Self::Remote(remote::Error::Conflict(_)) | Self::NotTried(_) => {
+                exit_codes::ExitCode::Conflict
+            }
+            Self::Remote(remote::Error::Unknown) => exit_codes::ExitCode::Unknown,
+            Self::Remote(_) | Self::NoTeam(_) | Self::NoKey => exit_codes::ExitCode::Failure,
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Document(findings) => write!(f, "{findings}"),
+            Self::Remote(e @ remote::Error::Conflict(_)) => {
+                write!(f, "{e}. Look at 'jacinthctl diff', then apply again.")
+            }
+            Self::Remote(e @ remote::Error::Unknown) => {
+                write!(f, "{e}. 'jacinthctl status' tells once the store answers.")
+            }
+            Self::Remote(e) => write!(f, "{e}. Try again."),
+            Self::NotTried(digest) => write!(
+                f,
+                "trial holds document {digest}, not the one named; nothing was changed. \
+                 Promote that digest, or apply the document again."
+            ),
+            Self::NoTeam(team) => write!(
+                f,
+                "no team {team:?} in this environment; nothing was changed. \
+                 Add it to the document, apply and promote."
+            ),
+            Self::NoKey => write!(
+                f,
+                "no such key in this environment; nothing was changed. \
+                 Give the key itself or its SHA-256."
+            ),
+        }
+    }
+}
+
+impl error::Error for Fault {}
--- /dev/null
+++ b/crates/host/src/chat.rs
@@ -0,0 +1,530 @@
+//! Chat completions: admission, the stream from the upstream, its continuation elsewhere.
+
+use std::io;
+use std::sync;
+
+use base::{clock, hash, name, refusal};
+use config::document;
+use peer::message;
+use policy::{ask, usage};
+use serde_json::json;
+
+use crate::{body, caller, chunk, context, metrics, reply, retry, upstream};
+
+/// Bytes of the conversation's beginning that count as its prefix.
+const PREFIX_BYTES: usize = 1_024;
+/// Bytes of text that count as one token where the engine has not counted.
+const BYTES_PER_TOKEN: usize = 4;
+/// Tokens of an answer when the caller names no limit.
+const DEFAULT_LIMIT: u32 = 4_096;
+/// Looks at the key again after this many tokens.
+const CHECK_EVERY: u32 = 32;
+
+/// The parts of a request that the router reads; the rest goes to the engine as it came.
+struct Request {
+    json: serde_json::Map<String, serde_json::Value>,
+    model: String,
+    stream: bool,
+    limit: u32,
+    prompt: u32,
+    prefix: u64,
+}
+
+fn bad() -> refusal::Refusal {
+    refusal::Refusal::not_run(refusal::Reason::BadRequest)
+}
+
+impl Request {
+    fn parse(bytes: &[u8]) -> Result<Self, refusal::Refusal> {
+        let json: serde_json::Map<_, _> = serde_json::from_slice(bytes).map_err(|_| bad())?;
+        let model = json
+            .get("model")
+            .and_then(|m| m.as_str())
+            .ok_or_else(bad)?
+            .to_owned();
+        let messages = json
+            .get("messages")
+            .and_then(|m| m.as_array())
+            .ok_or_else(bad)?;
+        if messages.is_empty() || json.get("n").is_some_and(|n| n != &json!(1)) {
+            return Err(bad());
+        }
+        let text = serde_json::to_vec(messages).map_err(|_| bad())?;
+        let limit = ["max_completion_tokens", "max_tokens"]
+            .iter()
+            .find_map(|k| json.get(*k));
+        let limit = match limit {
+            None | Some(serde_json::Value::Null) => DEFAULT_LIMIT,
+            Some(n) => n
+                .as_u64()
+                .and_then(|n| u32::try_from(n).ok())
+                .ok_or_else(bad)?,
+        };
+        let stream = match json.get("stream") {
+            None | Some(serde_json::Value::Null) => false,
+            Some(s) => s.as_bool().ok_or_else(bad)?,
+        };
+        let prompt = (text.len() / BYTES_PER_TOKEN) as u32;
+        let prefix = hash::stable(&text[..text.len().min(PREFIX_BYTES)]);
+        Ok(Self {
+            model,
+            stream,
+            limit,
+            prompt,
+            prefix,
+            json,
+        })
+    }
+
+    /// The body for an upstream; `held` is the text that the caller already has.
+    fn body(&self, tier: u8, held: &str, tokens: u32) -> Vec<u8> {
+        let mut json = self.json.clone();
+        json.insert("stream".into(), json!(true));
+        json.insert("stream_options".into(), json!({"include_usage": true}));
+        json.insert("priority".into(), json!(tier));
+        json.remove("max_completion_tokens");
+        if self.json.contains_key("max_tokens") || self.json.contains_key("max_completion_tokens") {
+            json.insert(
+                "max_tokens".into(),
+                json!(self.limit.saturating_sub(tokens)),
+            );
+        }
+        if let (false, Some(messages)) = (held.is_empty(), json.get_mut("messages")) {
+            if let Some(list) = messages.as_array_mut() {
+                list.push(json!({"role": "assistant", "content": held}));
+            }
+            json.insert("continue_final_message".into(), json!(true));
+            json.insert("add_generation_prompt".into(), json!(false));
+        }
+        serde_json::to_vec(&json).unwrap_or_default()
+    }
+}
+
+/// Where the answer goes: straight on as events, or gathered for one whole answer.
+enum Sink {
+    Waiting(reply::Reply),
+    Streaming(reply::Stream),
+    Gathering(reply::Reply),
+}
+
+/// How one attempt at an upstream ended.
+enum Attempt {
+    /// The end mark came.
+    Whole,
+    /// The caller is gone.
+    CallerGone,
+    /// The key was withdrawn.
+    Withdrawn,
+    /// To be continued elsewhere, for this reason.
+    Again(metrics::Retry, upstream::Error),
+}
+
+/// One answer under way.
+struct Answer<'a> {
+    context: &'a context::Context,
+    request: Request,
+    caller: caller::Caller,
+    service: sync::Arc<document::Service>,
+    id: String,
+    sink: Option<Sink>,
+    held: String,
+    tokens: u32,
+    prompt: u64,
+    finish: Option<String>,
+    fixed: bool,
+    arrived: clock::Millis,
+    first: Option<clock::Millis>,
+    last: clock::Millis,
+}
+
+/// Serves a chat completion.
+pub fn serve(context: &context::Context, mut http: tiny_http::Request) {
+    let arrived = context.clock.now();
+    let credentials = caller::Credentials::read(&http);
+    let id = context.request_id();
+    let read = body::read(&mut http, context.settings.limits.body, &context.clock);
+    let reply = reply::Reply::new(http, id.clone());
+    let admitted = read.and_then(|bytes| admit(context, &credentials, &bytes));
+    let (request, service, caller) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return reply.refuse(&refusal, &context.metrics),
+    };
+    let sink = if request.stream {
+        Sink::Waiting(reply)
+    } else {
+        Sink::Gathering(reply)
+    };
+    let answer = Answer {
+        context,
+        request,
+        caller,
+        service,
+        id,
+        sink: Some(sink),
+        held: String::new(),
+        tokens: 0,
+        prompt: 0,
+        finish: None,
+        fixed: false,
+        arrived,
+        first: None,
+        last: arrived,
+    };
+    answer.run();
+}
+
+type Admitted = (Request, sync::Arc<document::Service>, caller::Caller);
+
+fn admit(
+    context: &context::Context,
+    credentials: &caller::Credentials,
+    bytes: &[u8],
+) -> Result<Admitted, refusal::Refusal> {
+    if !context.is_ready() {
+        return Err(refusal::Refusal::not_run(refusal::Reason::NotReady));
+    }
+    let request = Request::parse(bytes)?;
+    let service = context.view().service_of(&request.model);
+    let unknown = || refusal::Refusal::not_run(refusal::Reason::UnknownModel);
+    let service = service.ok_or_else(unknown)?;
+    let caller = caller::admit(context, credentials, &service)?;
+    if caller::carries_key(credentials, bytes) {
+        return Err(bad());
+    }
+    Ok((request, service, caller))
+}
+
+impl Answer<'_> {
+    fn run(mut self) {
+        let mut avoid: Vec<name::Upstream> = Vec::new();
+        loop {
+            let pass = match self.context.gate.enter(self.ask(&avoid)) {
+                Ok(pass) => pass,
+                Err(refusal) => return self.give_up(&refusal),
+            };
+            let upstream = self
+                .service
+                .upstreams
+                .iter()
+                .find(|u| u.name == pass.upstream);
+            let Some(upstream) = upstream.cloned() else {
+                avoid.push(pass.upstream.clone());
+                continue;
+            };
+            let before = self.tokens;
+            let attempt = self.attempt(&pass, &upstream);
+            let first = self.first_since(pass.started());
+            let made = self.tokens - before;
+            match attempt {
+                Attempt::Whole => {
+                    pass.finish(ask::Outcome::Whole, made, first);
+                    self.context.upstreams.budget().earn();
+                    return self.end();
+                }
+                Attempt::CallerGone => {
+                    pass.finish(ask::Outcome::Stopped, made, first);
+                    return self.bill("caller_gone");
+                }
+                Attempt::Withdrawn => {
+                    pass.finish(ask::Outcome::Stopped, made, first);
+                    self.bill("key_withdrawn");
+                    return self.break_off(refusal::Reason::BadKey);
+                }
+                Attempt::Again(reason, error) => {
+                    pass.finish(outcome(reason), made, first);
+                    if !self.may_retry(reason, error, &mut avoid, &upstream.name) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask(&self, avoid: &[name::Upstream]) -> message::Ask {
+        let team = self.caller.team.as_ref().map_or("", |t| t.name.as_str());
+        message::Ask {
+            service: self.service.name.clone(),
+            class: self.caller.class.name.clone(),
+            ticket: self.context.gate.ticket(),
+            team: team.into(),
+            waited: self.context.clock.now().since(self.last),
+            prompt: self.request.prompt,
+            limit: self.request.limit.saturating_sub(self.tokens),
+            prefix: self.request.prefix,
+            resumable: self.service.idempotent && !self.fixed,
+            held: self.tokens,
+            avoid: avoid.to_vec(),
+        }
+    }
+
+    /// Notes the failure; tells whether the answer goes on elsewhere. If not, it has been ended.
+    fn may_retry(
+        &mut self,
+        reason: metrics::Retry,
+        error: upstream::Error,
+        avoid: &mut Vec<name::Upstream>,
+        failed: &name::Upstream,
+    ) -> bool {
+        let retry = retry::Retry {
+            reason,
+            repeatable: self.service.idempotent && !self.fixed,
+        };
+        tracing::info!(event = "attempt_ended", request = %self.id, upstream = %failed, reason = reason.as_str());
+        if let upstream::Error::Rejected(_) = error {
+            self.give_up(&bad());
+            return false;
+        }
+        if !retry.is_allowed(self.context.upstreams.budget()) {
+            self.give_up(&retry::refusal(error, self.tokens > 0));
+            return false;
+        }
+        self.context.metrics.retried(reason);
+        if reason != metrics::Retry::Preempted {
+            avoid.push(failed.clone());
+            let others = self
+                .service
+                .upstreams
+                .iter()
+                .filter(|u| &u.dc == self.context.gate.dc());
+            if others.count() <= avoid.len() {
+                avoid.clear();
+            }
+        }
+        true
+    }
+
+    /// Sends to one upstream and passes its answer on.
+    fn attempt(&mut self, pass: &crate::gate::Pass, upstream: &document::Upstream) -> Attempt {
+        let send = self.context.request_id();
+        let body = self
+            .request
+            .body(self.caller.class.tier, &self.held, self.tokens);
+        let mut events = match self.context.upstreams.stream(upstream, &send, &body) {
+            Ok(events) => events,
+            Err(e) => return Attempt::Again(reason(e), e),
+        };
+        let before = self.tokens;
+        loop {
+            if pass.is_stopped() {
+                return Attempt::Again(metrics::Retry::Preempted, upstream::Error::Broken);
+            }
+            let chunk = match events.event() {
+                Ok(upstream::Event::Chunk(chunk)) => chunk,
+                Ok(upstream::Event::Done) if self.finish.is_some() => {
+                    events.finish();
+                    return Attempt::Whole;
+                }
+                Ok(upstream::Event::Done) => {
+                    return Attempt::Again(metrics::Retry::Broken, upstream::Error::Broken);
+                }
+                Err(e) => return Attempt::Again(metrics::Retry::Broken, e),
+            };
+            self.count(&chunk, before);
+            if self.pass_on(&chunk).is_err() {
+                return Attempt::CallerGone;
+            }
+            if self.tokens.is_multiple_of(CHECK_EVERY) && !self.caller.still_known(self.context) {
+                return Attempt::Withdrawn;
+            }
+        }
+    }
+
+    fn count(&mut self, chunk: &chunk::Chunk, before: u32) {
+        if let Some(usage) = chunk.usage {
+            self.tokens = before + usage.completion_tokens as u32;
+            let continued = u64::from(before);
+            self.prompt = self
+                .prompt
+                .max(usage.prompt_tokens.saturating_sub(continued));
+        }
+        if chunk.finish.is_some() {
+            self.finish.clone_from(&chunk.finish);
+        }
+        if chunk.text.is_empty() && chunk.other.is_none() {
+            return;
+        }
+        let now = self.context.clock.now();
+        if self.first.is_none() {
+            self.first = Some(now);
+        }
+        self.last = now;
+        self.tokens += u32::from(chunk.usage.is_none());
+        self.held.push_str(&chunk.text);
+        self.fixed |= chunk.other.is_some();
+    }
+
+    fn first_since(&self, started: clock::Millis) -> clock::Millis {
+        self.first
+            .map_or(clock::Millis::ZERO, |first| first.since(started))
+    }
+
+    fn pass_on(&mut self, chunk: &chunk::Chunk) -> io::Result<()> {
+        if chunk.text.is_empty() && chunk.other.is_none() {
+            return Ok(());
+        }
+        let stream = match self.sink.take() {
+            Some(Sink::Waiting(reply)) => reply.stream()?,
+            Some(Sink::Streaming(stream)) => stream,
+            other => {
+                self.sink = other;
+                return Ok(());
+            }
+        };
+        let out = self.out(&chunk.text, chunk.other.as_ref(), None, None);
+        let data = serde_json::to_vec(&out)?;
+        let stream = self.sink.insert(Sink::Streaming(stream));
+        match stream {
+            Sink::Streaming(stream) => stream.event(&data),
+            _ => Ok(()),
+        }
+    }
+
+    fn out<'a>(
+        &'a self,
+        text: &'a str,
+        other: Option<&'a serde_json::Value>,
+        finish: Option<&'a str>,
+        usage: Option<chunk::Usage>,
+    ) -> chunk::Out<'a> {
+        chunk::Out {
+            id: &self.id,
+            model: &self.request.model,
+            text,
+            other,
+            finish,
+            usage,
+        }
+    }
+
+    fn usage(&self) -> chunk::Usage {
+        chunk::Usage {
+            prompt_tokens: self.prompt,
+            completion_tokens: u64::from(self.tokens),
+        }
+    }
+
+    /// The answer is whole: its usage is made safe, then the caller sees the end.
+    fn end(mut self) {
+        self.bill("whole");
+        let finish = self.finish.clone();
+        let finish = finish.as_deref().unwrap_or("stop");
+        let sent = match self.sink.take() {
+            Some(Sink::Gathering(reply)) => reply.json(200, &self.whole(finish)),
+            Some(Sink::Streaming(stream)) => self.close(stream, finish),
+            Some(Sink::Waiting(reply)) => reply.stream().and_then(|s| self.close(s, finish)),
+            None => Ok(()),
+        };
+        if sent.is_err() {
+            tracing::info!(event = "caller_gone", request = %self.id);
+        }
+    }
+
+    fn close(&self, mut stream: reply::Stream, finish: &str) -> io::Result<()> {
+        let out = self.out("", None, Some(finish), Some(self.usage()));
+        stream.event(&serde_json::to_vec(&out)?)?;
+        stream.event(b"[DONE]")?;
+        stream.end()
+    }
+
+    fn whole(&self, finish: &str) -> serde_json::Value {
+        let usage = self.usage();
+        json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "model": self.request.model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": self.held},
+                "finish_reason": finish,
+            }],
+            "usage": {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+            },
+        })
+    }
+
+    /// Bills what the caller got, and notes how the answer ended.
+    fn bill(&self, end: &'static str) {
+        let class = self.caller.class.name.as_str();
+        self.context.metrics.answered(class, end);
+        if let Some(first) = self.first {
+            let first_ms = first.since(self.arrived).0;
+            self.context.metrics.first_token(class, first_ms as f64);
+            if self.tokens > 1 {
+                let span = self.last.since(first).0 as f64;
+                self.context
+                    .metrics
+                    .token_gap(class, span / f64::from(self.tokens - 1));
+            }
+            tracing::info!(event = "answered", request = %self.id, class, end, tokens = self.tokens, first_ms);
+        }
+        if self.tokens == 0 {
+            return;
+        }
+        let account = self.caller.account(&self.service.name);
+        let amount = usage::Amount {
+            requests: 1,
+            prompt: self.prompt,
+            answer: u64::from(self.tokens),
+        };
+        self.context.record_usage(account, amount);
+    }
+
+    /// Ends an answer that can't go on.
+    fn give_up(&mut self, refusal: &refusal::Refusal) {
+        match self.sink.take() {
+            Some(Sink::Waiting(reply) | Sink::Gathering(reply)) => {
+                let started = self.tokens > 0;
+                let run = if started {
+                    refusal::Run::Unknown
+                } else {
+                    refusal.run
+                };
+                reply.refuse(&refusal::Refusal { run, ..*refusal }, &self.context.metrics);
+            }
+            Some(Sink::Streaming(stream)) => {
+                self.sink = Some(Sink::Streaming(stream));
+                self.break_off(refusal.reason);
+            }
+            None => {}
+        }
+    }
+
+    /// Ends a stream with an explicit error event and no end mark.
+    fn break_off(&mut self, reason: refusal::Reason) {
+        self.context
+            .metrics
+            .answered(self.caller.class.name.as_str(), "broken");
+        let refusal = refusal::Refusal::unknown(reason);
+        match self.sink.take() {
+            Some(Sink::Streaming(mut stream)) => {
+                self.context.metrics.refused(reason);
+                tracing::warn!(event = "broken_off", request = %self.id, reason = reason.as_str());
+                let body = reply::body(&refusal).to_string();
+                let _ = stream.event(body.as_bytes()).and_then(|()| stream.end());
+            }
+            Some(Sink::Waiting(reply) | Sink::Gathering(reply)) => {
+                reply.refuse(&refusal, &self.context.metrics);
+            }
+            None => {}
+        }
+    }
+}
+
+fn reason(e: upstream::Error) -> metrics::Retry {
+    match e {
+        upstream::Error::NotSent => metrics::Retry::Connect,
+        upstream::Error::Refused | upstream::Error::Rejected(_) => metrics::Retry::Refused,
+        upstream::Error::Broken | upstream::Error::Timeout => metrics::Retry::Broken,
+    }
+}
+
+fn outcome(reason: metrics::Retry) -> ask::Outcome {
+    match reason {
+        metrics::Retry::Preempted => ask::Outcome::Stopped,
+        metrics::Retry::Refused => ask::Outcome::Refused,
+        metrics::Retry::Connect | metrics::Retry::Broken => ask::Outcome::Failed,
+    }
+}
--- /dev/null
+++ b/crates/host/src/context.rs
@@ -0,0 +1,140 @@
+//! What every part of a host shares.
+
+use std::sync;
+use std::sync::atomic;
+
+use base::{clock, name};
+use config::view;
+use peer::message;
+use platform::store;
+use policy::usage;
+
+use crate::{directory, gate, ledger, metrics, settings, upstream};
+
+/// How far a host is in its life, as callers see it.
+#[derive(Debug, Default)]
+pub struct Phase(atomic::AtomicU8);
+
+const SERVING: u8 = 0;
+const LEAVING: u8 = 1;
+const CLOSED: u8 = 2;
+
+impl Phase {
+    /// The balancer should send no more callers; those that come are served.
+    pub fn leave(&self) {
+        self.0.store(LEAVING, atomic::Ordering::SeqCst);
+    }
+
+    /// New requests are refused.
+    pub fn close(&self) {
+        self.0.store(CLOSED, atomic::Ordering::SeqCst);
+    }
+
+    /// Whether the balancer may send callers.
+    pub fn is_serving(&self) -> bool {
+        self.0.load(atomic::Ordering::SeqCst) == SERVING
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_closed(&self) -> bool {
+        self.0.load(atomic::Ordering::SeqCst) == CLOSED
+    }
+}
+
+/// Shared by all threads of a host.
+pub struct Context {
+    /// Checked settings.
+    pub settings: settings::Settings,
+    /// Time.
+    pub clock: clock::Clock,
+    /// Drawn at start; tells this start of the host from others.
+    pub incarnation: u64,
+    /// The configuration as requests read it.
+    pub view: sync::RwLock<view::View>,
+    /// The key-value service.
+    pub store: sync::Arc<dyn store::Store>,
+    /// Grants.
+    pub gate: sync::Arc<gate::Gate>,
+    /// Hosts known to this one.
+    pub directory: sync::Arc<directory::Directory>,
+    /// Usage not yet written.
+    pub ledger: ledger::Shared,
+    /// Instruments.
+    pub metrics: metrics::Metrics,
+    /// Clients of upstreams.
+    pub upstreams: upstream::Clients,
+    /// How far this host is in its life.
+    pub phase: Phase,
+    /// Whether a configuration is in force.
+    pub ready: atomic::AtomicBool,
+    /// When the store or a peer was last heard, in milliseconds of `clock`.
+    pub heard: atomic::AtomicU64,
+    /// Requests being served.
+    pub active: atomic::AtomicUsize,
+    /// Numbers requests.
+    pub requests: atomic::AtomicU64,
+}
+
+impl Context {
+    /// Whether a configuration is in force.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(atomic::Ordering::SeqCst)
+    }
+
+    /// The configuration, for reading.
+    pub fn view(&self) -> sync::RwLockReadGuard<'_, view::View> {
+        self.view
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// The configuration, for changing.
+    pub fn view_mut(&self) -> sync::RwLockWriteGuard<'_, view::View> {
+        self.view
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Notes that the store or a peer was heard.
+    pub fn hear(&self) {
+        self.heard
+            .store(self.clock.now().0, atomic::Ordering::Relaxed);
+    }
+
+    /// Whether the store or a peer was heard recently enough to trust known keys.
+    pub fn trusts_keys(&self) -> bool {
+        let heard = clock::Millis(self.heard.load(atomic::Ordering::Relaxed));
+        self.clock.now().since(heard) <= self.settings.times.trust
+    }
+
+    /// Records usage and waits until it is safe on a peer or in the store.
+    pub fn record_usage(&self, account: usage::Account, amount: usage::Amount) {
+        self.ledger.record(account, amount, |incarnation, record| {
+            let Some(peer) = self.copy_holder() else {
+                return false;
+            };
+            let message = message::Message::Copy(incarnation.clone(), record.clone());
+            self.gate.send(&peer, message)
+        });
+    }
+
+    /// The peer that keeps copies of this host's usage: the next live one of its data centre, or
+    /// else any that is heard.
+    fn copy_holder(&self) -> Option<name::Host> {
+        let now = self.clock.now();
+        let live = self.directory.live(now);
+        let own = self.directory.host();
+        let at = live.iter().position(|h| h == own)?;
+        if live.len() > 1 {
+            return Some(live[(at + 1) % live.len()].clone());
+        }
+        let heard = self.directory.heard(now);
+        heard.into_iter().next().map(|(host, _, _)| host)
+    }
+
+    /// A new request's id, unique over all hosts.
+    pub fn request_id(&self) -> String {
+        let n = self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        format!("{:016x}{n:08x}", self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/host/src/follow.rs
@@ -0,0 +1,222 @@
+//! Follows the configuration: from the store's log, and from peers.
+//!
+//! The state only moves up, one log entry at a time, or to a newer whole state.
+
+use std::sync;
+
+use base::clock;
+use config::{item, log, remote, view};
+use peer::message;
+
+use crate::{context, stop};
+
+/// How long one watch waits.
+const WATCH: clock::Millis = clock::Millis(20_000);
+/// Pause after a failed call.
+const PAUSE: clock::Millis = clock::Millis(300);
+/// Entries sent to a peer at a time.
+const MAX_ENTRIES: usize = 64;
+/// Entries kept for peers.
+const KEPT: usize = 1024;
+
+#[derive(Default)]
+struct State {
+    log: log::State,
+    recent: std::collections::VecDeque<log::Entry>,
+    parts: Vec<Option<message::Segment>>,
+}
+
+/// Told when another configuration is in force.
+pub trait Listener: Send + Sync {
+    /// Another configuration is in force.
+    fn changed(&self);
+}
+
+/// The configuration of this host, and what its peers may ask of it.
+#[derive(Default)]
+pub struct Follower {
+    state: sync::Mutex<State>,
+    listener: sync::OnceLock<sync::Weak<dyn Listener>>,
+}
+
+impl Follower {
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Sets who is told of changes.
+    pub fn listen(&self, listener: sync::Weak<dyn Listener>) {
+        let _ = self.listener.set(listener);
+    }
+
+    fn tell_listener(&self) {
+        if let Some(listener) = self.listener.get().and_then(sync::Weak::upgrade) {
+            listener.changed();
+        }
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> u64 {
+        self.lock().log.revision
+    }
+
+    /// Applies an entry if it is the next one.
+    pub fn advance(&self, context: &context::Context, entry: log::Entry) -> bool {
+        let mut state = self.lock();
+        if !state.log.advance(&entry) {
+            return false;
+        }
+        let mut view = context.view_mut();
+        for change in &entry.changes {
+            view.apply(change);
+        }
+        view.revision = entry.revision;
+        drop(view);
+        let lag = context.clock.unix().0.saturating_sub(entry.written);
+        tracing::info!(
+            event = "config_applied",
+            revision = entry.revision,
+            lag_ms = lag
+        );
+        state.recent.push_back(entry);
+        if state.recent.len() > KEPT {
+            state.recent.pop_front();
+        }
+        drop(state);
+        self.tell_listener();
+        true
+    }
+
+    /// Takes a newer whole state.
+    pub fn replace(&self, context: &context::Context, newer: log::State) {
+        let mut state = self.lock();
+        let fresh = view::View::new(newer.revision, &newer.items);
+        if !state.log.replace(newer) {
+            return;
+        }
+        state.recent.clear();
+        *context.view_mut() = fresh;
+        tracing::info!(event = "config_replaced", revision = state.log.revision);
+        drop(state);
+        self.tell_listener();
+    }
+
+    /// What a peer at `from - 1` needs: the entries from `from` on, or the whole state in parts.
+    pub fn tell(&self, from: u64) -> Vec<message::Message> {
+        let state = self.lock();
+        if state.log.revision < from {
+            return Vec::new();
+        }
+        let oldest = state.recent.front().map_or(u64::MAX, |e| e.revision);
+        if from >= oldest {
+            let newer = state.recent.iter().filter(|e| e.revision >= from);
+            let entries = newer.take(MAX_ENTRIES).cloned().collect();
+            return vec![message::Message::Entries(entries)];
+        }
+        let segments = log::segments(&state.log.items);
+        let parts = segments.len() as u32;
+        let revision = state.log.revision;
+        let part = |(n, bytes)| {
+            message::Message::Segment(message::Segment {
+                revision,
+                part: n as u32,
+                parts,
+                bytes,
+            })
+        };
+        segments.into_iter().enumerate().map(part).collect()
+    }
+
+    /// Takes one part of a whole state from a peer.
+    pub fn segment(&self, context: &context::Context, segment: message::Segment) {
+        let mut state = self.lock();
+        if segment.revision <= state.log.revision || segment.part >= segment.parts {
+            return;
+        }
+        let same =
+            |s: &message::Segment| s.revision == segment.revision && s.parts == segment.parts;
+        if !state.parts.iter().flatten().all(same) || state.parts.len() != segment.parts as usize {
+            state.parts = vec![None; segment.parts as usize];
+        }
+        let at = segment.part as usize;
+        let revision = segment.revision;
+        state.parts[at] = Some(segment);
+        if state.parts.iter().any(Option::is_none) {
+            return;
+        }
+        let parts = std::mem::take(&mut state.parts);
+        drop(state);
+        let mut items = item::Items::new();
+        for part in parts.iter().flatten() {
+            if log::read_segment(&part.bytes, &mut items).is_err() {
+                tracing::warn!(event = "config_unreadable", revision);
+                return;
+            }
+        }
+        self.replace(context, log::State { revision, items });
+    }
+
+    /// Follows the store until stopped. `should_watch` tells whether this host is one of those
+    /// that watch for its data centre.
+    pub fn run(
+        &self,
+        context: &context::Context,
+        stop: &stop::Stop,
+        should_watch: impl Fn() -> bool,
+    ) {
+        let mut after = 0;
+        while !stop.is_set() {
+            if self.revision() > 0 && !should_watch() {
+                stop.wait(PAUSE.duration());
+                continue;
+            }
+            let read = self
+                .catch_up(context)
+                .and_then(|()| self.watch(context, after));
+            match read {
+                Ok(revision) => {
+                    context.hear();
+                    after = revision;
+                }
+                Err(e) => {
+                    tracing::debug!(event = "store_not_read", error = %e);
+                    stop.wait(PAUSE.duration());
+                }
+            }
+        }
+    }
+
+    fn watch(&self, context: &context::Context, after: u64) -> Result<u64, remote::Error> {
+        let prefix = log::log_prefix(&context.settings.environment);
+        let wait = if after == 0 {
+            clock::Millis::ZERO
+        } else {
+            WATCH
+        };
+        let changes = context.store.watch(&prefix, after, wait)?;
+        for entry in &changes.entries {
+            let Ok(entry) = serde_json::from_slice::<log::Entry>(entry.bytes()) else {
+                continue;
+            };
+            self.advance(context, entry);
+        }
+        Ok(changes.revision)
+    }
+
+    /// Reads the snapshot, if it is ahead, and the log after it.
+    fn catch_up(&self, context: &context::Context) -> Result<(), remote::Error> {
+        let env = &context.settings.environment;
+        let store = &*context.store;
+        if self.revision() == 0
+            && let Some(newer) = remote::snapshot(store, env)?
+        {
+            self.replace(context, newer);
+        }
+        while let Some(entry) = remote::entry(store, env, self.revision() + 1)? {
+            self.advance(context, entry);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/host/src/main.rs
@@ -0,0 +1,81 @@
+//! The program of a host: `jacinthslip serve --settings host.yaml`.
+
+use std::process;
+use std::thread;
+
+use jacinthslip::{cli, exit_codes, life, settings, stop};
+
+fn main() -> process::ExitCode {
+    let flags = cli::Jacinthslip::from_env_or_exit();
+    match flags.subcommand {
+        cli::JacinthslipCmd::Version(_) => {
+            println!("jacinthslip {}", env!("CARGO_PKG_VERSION"));
+            exit_codes::ExitCode::Success.into()
+        }
+        cli::JacinthslipCmd::Check(check) => match settings::read(&check.settings) {
+            Ok(_) => {
+                println!("{}: no fault found", check.settings.display());
+                exit_codes::ExitCode::Success.into()
+            }
+            Err(findings) => {
+                eprintln!("{findings}");
+                exit_codes::ExitCode::Usage.into()
+            }
+        },
+        cli::JacinthslipCmd::Serve(serve) => match settings::read(&serve.settings) {
+            Ok(settings) => run(settings).into(),
+            Err(findings) => {
+                eprintln!("{findings}");
+                exit_codes::ExitCode::Usage.into()
+            }
+        },
+    }
+}
+
+fn run(settings: settings::Settings) -> exit_codes::ExitCode {
+    start_logs();
+    let signals = signal_hook::iterator::Signals::new([
+        signal_hook::consts::SIGTERM,
+        signal_hook::consts::SIGINT,
+    ]);
+    let mut signals = match signals {
+        Ok(signals) => signals,
+        Err(e) => return fail(&eyre::eyre!("can't take signals: {e}")),
+    };
+    let serving = match life::Starting::new(settings).start() {
+        Ok(serving) => serving,
+        Err(e) => return fail(&e),
+    };
+    let _ = signals.forever().next();
+    let draining = serving.drain();
+    let hurry = stop::Stop::default();
+    let second = hurry.clone();
+    thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            second.set();
+        }
+    });
+    draining.finish(&hurry)
+}
+
+fn fail(e: &eyre::Report) -> exit_codes::ExitCode {
+    eprintln!(
+        "jacinthslip: {e:#}. Free the address or change it in the settings, then start again."
+    );
+    exit_codes::ExitCode::Failure
+}
+
+fn start_logs() {
+    use tracing_subscriber::layer::SubscriberExt as _;
+    use tracing_subscriber::util::SubscriberInitExt as _;
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let layer = tracing_logfmt::builder()
+        .with_target(false)
+        .with_span_name(false)
+        .layer();
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(layer)
+        .init();
+}
--- /dev/null
+++ b/crates/host/src/node.rs
@@ -0,0 +1,360 @@
+//! This host among the others: who is connected, what they tell, what they are told.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use base::{clock, name};
+use peer::{link, message};
+use platform::hosts;
+use policy::{ask, pool};
+
+use crate::{context, follow, gate, stop};
+
+/// How often heartbeats go out.
+const BEAT: clock::Millis = clock::Millis(400);
+/// How often the platform's list is read.
+const LIST: clock::Millis = clock::Millis(2_000);
+/// Hosts of each data centre that keep connections to other data centres.
+const RELAYS: usize = 2;
+/// A host silent for this long is gone: its requests leave the desks.
+const GONE: clock::Millis = clock::Millis(5_000);
+
+/// This host's connections and what is learnt through them.
+pub struct Node {
+    context: sync::Arc<context::Context>,
+    follower: sync::Arc<follow::Follower>,
+    list: sync::Mutex<hosts::List>,
+    platform: Box<dyn hosts::Hosts>,
+    links: sync::OnceLock<link::Links>,
+    gone: sync::Mutex<collections::HashMap<name::Host, clock::Millis>>,
+}
+
+impl Node {
+    /// A node that is not connected yet.
+    pub fn new(
+        context: sync::Arc<context::Context>,
+        follower: sync::Arc<follow::Follower>,
+        platform: Box<dyn hosts::Hosts>,
+    ) -> Self {
+        let mut list = hosts::List::default();
+        for p in &context.settings.peers {
+            list.hosts.push(hosts::Host {
+                name: p.name.clone(),
+                dc: p.dc.clone(),
+                address: p.address,
+                state: hosts::State::Live,
+            });
+        }
+        Self {
+            context,
+            follower,
+            list: sync::Mutex::new(list),
+            platform,
+            links: sync::OnceLock::new(),
+            gone: sync::Mutex::default(),
+        }
+    }
+
+    /// Starts listening and connecting.
+    ///
+    /// # Errors
+    ///
+    /// The peer address can't be bound.
+    pub fn connect(self: &sync::Arc<Self>) -> std::io::Result<()> {
+        let settings = &self.context.settings;
+        let identity = link::Identity {
+            host: settings.host.clone(),
+            dc: settings.dc.clone(),
+            secret: settings.secret.clone(),
+        };
+        let weak = sync::Arc::downgrade(self);
+        let sink: sync::Weak<dyn link::Sink> = weak.clone();
+        let outbox: sync::Weak<dyn gate::Outbox> = weak.clone();
+        let terms: sync::Weak<dyn gate::Terms> = weak.clone();
+        self.follower.listen(weak);
+        let links = link::Links::start(identity, settings.peer, sink)?;
+        let _ = self.links.set(links);
+        self.context.gate.connect(outbox, terms);
+        self.want_peers();
+        Ok(())
+    }
+
+    fn list(&self) -> sync::MutexGuard<'_, hosts::List> {
+        self.list
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Keeps heartbeats, connections and desks up to date until stopped.
+    pub fn run(&self, stop: &stop::Stop) {
+        let mut listed = clock::Millis::ZERO;
+        while !stop.wait(BEAT.duration()) {
+            let now = self.context.clock.now();
+            if now.since(listed) >= LIST || listed == clock::Millis::ZERO {
+                listed = now;
+                self.read_list();
+            }
+            self.want_peers();
+            self.configure_desks();
+            self.beat();
+            self.context.gate.tell_holding();
+            self.forget_gone(now);
+            self.context.metrics.set_control(self.bytes());
+        }
+    }
+
+    /// Lets time pass at the desks until stopped.
+    pub fn tick(&self, stop: &stop::Stop) {
+        const TICK: time::Duration = time::Duration::from_millis(10);
+        while !stop.wait(TICK) {
+            self.context.gate.tick();
+        }
+    }
+
+    fn bytes(&self) -> (u64, u64) {
+        self.links.get().map_or((0, 0), link::Links::bytes)
+    }
+
+    fn read_list(&self) {
+        let Ok(list) = self.platform.read() else {
+            return;
+        };
+        if list.hosts.is_empty() {
+            // The platform may list only upstreams; hosts then come from the settings.
+            self.list().upstreams = list.upstreams;
+            return;
+        }
+        *self.list() = list;
+    }
+
+    /// Hosts to be connected with: all of this data centre; between data centres only relays.
+    fn want_peers(&self) {
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        let own = &self.context.settings.host;
+        let dc = &self.context.settings.dc;
+        let list = self.list().clone();
+        let connected: collections::HashSet<name::Host> = links
+            .connected()
+            .into_iter()
+            .map(|(host, _)| host)
+            .collect();
+        let mut others: collections::BTreeMap<&name::Dc, Vec<&hosts::Host>> =
+            collections::BTreeMap::new();
+        for host in &list.hosts {
+            self.context.directory.place(&host.name, &host.dc);
+            if &host.dc != dc {
+                others.entry(&host.dc).or_default().push(host);
+            } else if own < &host.name {
+                links.want(&host.name, &host.dc, host.address);
+            }
+        }
+        if !self.is_relay() {
+            return;
+        }
+        for hosts in others.values_mut() {
+            hosts.sort_by(|a, b| a.name.cmp(&b.name));
+            let mut up = 0;
+            for host in hosts.iter().take(RELAYS * 2) {
+                links.want(&host.name, &host.dc, host.address);
+                up += usize::from(connected.contains(&host.name));
+                if up == RELAYS {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Whether this host is one of those that watch the store and other data centres.
+    pub fn is_relay(&self) -> bool {
+        let (index, _) = self.context.directory.rank(self.context.clock.now());
+        (index as usize) < RELAYS
+    }
+
+    /// Tells all connected hosts what this one has in force.
+    pub fn beat(&self) {
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        let beat = message::Beat {
+            revision: self.follower.revision(),
+            leaving: !self.context.phase.is_serving(),
+        };
+        for (host, _) in links.connected() {
+            links.send(&host, message::Message::Beat(beat.clone()));
+        }
+    }
+
+    /// Sets the upstreams of every service at its desk: those of this data centre that run.
+    pub fn configure_desks(&self) {
+        let dc = &self.context.settings.dc;
+        let list = self.list().clone();
+        let services: Vec<_> = self.context.view().services().cloned().collect();
+        for service in services {
+            let mut sites = Vec::new();
+            for u in &service.upstreams {
+                if &u.dc != dc || !is_usable(&list, u) {
+                    continue;
+                }
+                sites.push(pool::Site {
+                    name: u.name.clone(),
+                    slots: u.slots,
+                    price: u.price,
+                    cheap: u.cheap,
+                });
+            }
+            self.context.gate.configure(&service.name, sites);
+        }
+    }
+
+    fn forget_gone(&self, now: clock::Millis) {
+        let mut lost = Vec::new();
+        let mut gone = self
+            .gone
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        gone.retain(|host, since| {
+            let over = now.since(*since) >= GONE;
+            if over {
+                lost.push(host.clone());
+            }
+            !over
+        });
+        drop(gone);
+        for host in lost {
+            if !self.context.directory.is_heard(&host, now) {
+                tracing::info!(event = "host_gone", host = %host);
+                self.context.gate.forget(&host);
+            }
+        }
+    }
+
+    /// Whether a host has not been heard for a while.
+    pub fn is_gone(&self, host: &name::Host) -> bool {
+        !self
+            .context
+            .directory
+            .is_heard(host, self.context.clock.now())
+    }
+
+    /// The upstreams that the platform lists as running or leaving.
+    pub fn upstream_list(&self) -> Vec<hosts::Upstream> {
+        self.list().upstreams.clone()
+    }
+
+    /// The batch stands in the store: peers need no copies of it.
+    pub fn tell_written(&self, batch: policy::usage::Batch) {
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        for (host, dc) in links.connected() {
+            if dc == self.context.settings.dc {
+                links.send(&host, message::Message::Written(batch.clone()));
+            }
+        }
+    }
+
+    fn on_beat(&self, host: &name::Host, beat: &message::Beat) {
+        let now = self.context.clock.now();
+        self.context
+            .directory
+            .beat(host, beat.revision, beat.leaving, now);
+        self.context.hear();
+        let own = self.follower.revision();
+        if beat.revision > own {
+            gate::Outbox::send(self, host, message::Message::WantConfig(own + 1));
+        }
+    }
+}
+
+impl follow::Listener for Node {
+    fn changed(&self) {
+        self.configure_desks();
+        self.context.ready.store(true, atomic::Ordering::SeqCst);
+        self.beat();
+    }
+}
+
+/// An upstream takes new work unless it is listed as leaving, or starts on order and is not
+/// listed.
+fn is_usable(list: &hosts::List, u: &config::document::Upstream) -> bool {
+    match list.upstreams.iter().find(|l| l.name == u.name) {
+        Some(l) => l.state == hosts::State::Live,
+        None => !u.ordered,
+    }
+}
+
+impl gate::Outbox for Node {
+    fn send(&self, host: &name::Host, message: message::Message) -> bool {
+        self.links
+            .get()
+            .is_some_and(|links| links.send(host, message))
+    }
+}
+
+impl gate::Terms for Node {
+    fn terms(&self, class: &name::Class, team: &name::Team) -> Option<(ask::Terms, u32)> {
+        let view = self.context.view();
+        let class = view.class(class.as_str())?;
+        let weight = view.team(team.as_str()).map_or(1, |t| t.weight);
+        let terms = ask::Terms {
+            class: class.name.clone(),
+            tier: class.tier,
+            first: class.first,
+            bound: class.bound,
+            floor: class.floor,
+            evictable: class.evictable,
+        };
+        Some((terms, weight))
+    }
+}
+
+impl link::Sink for Node {
+    fn message(&self, host: &name::Host, message: message::Message) {
+        match message {
+            message::Message::Beat(beat) => self.on_beat(host, &beat),
+            message::Message::WantConfig(from) => {
+                for part in self.follower.tell(from) {
+                    gate::Outbox::send(self, host, part);
+                }
+            }
+            message::Message::Entries(entries) => {
+                for entry in entries {
+                    self.follower.advance(&self.context, entry);
+                }
+            }
+            message::Message::Segment(segment) => self.follower.segment(&self.context, segment),
+            message::Message::Copy(incarnation, record) => {
+                let number = record.number;
+                let now = self.context.clock.now();
+                self.context.ledger.keep(host, incarnation, record, now);
+                gate::Outbox::send(self, host, message::Message::Copied(number));
+            }
+            message::Message::Copied(number) => self.context.ledger.copied(number),
+            message::Message::Written(batch) => self.context.ledger.drop_copies(&batch),
+            message::Message::Summary(_) => {}
+            other => self.context.gate.message(host, other),
+        }
+    }
+
+    fn opened(&self, host: &name::Host) {
+        let beat = message::Beat {
+            revision: self.follower.revision(),
+            leaving: !self.context.phase.is_serving(),
+        };
+        gate::Outbox::send(self, host, message::Message::Beat(beat));
+    }
+
+    fn closed(&self, host: &name::Host) {
+        let now = self.context.clock.now();
+        self.context.directory.lost(host);
+        let mut gone = self
+            .gone
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        gone.insert(host.clone(), now);
+    }
+}
--- /dev/null
+++ b/crates/host/src/plain.rs
@@ -0,0 +1,265 @@
+//! Calls of plain services.
+
+use base::{clock, name, refusal};
+use config::document;
+use peer::message;
+use policy::{ask, usage};
+
+use crate::{body, caller, context, metrics, once, reply, retry, upstream};
+
+/// Headers of callers that are passed on. Anything else stays here, so that no key passes.
+const PASSED: [&str; 8] = [
+    "accept",
+    "accept-language",
+    "content-type",
+    "content-language",
+    "if-match",
+    "if-none-match",
+    "if-modified-since",
+    "if-unmodified-since",
+];
+/// Headers of answers that belong to the connection and are not passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+    "proxy-authenticate",
+    "x-request-id",
+];
+/// Plain answers are held whole before they are passed on, up to this many bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// A call as it came.
+pub struct Call {
+    /// Its method.
+    pub method: String,
+    /// Its path behind the service's name, with the query.
+    pub path: String,
+    /// Headers to pass on.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// Whether it may run more than once.
+    pub fn is_repeatable(&self, service: &document::Service) -> bool {
+        service.idempotent || matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
+    }
+}
+
+/// Serves a call of the service `name`.
+pub fn serve(context: &context::Context, mut http: tiny_http::Request, name: &str, path: &str) {
+    let credentials = caller::Credentials::read(&http);
+    let id = context.request_id();
+    let read = body::read(&mut http, context.settings.limits.body, &context.clock);
+    let method = http.method().to_string();
+    let headers = passed(&http);
+    let reply = reply::Reply::new(http, id.clone());
+    let call = read.map(|body| Call {
+        method,
+        path: path.to_owned(),
+        headers,
+        body,
+    });
+    let result = call.and_then(|call| answer(context, &credentials, name, &call, &id));
+    match result {
+        Ok(answer) => send(reply, &answer),
+        Err(refusal) => reply.refuse(&refusal, &context.metrics),
+    }
+}
+
+fn passed(http: &tiny_http::Request) -> Vec<(String, String)> {
+    let mut out = Vec::new();
+    for h in http.headers() {
+        let name = h.field.as_str().as_str().to_ascii_lowercase();
+        if PASSED.contains(&name.as_str()) {
+            out.push((name, h.value.as_str().to_owned()));
+        }
+    }
+    out
+}
+
+fn send(reply: reply::Reply, answer: &upstream::Answer) {
+    let mut headers: Vec<reply::Header<'_>> = Vec::new();
+    for (name, value) in &answer.headers {
+        if !HOP_BY_HOP.contains(&name.as_str()) {
+            headers.push((name, value));
+        }
+    }
+    let _ = reply.whole(answer.status, &headers, &answer.body);
+}
+
+fn answer(
+    context: &context::Context,
+    credentials: &caller::Credentials,
+    name: &str,
+    call: &Call,
+    id: &str,
+) -> Result<upstream::Answer, refusal::Refusal> {
+    let refuse = |reason| Err(refusal::Refusal::not_run(reason));
+    if !context.is_ready() {
+        return refuse(refusal::Reason::NotReady);
+    }
+    let service = context.view().service(name);
+    let Some(service) = service.filter(|s| s.kind == document::Kind::Plain) else {
+        return refuse(refusal::Reason::NotFound);
+    };
+    let caller = caller::admit(context, credentials, &service)?;
+    if caller::carries_key(credentials, &call.body)
+        || caller::carries_key(credentials, call.path.as_bytes())
+        || call
+            .headers
+            .iter()
+            .any(|(_, v)| caller::carries_key(credentials, v.as_bytes()))
+    {
+        return refuse(refusal::Reason::BadRequest);
+    }
+    let run = Run {
+        context,
+        service: &service,
+        caller: &caller,
+        call,
+        id,
+    };
+    if call.is_repeatable(&service) {
+        return run.repeatable();
+    }
+    match &credentials.once {
+        Some(key) if key.len() > caller::MAX_ONCE_BYTES || key.is_empty() => {
+            refuse(refusal::Reason::BadRequest)
+        }
+        Some(key) => once::run(context, &caller, &service.name, key, call, |first| {
+            run.single(first)
+        }),
+        None => run.single(&mut || Ok(())),
+    }
+}
+
+/// One call under way.
+struct Run<'a> {
+    context: &'a context::Context,
+    service: &'a document::Service,
+    caller: &'a caller::Caller,
+    call: &'a Call,
+    id: &'a str,
+}
+
+impl Run<'_> {
+    fn ask(&self, avoid: &[name::Upstream], arrived: clock::Millis) -> message::Ask {
+        let team = self.caller.team.as_ref().map_or("", |t| t.name.as_str());
+        message::Ask {
+            service: self.service.name.clone(),
+            class: self.caller.class.name.clone(),
+            ticket: self.context.gate.ticket(),
+            team: team.into(),
+            waited: self.context.clock.now().since(arrived),
+            prompt: 0,
+            limit: 1,
+            prefix: 0,
+            resumable: false,
+            held: 0,
+            avoid: avoid.to_vec(),
+        }
+    }
+
+    /// A call that may run more than once: tried elsewhere under the retry budget.
+    fn repeatable(&self) -> Result<upstream::Answer, refusal::Refusal> {
+        self.attempts(true, &mut || Ok(()))
+    }
+
+    /// A call that runs at most once: tried elsewhere only if no byte of it was sent. `before`
+    /// runs once, after a slot is granted and before the first byte is sent.
+    fn single(
+        &self,
+        before: &mut dyn FnMut() -> Result<(), refusal::Refusal>,
+    ) -> Result<upstream::Answer, refusal::Refusal> {
+        self.attempts(false, before)
+    }
+
+    fn attempts(
+        &self,
+        repeatable: bool,
+        before: &mut dyn FnMut() -> Result<(), refusal::Refusal>,
+    ) -> Result<upstream::Answer, refusal::Refusal> {
+        let mut avoid = Vec::new();
+        let arrived = self.context.clock.now();
+        let mut claimed = false;
+        loop {
+            let pass = self.context.gate.enter(self.ask(&avoid, arrived))?;
+            let upstream = self
+                .service
+                .upstreams
+                .iter()
+                .find(|u| u.name == pass.upstream);
+            let Some(upstream) = upstream else {
+                avoid.push(pass.upstream.clone());
+                continue;
+            };
+            if !claimed {
+                before()?;
+                claimed = true;
+            }
+            let send = self.context.request_id();
+            let call = self.call;
+            let plain = upstream::Plain {
+                method: &call.method,
+                path: &call.path,
+                headers: &call.headers,
+                id: &send,
+                body: &call.body,
+            };
+            let result = self.context.upstreams.plain(upstream, &plain, MAX_ANSWER);
+            let first = self.context.clock.now().since(pass.started());
+            let error = match result {
+                Ok(answer) if !(repeatable && matches!(answer.status, 502..=504)) => {
+                    pass.finish(ask::Outcome::Whole, 1, first);
+                    self.end();
+                    return Ok(answer);
+                }
+                Ok(_) => upstream::Error::Refused,
+                Err(e) => e,
+            };
+            pass.finish(ask::Outcome::Failed, 0, first);
+            let reason = match error {
+                upstream::Error::NotSent => metrics::Retry::Connect,
+                upstream::Error::Refused => metrics::Retry::Refused,
+                _ => metrics::Retry::Broken,
+            };
+            let upstream = upstream.name.as_str();
+            tracing::info!(
+                event = "attempt_ended",
+                request = self.id,
+                upstream,
+                reason = reason.as_str()
+            );
+            let retry = retry::Retry { reason, repeatable };
+            if !retry.is_allowed(self.context.upstreams.budget()) {
+                return Err(retry::refusal(error, false));
+            }
+            self.context.metrics.retried(reason);
+            avoid.push(upstream.into());
+            if avoid.len() >= self.service.upstreams.len() {
+                return Err(retry::refusal(error, false));
+            }
+        }
+    }
+
+    fn end(&self) {
+        self.context.upstreams.budget().earn();
+        let class = self.caller.class.name.as_str();
+        self.context.metrics.answered(class, "whole");
+        tracing::info!(event = "answered", request = self.id, class, end = "whole");
+        let amount = usage::Amount {
+            requests: 1,
+            prompt: 0,
+            answer: 0,
+        };
+        self.context
+            .record_usage(self.caller.account(&self.service.name), amount);
+    }
+}
--- /dev/null
+++ b/crates/host/src/supervisor.rs
@@ -0,0 +1,85 @@
+//! A tree of supervised threads. A child that panics or returns early is started again after a
+//! pause; the others go on.
+
+use std::panic;
+use std::sync;
+use std::thread;
+use std::time;
+
+use crate::stop;
+
+/// Pause before a child is started again.
+const RESTART_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// Stack of a child.
+const STACK_BYTES: usize = 512 * 1024;
+
+/// A node of the tree: its children are stopped in the reverse order of their start.
+pub struct Supervisor {
+    name: &'static str,
+    stop: stop::Stop,
+    children: Vec<thread::JoinHandle<()>>,
+    nodes: Vec<Supervisor>,
+}
+
+impl Supervisor {
+    /// A node with no children.
+    pub fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            stop: stop::Stop::default(),
+            children: Vec::new(),
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Starts a child.
+    pub fn child(
+        &mut self,
+        name: &'static str,
+        body: impl Fn(&stop::Stop) + Send + Sync + 'static,
+    ) {
+        let stop = self.stop.clone();
+        let body: sync::Arc<dyn Fn(&stop::Stop) + Send + Sync> = sync::Arc::new(body);
+        let parent = self.name;
+        let run = move || supervise(parent, name, &stop, &*body);
+        let thread = thread::Builder::new()
+            .name(name.into())
+            .stack_size(STACK_BYTES);
+        match thread.spawn(run) {
+            Ok(handle) => self.children.push(handle),
+            Err(e) => {
+                tracing::error!(event = "child_not_started", parent, child = name, error = %e)
+            }
+        }
+    }
+
+    /// Puts a node below this one.
+    pub fn node(&mut self, node: Supervisor) {
+        self.nodes.push(node);
+    }
+
+    /// Stops the nodes below, last first, then the children.
+    pub fn stop(mut self) {
+        while let Some(node) = self.nodes.pop() {
+            node.stop();
+        }
+        self.stop.set();
+        for child in self.children.drain(..) {
+            let _ = child.join();
+        }
+    }
+}
+
+fn supervise(parent: &str, child: &str, stop: &stop::Stop, body: &dyn Fn(&stop::Stop)) {
+    loop {
+        let ended = panic::catch_unwind(panic::AssertUnwindSafe(|| body(stop)));
+        if stop.is_set() {
+            return;
+        }
+        let panicked = ended.is_err();
+        tracing::error!(event = "child_restarted", parent, child, panicked);
+        if stop.wait(RESTART_PAUSE) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/frame.rs
@@ -0,0 +1,80 @@
+//! Frames on a stream: four bytes of length, little-endian, then the message in `bincode`.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The longest message, in bytes.
+pub const MAX_BYTES: usize = 2 << 20;
+
+const HEADER_BYTES: usize = 4;
+
+/// A frame that can't be read: the connection is of no more use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Garbage;
+
+/// Appends `message` as a frame.
+///
+/// # Errors
+///
+/// The message is too long.
+pub fn write<T: Serialize>(message: &T, out: &mut Vec<u8>) -> Result<(), Garbage> {
+    let start = out.len();
+    out.extend_from_slice(&[0; HEADER_BYTES]);
+    let config = bincode::config::standard();
+    if bincode::serde::encode_into_std_write(message, out, config).is_err() {
+        out.truncate(start);
+        return Err(Garbage);
+    }
+    let len = out.len() - start - HEADER_BYTES;
+    if len > MAX_BYTES {
+        out.truncate(start);
+        return Err(Garbage);
+    }
+    out[start..start + HEADER_BYTES].copy_from_slice(&(len as u32).to_le_bytes());
+    Ok(())
+}
+
+/// Bytes of a stream, cut into frames.
+#[derive(Debug, Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+    at: usize,
+}
+
+impl Reader {
+    /// Adds bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.at > 0 {
+            self.bytes.drain(..self.at);
+            self.at = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// The frame is too long or not a message.
+    pub fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Garbage> {
+        let rest = &self.bytes[self.at..];
+        let Some((header, rest)) = rest.split_first_chunk::<HEADER_BYTES>() else {
+            return Ok(None);
+        };
+        let len = u32::from_le_bytes(*header) as usize;
+        if len > MAX_BYTES {
+            return Err(Garbage);
+        }
+        if rest.len() < len {
+            return Ok(None);
+        }
+        let config = bincode::config::standard().with_limit::<MAX_BYTES>();
+        let read = bincode::serde::decode_from_slice(&rest[..len], config);
+        let (message, used) = read.map_err(|_| Garbage)?;
+        if used != len {
+            return Err(Garbage);
+        }
+        self.at += HEADER_BYTES + len;
+        Ok(Some(message))
+    }
+}
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,143 @@
+//! What hosts tell each other.
+
+use base::{clock, name};
+use config::log;
+use policy::{ask, usage};
+use serde::{Deserialize, Serialize};
+
+/// Version of the messages; hosts of another version are not talked to.
+pub const VERSION: u16 = 1;
+
+/// A message between hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A heartbeat.
+    Beat(Beat),
+    /// A request asks its dispatcher for a slot; repeated while it waits.
+    Ask(Ask),
+    /// The dispatcher has the request in its queue.
+    Queued(ask::Ticket),
+    /// The dispatcher's decision.
+    Decide(ask::Decision),
+    /// A waiting request is gone.
+    Withdraw(name::Service, ask::Ticket),
+    /// A granted request ended.
+    Done(name::Service, ask::Ticket, ask::Spent),
+    /// What a host runs of a service, in brief.
+    Holding(name::Service, Digest),
+    /// The dispatcher's own record of it differs: tell all.
+    TellHolding(name::Service),
+    /// All that a host runs of a service.
+    Held(name::Service, Vec<Held>),
+    /// Send the log entries from this revision on.
+    WantConfig(u64),
+    /// Log entries in sequence.
+    Entries(Vec<log::Entry>),
+    /// One part of a whole configuration.
+    Segment(Segment),
+    /// A copy of a usage record, to be written if its host dies.
+    Copy(usage::Incarnation, usage::Record),
+    /// The copy is kept.
+    Copied(u64),
+    /// A batch stands in the store: its records need no copies.
+    Written(usage::Batch),
+    /// Free and waiting slots of the services of a data centre.
+    Summary(Summary),
+}
+
+/// A heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The configuration in force.
+    pub revision: u64,
+    /// Whether the host is about to stop.
+    pub leaving: bool,
+}
+
+/// A request's claim as it travels: the dispatcher knows the class's terms itself.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The service.
+    pub service: name::Service,
+    /// The class.
+    pub class: name::Class,
+    /// The request.
+    pub ticket: ask::Ticket,
+    /// Who pays; empty on a route open to all.
+    pub team: name::Team,
+    /// How long it has waited.
+    pub waited: clock::Millis,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// The longest answer taken, in tokens.
+    pub limit: u32,
+    /// A hash of the prompt's beginning.
+    pub prefix: u64,
+    /// Whether it can be continued elsewhere.
+    pub resumable: bool,
+    /// Tokens that the caller already has.
+    pub held: u32,
+    /// Upstreams that failed it.
+    pub avoid: Vec<name::Upstream>,
+}
+
+/// A set of tickets in brief.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// How many.
+    pub count: u32,
+    /// The exclusive or of their hashes.
+    pub hash: u64,
+}
+
+impl Digest {
+    /// Adds a ticket.
+    pub fn add(&mut self, ticket: ask::Ticket) {
+        self.count += 1;
+        self.hash ^= base::hash::stable(&ticket.0.to_le_bytes());
+    }
+}
+
+/// A running request.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// Its claim.
+    pub ask: Ask,
+    /// Where it runs.
+    pub upstream: name::Upstream,
+}
+
+/// One part of a whole configuration.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Segment {
+    /// The revision.
+    pub revision: u64,
+    /// This part's number, from 0.
+    pub part: u32,
+    /// How many parts there are.
+    pub parts: u32,
+    /// Its items, as in the store's snapshot.
+    pub bytes: Vec<u8>,
+}
+
+/// A data centre's services in brief.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The data centre.
+    pub dc: name::Dc,
+    /// The dispatching host that tells.
+    pub host: name::Host,
+    /// Its services.
+    pub services: Vec<Load>,
+}
+
+/// The load of one service.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The service.
+    pub service: name::Service,
+    /// Free slots.
+    pub free: u32,
+    /// Waiting requests.
+    pub waiting: u32,
+}
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,160 @@
+//! The store in memory: an adapter for tests, and the core of the stand-in.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use base::clock;
+
+use crate::store;
+
+/// A store in memory. Watches see the last write of each key.
+#[derive(Debug, Default)]
+pub struct Memory {
+    state: sync::Mutex<State>,
+    changed: sync::Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    keys: collections::BTreeMap<String, store::Entry>,
+    by_revision: collections::BTreeMap<u64, String>,
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Option<&[u8]>) -> u64 {
+        self.revision += 1;
+        let revision = self.revision;
+        if let Some(old) = self.keys.get(key) {
+            self.by_revision.remove(&old.revision);
+        }
+        let entry = store::Entry {
+            key: key.to_owned(),
+            value: value.map(<[u8]>::to_vec),
+            revision,
+        };
+        self.keys.insert(key.to_owned(), entry);
+        self.by_revision.insert(revision, key.to_owned());
+        revision
+    }
+
+    fn live(&self, key: &str) -> Option<&store::Entry> {
+        self.keys.get(key).filter(|e| e.value.is_some())
+    }
+
+    fn check(&self, key: &str, expect: store::Expect) -> Result<(), store::Error> {
+        let found = self.live(key);
+        let ok = match expect {
+            store::Expect::Any => true,
+            store::Expect::Absent => found.is_none(),
+            store::Expect::Revision(r) => found.is_some_and(|e| e.revision == r),
+        };
+        if ok {
+            Ok(())
+        } else {
+            Err(store::Error::Conflict(found.cloned()))
+        }
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Vec<store::Entry> {
+        let mut out = Vec::new();
+        for key in self.by_revision.range(after + 1..).map(|(_, k)| k) {
+            if !key.starts_with(prefix) {
+                continue;
+            }
+            out.extend(self.keys.get(key).cloned());
+        }
+        out
+    }
+}
+
+impl Memory {
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// How many keys hold a value.
+    pub fn len(&self) -> usize {
+        self.lock()
+            .keys
+            .values()
+            .filter(|e| e.value.is_some())
+            .count()
+    }
+
+    /// Whether no key holds a value.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl store::Store for Memory {
+    fn get(&self, key: &str) -> Result<Option<store::Entry>, store::Error> {
+        Ok(self.lock().live(key).cloned())
+    }
+
+    fn put(&self, key: &str, value: &[u8], expect: store::Expect) -> Result<u64, store::Error> {
+        if value.len() > store::MAX_VALUE_BYTES {
+            return Err(store::Error::TooLarge);
+        }
+        let mut state = self.lock();
+        state.check(key, expect)?;
+        let revision = state.write(key, Some(value));
+        self.changed.notify_all();
+        Ok(revision)
+    }
+
+    fn delete(&self, key: &str, expect: store::Expect) -> Result<(), store::Error> {
+        let mut state = self.lock();
+        state.check(key, expect)?;
+        if state.live(key).is_some() {
+            state.write(key, None);
+            self.changed.notify_all();
+        }
+        Ok(())
+    }
+
+    fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<store::Entry>, store::Error> {
+        let state = self.lock();
+        let start = if after > prefix { after } else { prefix };
+        let mut out = Vec::new();
+        for (key, entry) in state.keys.range(start.to_owned()..) {
+            if !key.starts_with(prefix) || out.len() == limit {
+                break;
+            }
+            if key.as_str() <= after || entry.value.is_none() {
+                continue;
+            }
+            out.push(entry.clone());
+        }
+        Ok(out)
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: clock::Millis,
+    ) -> Result<store::Changes, store::Error> {
+        let end = time::Instant::now() + wait.duration();
+        let mut state = self.lock();
+        loop {
+            let entries = state.changes(prefix, after);
+            let left = end.saturating_duration_since(time::Instant::now());
+            if !entries.is_empty() || left.is_zero() {
+                let revision = state.revision.max(after);
+                return Ok(store::Changes { revision, entries });
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(sync::PoisonError::into_inner).0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/pool.rs
@@ -0,0 +1,250 @@
+//! The upstreams of one service in one data centre, and the choice among them.
+//!
+//! An upstream's speed is learnt from answers, not from its load reports, which lag: a straggler
+//! shows as slow first tokens. Reports only ever lower the free slots.
+
+use base::{clock, name};
+use serde::{Deserialize, Serialize};
+
+use crate::{ask, breaker};
+
+/// An upstream as configured.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Site {
+    /// Its name.
+    pub name: name::Upstream,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Its cost while running.
+    pub price: u32,
+    /// Whether it can be evicted.
+    pub cheap: bool,
+}
+
+/// Weight of the newest answer in the moving means, as one part in this many.
+const SMOOTHING: f64 = 8.0;
+/// An upstream this many times slower than the median is a straggler.
+const STRAGGLER: f64 = 2.5;
+/// How long a straggler is left alone before it gets a trial.
+const TRIAL_EVERY: clock::Millis = clock::Millis(5_000);
+/// How much a warm prefix is worth, as a share of an upstream's load.
+const WARM_BONUS: f64 = 0.4;
+/// Prefixes remembered for each upstream.
+const PREFIXES: usize = 64;
+
+/// One upstream with what was learnt of it.
+#[derive(Debug)]
+pub struct Member {
+    /// As configured.
+    pub site: Site,
+    /// Requests granted and not ended.
+    pub busy: u32,
+    /// Requests that others run on it, as last reported.
+    pub foreign: u32,
+    /// Whether new work may go to it.
+    pub leaving: bool,
+    breaker: breaker::Breaker,
+    pace: f64,
+    tried: clock::Millis,
+    warm: Vec<u64>,
+}
+
+impl Member {
+    /// Slots not in use.
+    pub fn free(&self) -> u32 {
+        self.site.slots.saturating_sub(self.busy + self.foreign)
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.busy + self.foreign + 1) / f64::from(self.site.slots.max(1))
+    }
+}
+
+/// The upstreams of one service in one data centre.
+#[derive(Debug, Default)]
+pub struct Pool {
+    members: Vec<Member>,
+}
+
+impl Pool {
+    /// Takes the upstreams as configured now; what was learnt of those that stay is kept.
+    pub fn configure(&mut self, sites: &[Site]) {
+        self.members
+            .retain(|m| m.busy > 0 || sites.iter().any(|s| s.name == m.site.name));
+        for m in &mut self.members {
+            m.leaving = true;
+        }
+        for site in sites {
+            if let Some(m) = self.members.iter_mut().find(|m| m.site.name == site.name) {
+                m.site = site.clone();
+                m.leaving = false;
+                continue;
+            }
+            self.members.push(Member {
+                site: site.clone(),
+                busy: 0,
+                foreign: 0,
+                leaving: false,
+                breaker: breaker::Breaker::default(),
+                pace: 0.0,
+                tried: clock::Millis::ZERO,
+                warm: Vec::new(),
+            });
+        }
+    }
+
+    /// The upstreams, leaving ones included.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Sets what others run on an upstream, from its load report.
+    pub fn report(&mut self, name: &name::Upstream, foreign: u32) {
+        if let Some(m) = self.find(name) {
+            m.foreign = foreign.min(m.site.slots);
+        }
+    }
+
+    /// All slots of upstreams that take new work.
+    pub fn slots(&self) -> u32 {
+        self.members
+            .iter()
+            .filter(|m| !m.leaving)
+            .map(|m| m.site.slots)
+            .sum()
+    }
+
+    /// Slots in use on upstreams that take new work.
+    pub fn busy(&self) -> u32 {
+        self.members
+            .iter()
+            .filter(|m| !m.leaving)
+            .map(|m| m.busy + m.foreign)
+            .sum()
+    }
+
+    /// Whether an upstream could take this request, now or later.
+    pub fn suits(&self, ask: &ask::Ask) -> bool {
+        self.members.iter().any(|m| !m.leaving && allowed(m, ask))
+    }
+
+    /// The best upstream with a free slot for this request.
+    pub fn choose(&self, ask: &ask::Ask, now: clock::Millis) -> Option<name::Upstream> {
+        let median = self.median_pace();
+        let mut best: Option<(f64, &Member)> = None;
+        let mut last: Option<&Member> = None;
+        for m in &self.members {
+            if m.leaving || m.free() == 0 || !allowed(m, ask) {
+                continue;
+            }
+            last = last.or(Some(m));
+            if m.breaker.is_open(now) || (m.breaker.is_trial(now) && m.busy > 0) {
+                continue;
+            }
+            if self.is_straggler(m, median) && (m.busy > 0 || now.since(m.tried) < TRIAL_EVERY) {
+                continue;
+            }
+            let cost = score(m, ask, median);
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, m));
+            }
+        }
+        let chosen = best.map(|(_, m)| m).or_else(|| self.fallback(last, now));
+        chosen.map(|m| m.site.name.clone())
+    }
+
+    /// A closed breaker elsewhere with no free slot is worth waiting for; if every breaker is
+    /// open, one upstream is tried all the same.
+    fn fallback<'a>(&self, last: Option<&'a Member>, now: clock::Millis) -> Option<&'a Member> {
+        let usable = |m: &Member| !m.leaving && !m.breaker.is_open(now);
+        if self.members.iter().any(usable) {
+            return None;
+        }
+        last.filter(|m| m.busy == 0)
+    }
+
+    fn median_pace(&self) -> f64 {
+        let mut paces: Vec<f64> = self
+            .members
+            .iter()
+            .map(|m| m.pace)
+            .filter(|p| *p > 0.0)
+            .collect();
+        if paces.is_empty() {
+            return 0.0;
+        }
+        paces.sort_by(f64::total_cmp);
+        paces[(paces.len() - 1) / 2]
+    }
+
+    fn is_straggler(&self, m: &Member, median: f64) -> bool {
+        median > 0.0 && m.pace > median * STRAGGLER
+    }
+
+    /// Notes a grant.
+    pub fn take(&mut self, name: &name::Upstream, prefix: u64, now: clock::Millis) {
+        let Some(m) = self.find(name) else { return };
+        m.busy += 1;
+        m.tried = now;
+        if prefix == 0 || m.warm.contains(&prefix) {
+            return;
+        }
+        if m.warm.len() == PREFIXES {
+            m.warm.remove(0);
+        }
+        m.warm.push(prefix);
+    }
+
+    /// Notes the end of a grant. `expected` tokens were generated at the pace learnt.
+    pub fn give(&mut self, name: &name::Upstream, spent: &ask::Spent, now: clock::Millis) {
+        let Some(m) = self.find(name) else { return };
+        m.busy = m.busy.saturating_sub(1);
+        match spent.outcome {
+            ask::Outcome::Whole => m.breaker.succeed(),
+            ask::Outcome::Failed | ask::Outcome::Refused => m.breaker.fail(now),
+            ask::Outcome::Stopped => {}
+        }
+        if spent.tokens == 0 {
+            return;
+        }
+        let pace = spent.total.0 as f64 / f64::from(spent.tokens);
+        m.pace = if m.pace == 0.0 {
+            pace
+        } else {
+            m.pace + (pace - m.pace) / SMOOTHING
+        };
+    }
+
+    /// Forgets the cached prefixes of an upstream, as after a gap in its cache events.
+    pub fn forget_prefixes(&mut self, name: &name::Upstream) {
+        if let Some(m) = self.find(name) {
+            m.warm.clear();
+        }
+    }
+
+    fn find(&mut self, name: &name::Upstream) -> Option<&mut Member> {
+        self.members.iter_mut().find(|m| &m.site.name == name)
+    }
+}
+
+fn allowed(m: &Member, ask: &ask::Ask) -> bool {
+    let safe = ask.terms.evictable && ask.resumable;
+    (safe || !m.site.cheap) && !ask.avoid.contains(&m.site.name)
+}
+
+/// Lower is better: load, scaled by slowness, less a bonus for a warm prefix. Work that may run
+/// on cheap upstreams prefers them, so that the others stay free for work that may not.
+fn score(m: &Member, ask: &ask::Ask, median: f64) -> f64 {
+    let slow = if median > 0.0 && m.pace > 0.0 {
+        (m.pace / median).max(0.5)
+    } else {
+        1.0
+    };
+    let warm = if ask.prefix != 0 && m.warm.contains(&ask.prefix) {
+        WARM_BONUS
+    } else {
+        0.0
+    };
+    let cheap = if m.site.cheap { 1.0 } else { 0.0 };
+    m.load() * slow - warm - cheap
+}
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,172 @@
+//! Waiting requests of one service: strict by tier, weighted fair over teams within a tier.
+//!
+//! A team's virtual time is the service charged to it divided by its weight; the waiting team
+//! with the least goes next. A team that was idle starts at the tier's floor of virtual time, so
+//! idling earns nothing; one that got more than its due keeps its debt.
+
+use std::collections;
+
+use base::{clock, name};
+
+use crate::ask;
+
+/// Virtual time charged for one token at weight 1.
+const UNIT: u64 = 1 << 16;
+
+/// Idle teams are forgotten above this many in a tier, lowest debt first.
+const IDLE_TEAMS: usize = 1024;
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The request.
+    pub ask: ask::Ask,
+    /// When it arrived, its earlier wait counted.
+    pub since: clock::Millis,
+}
+
+#[derive(Debug, Default)]
+struct Lane {
+    vtime: u64,
+    weight: u64,
+    waiting: collections::VecDeque<Waiting>,
+}
+
+#[derive(Debug, Default)]
+struct Tier {
+    lanes: collections::BTreeMap<name::Team, Lane>,
+    base: u64,
+    len: usize,
+}
+
+/// The waiting requests of one service.
+#[derive(Debug, Default)]
+pub struct Queue {
+    tiers: collections::BTreeMap<u8, Tier>,
+}
+
+impl Queue {
+    /// Adds a request behind its team's others.
+    pub fn push(&mut self, ask: ask::Ask, now: clock::Millis) {
+        let tier = self.tiers.entry(ask.terms.tier).or_default();
+        let base = tier.base;
+        let lane = tier.lanes.entry(ask.team.clone()).or_default();
+        if lane.waiting.is_empty() {
+            lane.vtime = lane.vtime.max(base);
+        }
+        lane.weight = u64::from(ask.weight.max(1));
+        tier.len += 1;
+        let since = clock::Millis(now.0.saturating_sub(ask.waited.0));
+        let entry = Waiting { ask, since };
+        // A continued answer goes first: its caller already waits in the middle of it.
+        if entry.ask.held > 0 {
+            lane.waiting.push_front(entry);
+        } else {
+            lane.waiting.push_back(entry);
+        }
+    }
+
+    /// How many requests wait.
+    pub fn len(&self) -> usize {
+        self.tiers.values().map(|t| t.len).sum()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// How many requests wait in tiers above `tier`.
+    pub fn above(&self, tier: u8) -> usize {
+        self.tiers.range(..tier).map(|(_, t)| t.len).sum()
+    }
+
+    /// How many requests wait in `tier` and would be served before another one of `team`.
+    pub fn ahead(&self, tier: u8, team: &name::Team, weight: u32) -> usize {
+        let Some(tier) = self.tiers.get(&tier) else {
+            return 0;
+        };
+        let own = tier.lanes.get(team).map_or(0, |l| l.waiting.len());
+        let mut total = own;
+        for (name, lane) in &tier.lanes {
+            if name == team {
+                continue;
+            }
+            let due = (own + 1) as u64 * lane.weight / u64::from(weight.max(1));
+            total += lane.waiting.len().min(due as usize + 1);
+        }
+        total
+    }
+
+    /// The next request in order among those `allow` lets pass.
+    pub fn next(&self, allow: impl Fn(&ask::Ask) -> bool) -> Option<ask::Ticket> {
+        for tier in self.tiers.values() {
+            let mut best: Option<(u64, ask::Ticket)> = None;
+            for lane in tier.lanes.values() {
+                let Some(w) = lane.waiting.iter().find(|w| allow(&w.ask)) else {
+                    continue;
+                };
+                if best.is_none_or(|(v, _)| lane.vtime < v) {
+                    best = Some((lane.vtime, w.ask.ticket));
+                }
+            }
+            if let Some((_, ticket)) = best {
+                return Some(ticket);
+            }
+        }
+        None
+    }
+
+    /// The requests waiting, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        let lanes = self.tiers.values().flat_map(|t| t.lanes.values());
+        lanes.flat_map(|l| l.waiting.iter())
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, ticket: ask::Ticket) -> Option<Waiting> {
+        for tier in self.tiers.values_mut() {
+            for lane in tier.lanes.values_mut() {
+                let Some(at) = lane.waiting.iter().position(|w| w.ask.ticket == ticket) else {
+                    continue;
+                };
+                tier.len -= 1;
+                return lane.waiting.remove(at);
+            }
+        }
+        None
+    }
+
+    /// Moves the tier's floor of virtual time to the team now served, and forgets idle teams.
+    pub fn served(&mut self, tier: u8, team: &name::Team) {
+        let Some(tier) = self.tiers.get_mut(&tier) else {
+            return;
+        };
+        if let Some(lane) = tier.lanes.get(team) {
+            tier.base = tier.base.max(lane.vtime);
+        }
+        if tier.lanes.len() <= IDLE_TEAMS {
+            return;
+        }
+        let base = tier.base;
+        tier.lanes
+            .retain(|_, l| !l.waiting.is_empty() || l.vtime > base);
+    }
+
+    /// Charges `tokens` of service to a team; a negative charge gives back.
+    pub fn charge(&mut self, tier: u8, team: &name::Team, weight: u32, tokens: i64) {
+        let tier = self.tiers.entry(tier).or_default();
+        let base = tier.base;
+        let lane = tier.lanes.entry(team.clone()).or_insert_with(|| Lane {
+            vtime: base,
+            ..Lane::default()
+        });
+        lane.weight = u64::from(weight.max(1));
+        let amount = tokens.unsigned_abs() * UNIT / lane.weight;
+        if tokens >= 0 {
+            lane.vtime = lane.vtime.saturating_add(amount);
+        } else {
+            lane.vtime = lane.vtime.saturating_sub(amount);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/examples/standin.rs
@@ -0,0 +1,45 @@
+//! Runs one stand-in as a process: `standin store|engine|plain|platform IP:PORT`.
+//!
+//! It prints the address it listens on as its first line and runs until it is killed.
+
+use std::io::Write as _;
+use std::net;
+use std::thread;
+
+use standin::{engine, plain, platform, store};
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let kind = args.next().unwrap_or_default();
+    let address: net::SocketAddr = match args.next().unwrap_or_default().parse() {
+        Ok(address) => address,
+        Err(_) => fail("usage: standin store|engine|plain|platform IP:PORT"),
+    };
+    match kind.as_str() {
+        "store" => hold(store::Store::start(address).map(|s| (s.address(), s))),
+        "engine" => {
+            let settings = engine::Settings::default();
+            hold(engine::Engine::start(address, settings).map(|s| (s.address(), s)));
+        }
+        "plain" => hold(plain::Plain::start(address).map(|s| (s.address(), s))),
+        "platform" => hold(platform::Platform::start(address, false).map(|s| (s.address(), s))),
+        _ => fail("unknown stand-in: use store, engine, plain or platform"),
+    }
+}
+
+fn hold<T>(started: std::io::Result<(net::SocketAddr, T)>) {
+    let (address, _server) = match started {
+        Ok(started) => started,
+        Err(e) => fail(&format!("can't listen: {e}")),
+    };
+    println!("{address}");
+    let _ = std::io::stdout().flush();
+    loop {
+        thread::park();
+    }
+}
+
+fn fail(text: &str) -> ! {
+    eprintln!("{text}");
+    std::process::exit(2);
+}
