--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -16,7 +16,8 @@
 pub struct Entry {
     /// The key.
     pub key: String,
-    /// The value; `None` in a watch for a deleted key.
+    /// The value; `None` in a watch for a deleted key. Text in base64 on the wire.
+    #[serde(with = "value_text")]
     pub value: Option<Vec<u8>>,
     /// The service's revision of the last write to this key.
     pub revision: u64,
@@ -173,3 +174,33 @@
         other => Err(Error::Conflict(other)),
     }
 }
+
+mod value_text {
+    //! Values as base64 text.
+
+    use base64::Engine as _;
+    use base64::engine::general_purpose;
+    use serde::{Deserialize as _, Serialize as _, de};
+
+    pub(super) fn serialize<S: serde::Serializer>(
+        value: &Option<Vec<u8>>,
+        s: S,
+    ) -> Result<S::Ok, S::Error> {
+        let text = value
+            .as_ref()
+            .map(|bytes| general_purpose::STANDARD.encode(bytes));
+        text.serialize(s)
+    }
+
+    pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
+        d: D,
+    ) -> Result<Option<Vec<u8>>, D::Error> {
+        let Some(text) = Option::<String>::deserialize(d)? else {
+            return Ok(None);
+        };
+        let bytes = general_purpose::STANDARD
+            .decode(text)
+            .map_err(de::Error::custom)?;
+        Ok(Some(bytes))
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/store.rs
@@ -0,0 +1,297 @@
+//! The contract of the store port, run on every adapter from one table of cases.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use assert_matches::assert_matches;
+use base::clock;
+use platform::store::Store as _;
+use platform::{memory, store, store_http};
+use standin::{faults, store as standin_store};
+
+type Case = (&'static str, fn(&dyn store::Store));
+
+fn put(s: &dyn store::Store, key: &str, value: &str, expect: store::Expect) -> u64 {
+    s.put(key, value.as_bytes(), expect).expect("put")
+}
+
+/// What every adapter does without faults.
+const CASES: &[Case] = &[
+    ("an absent key reads as none", |s| {
+        assert_eq!(s.get("a/none"), Ok(None))
+    }),
+    ("a value is read back with its revision", |s| {
+        let revision = put(s, "a/x", "one", store::Expect::Absent);
+        let found = s.get("a/x").expect("get").expect("entry");
+        assert_eq!((found.bytes(), found.revision), (&b"one"[..], revision));
+    }),
+    ("revisions grow", |s| {
+        let first = put(s, "a/x", "one", store::Expect::Any);
+        assert!(put(s, "a/x", "two", store::Expect::Any) > first);
+    }),
+    ("a second create conflicts and shows what stands", |s| {
+        put(s, "a/x", "one", store::Expect::Absent);
+        let result = s.put("a/x", b"two", store::Expect::Absent);
+        assert_matches!(result, Err(store::Error::Conflict(Some(e))) if e.bytes() == b"one");
+    }),
+    ("a swap at the wrong revision conflicts", |s| {
+        let first = put(s, "a/x", "one", store::Expect::Absent);
+        put(s, "a/x", "two", store::Expect::Revision(first));
+        let result = s.put("a/x", b"three", store::Expect::Revision(first));
+        assert_matches!(result, Err(store::Error::Conflict(Some(e))) if e.bytes() == b"two");
+    }),
+    ("a swap of an absent key conflicts with nothing", |s| {
+        let result = s.put("a/x", b"one", store::Expect::Revision(7));
+        assert_eq!(result, Err(store::Error::Conflict(None)));
+    }),
+    ("a deleted key is absent and can be created again", |s| {
+        let at = put(s, "a/x", "one", store::Expect::Absent);
+        assert_matches!(
+            s.delete("a/x", store::Expect::Revision(at + 1)),
+            Err(store::Error::Conflict(_))
+        );
+        assert_eq!(s.delete("a/x", store::Expect::Revision(at)), Ok(()));
+        assert_eq!(s.get("a/x"), Ok(None));
+        assert_eq!(s.delete("a/x", store::Expect::Any), Ok(()));
+        put(s, "a/x", "two", store::Expect::Absent);
+    }),
+    (
+        "a list is in order, under its prefix, after its mark and within its limit",
+        |s| {
+            for key in ["a/3", "a/1", "b/1", "a/2", "a"] {
+                put(s, key, key, store::Expect::Absent);
+            }
+            let names = |after: &str, limit| -> Vec<String> {
+                let list = s.list("a/", after, limit).expect("list");
+                list.into_iter().map(|e| e.key).collect()
+            };
+            assert_eq!(names("", 9), ["a/1", "a/2", "a/3"]);
+            assert_eq!(names("a/1", 9), ["a/2", "a/3"]);
+            assert_eq!(names("", 2), ["a/1", "a/2"]);
+        },
+    ),
+    ("a value over the limit is refused", |s| {
+        let result = s.put(
+            "a/x",
+            &vec![7; store::MAX_VALUE_BYTES + 1],
+            store::Expect::Any,
+        );
+        assert_eq!(result, Err(store::Error::TooLarge));
+        let largest = vec![7; store::MAX_VALUE_BYTES];
+        s.put("a/x", &largest, store::Expect::Any).expect("put");
+        assert_eq!(s.get("a/x").expect("get").expect("entry").bytes(), largest);
+    }),
+    (
+        "a watch shows what was written before it and after its mark",
+        |s| {
+            put(s, "a/1", "one", store::Expect::Any);
+            let first = s.watch("a/", 0, clock::Millis::ZERO).expect("watch");
+            assert_eq!(first.entries.len(), 1);
+            put(s, "b/1", "other", store::Expect::Any);
+            put(s, "a/1", "two", store::Expect::Any);
+            s.delete("a/1", store::Expect::Any).expect("delete");
+            let then = s
+                .watch("a/", first.revision, clock::Millis::ZERO)
+                .expect("watch");
+            assert_eq!(then.entries.len(), 1);
+            assert_eq!(then.entries[0].value, None);
+            let none = s
+                .watch("a/", then.revision, clock::Millis(20))
+                .expect("watch");
+            assert!(none.entries.is_empty());
+        },
+    ),
+    ("of racing creates one wins", |s| {
+        let won = sync::atomic::AtomicU32::new(0);
+        thread::scope(|scope| {
+            for n in 0..8u8 {
+                let won = &won;
+                scope.spawn(move || {
+                    if s.put("a/race", &[n], store::Expect::Absent).is_ok() {
+                        won.fetch_add(1, sync::atomic::Ordering::SeqCst);
+                    }
+                });
+            }
+        });
+        assert_eq!(won.into_inner(), 1);
+    }),
+    ("create knows its own value", |s| {
+        let first = store::create(s, "a/x", b"mine").expect("create");
+        let again = store::create(s, "a/x", b"mine").expect("create");
+        assert_eq!(first, again);
+        assert_matches!(
+            store::create(s, "a/x", b"other"),
+            Ok(store::Created::Other(_))
+        );
+    }),
+];
+
+fn start() -> (standin_store::Store, store_http::Http) {
+    let address = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = standin_store::Store::start(address).expect("stand-in");
+    let client = store_http::Http::new(server.address());
+    (server, client)
+}
+
+#[test]
+fn the_memory_adapter_keeps_the_contract() {
+    for (name, case) in CASES {
+        println!("memory: {name}");
+        case(&memory::Memory::default());
+    }
+}
+
+#[test]
+fn the_http_adapter_keeps_the_contract() {
+    for (name, case) in CASES {
+        println!("http: {name}");
+        let (_server, client) = start();
+        case(&client);
+    }
+}
+
+#[test]
+fn a_watch_wakes_when_something_is_written() {
+    let (server, client) = start();
+    let writer = server.memory.clone();
+    let writing = thread::spawn(move || {
+        thread::sleep(time::Duration::from_millis(50));
+        writer.put("a/x", b"one", store::Expect::Any).expect("put");
+    });
+    let changes = client.watch("a/", 0, clock::Millis(20_000)).expect("watch");
+    writing.join().expect("writer");
+    assert_eq!(changes.entries.len(), 1);
+}
+
+type FaultCase = (
+    &'static str,
+    faults::Set,
+    fn(&store_http::Http, &standin_store::Store),
+);
+
+fn set() -> faults::Set {
+    faults::Set::default()
+}
+
+/// What the HTTP adapter tells of each fault.
+fn fault_cases() -> Vec<FaultCase> {
+    vec![
+        (
+            "down: nothing takes effect",
+            faults::Set {
+                down: true,
+                ..set()
+            },
+            |c, server| {
+                assert_eq!(
+                    c.put("a/x", b"1", store::Expect::Any),
+                    Err(store::Error::Down)
+                );
+                assert_eq!(c.get("a/x"), Err(store::Error::Down));
+                assert!(server.memory.is_empty());
+            },
+        ),
+        (
+            "a lost answer is unknown, and the write stands",
+            faults::Set { lose: 1, ..set() },
+            |c, server| {
+                assert_eq!(
+                    c.put("a/x", b"1", store::Expect::Absent),
+                    Err(store::Error::Unknown)
+                );
+                assert_eq!(server.memory.len(), 1);
+            },
+        ),
+        (
+            "a create with a lost answer is read back",
+            faults::Set { lose: 1, ..set() },
+            |c, _| {
+                assert_matches!(
+                    store::create(c, "a/x", b"mine"),
+                    Ok(store::Created::Mine(_))
+                );
+            },
+        ),
+        (
+            "a swap with a lost answer is read back",
+            set(),
+            |c, server| {
+                let at = c.put("a/x", b"1", store::Expect::Absent).expect("put");
+                server.faults.set(faults::Set { lose: 1, ..set() });
+                let then = store::replace(c, "a/x", b"2", at).expect("replace");
+                assert!(then > at);
+                server.faults.set(faults::Set { lose: 1, ..set() });
+                let result = store::replace(c, "a/x", b"3", at);
+                assert_matches!(result, Err(store::Error::Conflict(Some(e))) if e.bytes() == b"2");
+            },
+        ),
+        (
+            "slow calls succeed",
+            faults::Set {
+                slow_ms: 100,
+                ..set()
+            },
+            |c, _| {
+                c.put("a/x", b"1", store::Expect::Absent).expect("put");
+            },
+        ),
+        (
+            "calls over the rate are refused and have no effect",
+            faults::Set {
+                write_rate: 3,
+                ..set()
+            },
+            |c, server| {
+                let results: Vec<_> = (0..5)
+                    .map(|n| c.put(&format!("a/{n}"), b"1", store::Expect::Absent))
+                    .collect();
+                assert_eq!(results[4], Err(store::Error::Limited));
+                assert_eq!(server.memory.len(), 3);
+                assert_eq!(server.faults.count().limited, 2);
+            },
+        ),
+        (
+            "a held watch tells late, not wrong",
+            faults::Set {
+                watch_ms: 200,
+                ..set()
+            },
+            |c, _| {
+                c.put("a/x", b"1", store::Expect::Any).expect("put");
+                let changes = c.watch("a/", 0, clock::Millis::ZERO).expect("watch");
+                assert_eq!(changes.entries.len(), 1);
+            },
+        ),
+    ]
+}
+
+#[test]
+fn the_http_adapter_tells_each_fault_truly() {
+    for (name, faults, case) in fault_cases() {
+        println!("{name}");
+        let (server, client) = start();
+        server.faults.set(faults);
+        case(&client, &server);
+    }
+}
+
+#[test]
+fn a_store_that_is_not_there_is_down() {
+    let (server, client) = start();
+    let address = server.address();
+    drop(server);
+    drop(client);
+    thread::sleep(time::Duration::from_millis(50));
+    let free = net::TcpListener::bind("127.0.0.1:0")
+        .expect("bind")
+        .local_addr()
+        .expect("address");
+    assert_ne!(free, address);
+    let client = store_http::Http::new(free);
+    assert_eq!(
+        client.put("a/x", b"1", store::Expect::Any),
+        Err(store::Error::Down)
+    );
+}
