--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -23,6 +23,9 @@
 const STOP_TIME: clock::Millis = clock::Millis(50);
 /// Natural ends of answers that an urgent request may still wait for.
 const ENDS_AWAITED: f64 = 2.0;
+/// A request is refused at arrival when its expected wait is this many times what it may wait:
+/// a wait is often shorter than expected, and one that was admitted in vain is refused later.
+const DOUBT: f64 = 1.5;
 /// Prompt tokens that count as one generated token in a charge.
 const PROMPT_PER_TOKEN: u32 = 8;
 /// The most requests that may wait for one service.
@@ -303,12 +306,13 @@
         if ask.held > 0 {
             return None;
         }
-        let wait = self.expect_wait(ask);
+        let wait = self.expect_wait(ask, now);
         if self.queue.len() >= MAX_WAITING {
             return Some(refusal::Refusal::not_run(refusal::Reason::TargetMissed).retry(wait));
         }
         let slack = self.slack(&ask.terms, ask.waited);
-        if wait <= slack || self.floor_is_due(&ask.terms.class, now) || self.has_victim_for(ask) {
+        let hopeless = wait.0 as f64 > slack.0 as f64 * DOUBT;
+        if !hopeless || self.floor_is_due(&ask.terms.class, now) || self.has_victim_for(ask) {
             return None;
         }
         let after = wait.since(slack);
@@ -321,16 +325,19 @@
         terms.first.since(waited).since(first)
     }
 
-    /// The wait expected for a request that arrives now.
-    pub fn expect_wait(&self, ask: &ask::Ask) -> clock::Millis {
+    /// The wait expected for a request that arrives now: by the requests ahead of it, and by how
+    /// fast its tier and its team are being served while they wait.
+    pub fn expect_wait(&self, ask: &ask::Ask, now: clock::Millis) -> clock::Millis {
         let tier = ask.terms.tier;
-        let ahead = self.queue.above(tier) + self.queue.ahead(tier, &ask.team, ask.weight);
+        let ahead = self.queue.ahead(tier, &ask.team, ask.weight);
+        let total = self.queue.above(tier) + ahead;
         let free = self.pool.slots().saturating_sub(self.pool.busy()) as usize;
-        if ahead < free {
+        if total < free {
             return clock::Millis::ZERO;
         }
-        let ends = (ahead + 1 - free) as f64;
-        clock::Millis((ends * self.end_every()) as u64)
+        let by_ends = (total + 1 - free) as f64 * self.end_every();
+        let by_pace = self.queue.expect_wait(tier, &ask.team, ahead, now);
+        clock::Millis(by_ends.max(by_pace) as u64)
     }
 
     /// Mean time between two ends of answers while all slots are in use, in milliseconds; zero
@@ -436,7 +443,7 @@
         let expected = (expected as u32).min(ask.limit);
         let charged = service(&ask, expected);
         self.pool.take(&upstream, ask.prefix, now);
-        self.queue.served(ask.terms.tier, &ask.team);
+        self.queue.served(ask.terms.tier, &ask.team, now);
         self.queue
             .charge(ask.terms.tier, &ask.team, ask.weight, charged);
         let ticket = ask.ticket;
@@ -469,14 +476,14 @@
     }
 
     fn next_in_order(&self, now: clock::Millis) -> Option<ask::Ticket> {
-        // Whether a request without upstreams to avoid fits depends only on whether it may be
-        // evicted, so each of the two answers is looked up once.
+        // Whether a request without upstreams to avoid fits depends only on whether it can be
+        // continued elsewhere, so each of the two answers is looked up once.
         let known = cell::Cell::new([None; 2]);
         self.queue.next(|a| {
             if !a.avoid.is_empty() {
                 return self.pool.choose(a, now).is_some();
             }
-            let kind = usize::from(a.terms.evictable && a.resumable);
+            let kind = usize::from(a.resumable);
             let mut fits = known.get();
             let answer = *fits[kind].get_or_insert_with(|| self.pool.choose(a, now).is_some());
             known.set(fits);
@@ -511,13 +518,13 @@
         for w in self.queue.iter() {
             let slack = self.slack(&w.ask.terms, now.since(w.since));
             if w.ask.held == 0 && slack < patience {
-                urgent.push((w.ask.terms.tier, w.ask.terms.evictable && w.ask.resumable));
+                urgent.push((w.ask.terms.tier, w.ask.resumable));
             }
         }
         urgent.sort_unstable();
         let stopping = self.running.values().filter(|r| r.stopping).count();
-        for (tier, evictable) in urgent.into_iter().skip(stopping) {
-            let Some(ticket) = self.victim(tier, evictable) else {
+        for (tier, resumable) in urgent.into_iter().skip(stopping) {
+            let Some(ticket) = self.victim(tier, resumable) else {
                 return;
             };
             if let Some(run) = self.running.get_mut(&ticket) {
@@ -529,10 +536,10 @@
     }
 
     /// The running request to stop for one of `tier`: of the lowest tier, the latest started.
-    fn victim(&self, tier: u8, evictable: bool) -> Option<ask::Ticket> {
+    fn victim(&self, tier: u8, resumable: bool) -> Option<ask::Ticket> {
         let mut best: Option<(u8, clock::Millis, ask::Ticket)> = None;
         for (ticket, run) in &self.running {
-            if !self.may_stop(run, tier) || !(evictable || self.is_firm(&run.upstream)) {
+            if !self.may_stop(run, tier) || !(resumable || self.is_firm(&run.upstream)) {
                 continue;
             }
             let rank = (run.ask.terms.tier, run.started, *ticket);
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -29,6 +29,14 @@
 const TRIAL_EVERY: clock::Millis = clock::Millis(5_000);
 /// How much a warm prefix is worth, as a share of an upstream's load.
 const WARM_BONUS: f64 = 0.4;
+/// What makes an upstream the last choice: more than any load times any slowness.
+const LAST_RESORT: f64 = 1_000.0;
+/// Tokens of an answer that shows an upstream's pace.
+const PACED_TOKENS: u32 = 8;
+/// An answer this many times slower than the median, or faster than the mean, counts for more.
+const SUSPECT: f64 = 1.5;
+/// Weight of such an answer, as one part in this many.
+const SUSPECT_SMOOTHING: f64 = 2.0;
 /// Prefixes remembered for each upstream.
 const PREFIXES: usize = 64;
 
@@ -195,7 +203,7 @@
         m.warm.push(prefix);
     }
 
-    /// Notes the end of a grant. `expected` tokens were generated at the pace learnt.
+    /// Notes the end of a grant.
     pub fn give(&mut self, name: &name::Upstream, spent: &ask::Spent, now: clock::Millis) {
         let Some(m) = self.find(name) else { return };
         m.busy = m.busy.saturating_sub(1);
@@ -204,14 +212,29 @@
             ask::Outcome::Failed | ask::Outcome::Refused => m.breaker.fail(now),
             ask::Outcome::Stopped => {}
         }
-        if spent.tokens == 0 {
+        if spent.tokens < PACED_TOKENS {
             return;
         }
-        let pace = spent.total.0 as f64 / f64::from(spent.tokens);
+        let pace = spent.total.since(spent.first).0 as f64 / f64::from(spent.tokens);
+        self.pace(name, pace);
+    }
+
+    /// Learns an upstream's pace, in milliseconds a token: fast when it has changed much, so that
+    /// a straggler, and the end of one, is seen after a few answers.
+    fn pace(&mut self, name: &name::Upstream, pace: f64) {
+        let median = self.median_pace();
+        let Some(m) = self.find(name) else { return };
+        let slower = median > 0.0 && pace > median * SUSPECT;
+        let faster = m.pace > pace * SUSPECT;
+        let smoothing = if slower || faster {
+            SUSPECT_SMOOTHING
+        } else {
+            SMOOTHING
+        };
         m.pace = if m.pace == 0.0 {
             pace
         } else {
-            m.pace + (pace - m.pace) / SMOOTHING
+            m.pace + (pace - m.pace) / smoothing
         };
     }
 
@@ -227,13 +250,14 @@
     }
 }
 
+/// Work that can't be continued elsewhere never runs where an eviction can come.
 fn allowed(m: &Member, ask: &ask::Ask) -> bool {
-    let safe = ask.terms.evictable && ask.resumable;
-    (safe || !m.site.cheap) && !ask.avoid.contains(&m.site.name)
+    (ask.resumable || !m.site.cheap) && !ask.avoid.contains(&m.site.name)
 }
 
-/// Lower is better: load, scaled by slowness, less a bonus for a warm prefix. Work that may run
-/// on cheap upstreams prefers them, so that the others stay free for work that may not.
+/// Lower is better: load, scaled by slowness, less a bonus for a warm prefix. Classes that stand
+/// an eviction prefer cheap upstreams, so that the others stay free for those that don't; these
+/// take a cheap one only when no other has a free slot.
 fn score(m: &Member, ask: &ask::Ask, median: f64) -> f64 {
     let slow = if median > 0.0 && m.pace > 0.0 {
         (m.pace / median).max(0.5)
@@ -245,6 +269,10 @@
     } else {
         0.0
     };
-    let cheap = if m.site.cheap { 1.0 } else { 0.0 };
-    m.load() * slow - warm - cheap
+    let cheap = match (m.site.cheap, ask.terms.evictable) {
+        (false, _) => 0.0,
+        (true, true) => -1.0,
+        (true, false) => LAST_RESORT,
+    };
+    m.load() * slow - warm + cheap
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -25,11 +25,49 @@
     pub since: clock::Millis,
 }
 
+/// Weight of the newest interval in the moving mean, as one part in this many.
+const SMOOTHING: f64 = 4.0;
+/// A pace not renewed for this long is forgotten.
+const PACE_LIFE: clock::Millis = clock::Millis(3_000);
+
+/// How often requests are granted while others wait behind them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    interval: f64,
+    last: clock::Millis,
+    waited: bool,
+}
+
+impl Pace {
+    /// Notes a grant; `waits` tells whether others still wait.
+    fn grant(&mut self, waits: bool, now: clock::Millis) {
+        if self.waited {
+            let interval = now.since(self.last).0 as f64;
+            self.interval = if self.interval == 0.0 {
+                interval
+            } else {
+                self.interval + (interval - self.interval) / SMOOTHING
+            };
+        }
+        self.last = now;
+        self.waited = waits;
+    }
+
+    /// The time for `count` grants, in milliseconds.
+    fn time_for(&self, count: usize, now: clock::Millis) -> f64 {
+        if now.since(self.last) > PACE_LIFE {
+            return 0.0;
+        }
+        self.interval * count as f64
+    }
+}
+
 #[derive(Debug, Default)]
 struct Lane {
     vtime: u64,
     weight: u64,
     waiting: collections::VecDeque<Waiting>,
+    pace: Pace,
 }
 
 #[derive(Debug, Default)]
@@ -37,6 +75,7 @@
     lanes: collections::BTreeMap<name::Team, Lane>,
     base: u64,
     len: usize,
+    pace: Pace,
 }
 
 /// The waiting requests of one service.
@@ -98,6 +137,25 @@
         total
     }
 
+    /// The wait expected behind `ahead` requests of a tier, by the pace of the tier and of the
+    /// team, in milliseconds.
+    pub fn expect_wait(
+        &self,
+        tier: u8,
+        team: &name::Team,
+        ahead: usize,
+        now: clock::Millis,
+    ) -> f64 {
+        let Some(tier) = self.tiers.get(&tier) else {
+            return 0.0;
+        };
+        let by_tier = tier.pace.time_for(ahead + 1, now);
+        let Some(lane) = tier.lanes.get(team) else {
+            return by_tier;
+        };
+        by_tier.max(lane.pace.time_for(lane.waiting.len() + 1, now))
+    }
+
     /// The next request in order among those `allow` lets pass.
     pub fn next(&self, allow: impl Fn(&ask::Ask) -> bool) -> Option<ask::Ticket> {
         for tier in self.tiers.values() {
@@ -137,13 +195,16 @@
         None
     }
 
-    /// Moves the tier's floor of virtual time to the team now served, and forgets idle teams.
-    pub fn served(&mut self, tier: u8, team: &name::Team) {
+    /// A team's request was granted: moves the tier's floor of virtual time, notes the pace and
+    /// forgets idle teams.
+    pub fn served(&mut self, tier: u8, team: &name::Team, now: clock::Millis) {
         let Some(tier) = self.tiers.get_mut(&tier) else {
             return;
         };
-        if let Some(lane) = tier.lanes.get(team) {
+        tier.pace.grant(tier.len > 0, now);
+        if let Some(lane) = tier.lanes.get_mut(team) {
             tier.base = tier.base.max(lane.vtime);
+            lane.pace.grant(!lane.waiting.is_empty(), now);
         }
         if tier.lanes.len() <= IDLE_TEAMS {
             return;
