--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -7,6 +7,7 @@
 use std::thread;
 
 use base::{clock, refusal};
+use platform::accept;
 
 use crate::{caller, chat, context, plain, reply, stop};
 
@@ -29,9 +30,8 @@
     ///
     /// The address can't be bound.
     pub fn bind(address: net::SocketAddr) -> io::Result<Self> {
-        let socket = net::TcpListener::bind(address)?;
+        let socket = accept::listen(address)?;
         let options = socket2::SockRef::from(&socket);
-        options.set_tcp_nodelay(true)?;
         options.set_read_timeout(Some(CALLER_SILENCE.duration()))?;
         options.set_write_timeout(Some(CALLER_SILENCE.duration()))?;
         Ok(Self { socket })
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -10,6 +10,8 @@
 
 /// Time to open a connection.
 const CONNECT: clock::Millis = clock::Millis(1_000);
+/// Buffers of a connection, each; an answer's head must fit.
+const BUFFER_BYTES: usize = 16 * 1024;
 /// The longest line of an answer's stream, in bytes.
 const MAX_LINE: u64 = 1 << 20;
 /// Idle connections kept for each upstream.
@@ -51,6 +53,9 @@
                 .max_idle_connections_per_host(idle)
                 .max_redirects(0)
                 .max_redirects_will_error(false)
+                .input_buffer_size(BUFFER_BYTES)
+                .output_buffer_size(BUFFER_BYTES)
+                .max_response_header_size(BUFFER_BYTES)
                 .user_agent("jacinthslip")
                 .proxy(None)
                 .build();
--- a/crates/host/tests/env/mod.rs
+++ b/crates/host/tests/env/mod.rs
@@ -113,8 +113,13 @@
 }
 
 pub fn standin(kind: &str) -> Proc {
+    standin_with(kind, &[])
+}
+
+pub fn standin_with(kind: &str, args: &[&str]) -> Proc {
     let mut child = process::Command::new(bin("examples/standin"))
         .args([kind, "127.0.0.1:0"])
+        .args(args)
         .stdout(process::Stdio::piped())
         .spawn()
         .expect("stand-in");
--- a/crates/standin/examples/standin.rs
+++ b/crates/standin/examples/standin.rs
@@ -1,4 +1,5 @@
-//! Runs one stand-in as a process: `standin store|engine|plain|platform IP:PORT`.
+//! Runs one stand-in as a process: `standin store|plain|platform IP:PORT`, or
+//! `standin engine IP:PORT [SLOTS FIRST_MS GAP_MS]`.
 //!
 //! It prints the address it listens on as its first line and runs until it is killed.
 
@@ -18,7 +19,13 @@
     match kind.as_str() {
         "store" => hold(store::Store::start(address).map(|s| (s.address(), s))),
         "engine" => {
-            let settings = engine::Settings::default();
+            let mut number = || args.next().and_then(|n| n.parse::<u32>().ok());
+            let base = engine::Settings::default();
+            let settings = engine::Settings {
+                slots: number().unwrap_or(base.slots),
+                first_ms: number().map_or(base.first_ms, u64::from),
+                gap_ms: number().map_or(base.gap_ms, u64::from),
+            };
             hold(engine::Engine::start(address, settings).map(|s| (s.address(), s)));
         }
         "plain" => hold(plain::Plain::start(address).map(|s| (s.address(), s))),
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -26,9 +26,8 @@
     ///
     /// The address can't be bound.
     pub fn start(address: net::SocketAddr, handler: sync::Arc<Handler>) -> io::Result<Self> {
-        let listener = net::TcpListener::bind(address)?;
+        let listener = accept::listen(address)?;
         let address = listener.local_addr()?;
-        socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
         let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = sync::Arc::new(server);
         let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
