--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -9,6 +9,18 @@
     hex(&sha2::Sha256::digest(key.as_bytes()))
 }
 
+/// A digest as bytes, a quarter of the memory of its text; `None` if `text` is not a digest.
+pub fn bytes(text: &str) -> Option<[u8; 32]> {
+    let mut out = [0; 32];
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    for (n, byte) in out.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * n..2 * n + 2], 16).ok()?;
+    }
+    Some(out)
+}
+
 /// `bytes` in lower-case hexadecimal.
 pub fn hex(bytes: &[u8]) -> String {
     let mut out = String::with_capacity(bytes.len() * 2);
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -59,11 +59,11 @@
 }
 
 /// Splits items into segments of at most [`SEGMENT_BYTES`].
-pub fn segments(items: &item::Items) -> Vec<Vec<u8>> {
+pub fn segments(items: impl Iterator<Item = item::Item>) -> Vec<Vec<u8>> {
     let mut out = Vec::new();
     let mut cur = Vec::new();
-    for item in items.values() {
-        let line = serde_json::to_vec(item).unwrap_or_default();
+    for item in items {
+        let line = serde_json::to_vec(&item).unwrap_or_default();
         if cur.len() + line.len() + 1 > SEGMENT_BYTES && !cur.is_empty() {
             out.push(std::mem::take(&mut cur));
         }
@@ -111,13 +111,4 @@
         self.revision = entry.revision;
         true
     }
-
-    /// Takes a newer state whole; tells whether it was newer.
-    pub fn replace(&mut self, newer: State) -> bool {
-        if newer.revision <= self.revision {
-            return false;
-        }
-        *self = newer;
-        true
-    }
 }
--- a/crates/config/src/remote.rs
+++ b/crates/config/src/remote.rs
@@ -67,6 +67,15 @@
     }
 }
 
+/// The newest snapshot's revision; 0 if there is none.
+///
+/// # Errors
+///
+/// The store can't be read.
+pub fn snapshot_revision(store: &dyn store::Store, env: &str) -> Result<u64, Error> {
+    Ok(head(store, env)?.map_or(0, |(head, _)| head.revision))
+}
+
 fn head(store: &dyn store::Store, env: &str) -> Result<Option<(log::Snapshot, u64)>, Error> {
     let key = log::snapshot_key(env);
     let Some(found) = store.get(&key)? else {
@@ -170,7 +179,7 @@
     if state.revision < last + log::SNAPSHOT_EVERY {
         return Ok(());
     }
-    let segments = log::segments(&state.items);
+    let segments = log::segments(state.items.values().cloned());
     for (n, bytes) in segments.iter().enumerate() {
         let key = log::segment_key(env, state.revision, n as u32);
         store.put(&key, bytes, store::Expect::Any)?;
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -1,18 +1,19 @@
-//! The view that requests read: items indexed for look-up, changed in place.
+//! The view that requests read: items indexed for look-up, changed in place. It is the only copy
+//! of the configuration that a host keeps; names that recur share their memory.
 
 use std::collections;
 use std::sync;
 
 use base::name;
 
-use crate::{document, item};
+use crate::{document, item, key, log};
 
 /// Items indexed for the request path.
 #[derive(Debug, Default)]
 pub struct View {
     /// The revision shown.
     pub revision: u64,
-    keys: collections::HashMap<String, Key>,
+    keys: collections::HashMap<[u8; 32], Key>,
     teams: collections::HashMap<name::Team, sync::Arc<document::Team>>,
     classes: collections::HashMap<name::Class, sync::Arc<document::Class>>,
     services: collections::HashMap<name::Service, sync::Arc<document::Service>>,
@@ -26,13 +27,13 @@
 }
 
 impl View {
-    /// A view of all `items` at `revision`.
-    pub fn new(revision: u64, items: &item::Items) -> Self {
+    /// A view of the items of `state`.
+    pub fn new(state: &log::State) -> Self {
         let mut out = Self {
-            revision,
+            revision: state.revision,
             ..Self::default()
         };
-        for item in items.values() {
+        for item in state.items.values() {
             out.put(item);
         }
         out
@@ -52,9 +53,7 @@
                 self.classes
                     .insert(c.name.clone(), sync::Arc::new(c.clone()));
             }
-            item::Item::Team(t) => {
-                self.teams.insert(t.name.clone(), sync::Arc::new(t.clone()));
-            }
+            item::Item::Team(t) => self.put_team(t),
             item::Item::Service(s) => self.put_service(s),
             item::Item::Key(k) => self.put_key(k),
         }
@@ -69,15 +68,72 @@
             .insert(s.name.clone(), sync::Arc::new(s.clone()));
     }
 
+    fn put_team(&mut self, t: &document::Team) {
+        let known = |name: &name::Class| match self.classes.get_key_value(name) {
+            Some((shared, _)) => shared.clone(),
+            None => name.clone(),
+        };
+        let classes = t.classes.iter().map(known).collect();
+        let team = document::Team {
+            name: t.name.clone(),
+            weight: t.weight,
+            classes,
+        };
+        self.teams.insert(t.name.clone(), sync::Arc::new(team));
+    }
+
     fn put_key(&mut self, k: &item::Key) {
-        if self.keys.get(&k.digest).is_some_and(|old| old.withdrawn) {
+        let Some(digest) = key::bytes(&k.digest) else {
+            return;
+        };
+        if self.keys.get(&digest).is_some_and(|old| old.withdrawn) {
             return;
         }
-        let key = Key {
-            team: k.team.clone(),
-            withdrawn: k.withdrawn,
+        let team = match self.teams.get_key_value(&k.team) {
+            Some((shared, _)) => shared.clone(),
+            None => k.team.clone(),
         };
-        self.keys.insert(k.digest.clone(), key);
+        self.keys.insert(
+            digest,
+            Key {
+                team,
+                withdrawn: k.withdrawn,
+            },
+        );
+    }
+
+    /// All items, in the order in which they can be put into an empty view.
+    pub fn items(&self) -> impl Iterator<Item = item::Item> {
+        let classes = self
+            .classes
+            .values()
+            .map(|c| item::Item::Class((**c).clone()));
+        let teams = self.teams.values().map(|t| item::Item::Team((**t).clone()));
+        let services = self
+            .services
+            .values()
+            .map(|s| item::Item::Service((**s).clone()));
+        let keys = self.keys.iter().map(|(digest, k)| {
+            let digest = key::hex(digest);
+            item::Item::Key(item::Key {
+                digest,
+                team: k.team.clone(),
+                withdrawn: k.withdrawn,
+            })
+        });
+        classes.chain(teams).chain(services).chain(keys)
+    }
+
+    /// Applies a log entry if it is the next one; tells whether it was.
+    pub fn advance(&mut self, entry: &log::Entry) -> bool {
+        if entry.revision != self.revision + 1 {
+            return false;
+        }
+        for change in &entry.changes {
+            self.apply(change);
+        }
+        self.revision = entry.revision;
+        true
     }
 
     fn remove(&mut self, id: &item::Id) {
@@ -98,7 +154,7 @@
 
     /// The team of a working key, by the key's digest.
     pub fn team_of(&self, digest: &str) -> Option<sync::Arc<document::Team>> {
-        let key = self.keys.get(digest)?;
+        let key = self.keys.get(&key::bytes(digest)?)?;
         if key.withdrawn {
             return None;
         }
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -21,7 +21,6 @@
 
 #[derive(Default)]
 struct State {
-    log: log::State,
     recent: std::collections::VecDeque<log::Entry>,
     parts: Vec<Option<message::Segment>>,
 }
@@ -57,29 +56,15 @@
         }
     }
 
-    /// The revision in force.
-    pub fn revision(&self) -> u64 {
-        self.lock().log.revision
-    }
-
     /// Applies an entry if it is the next one.
     pub fn advance(&self, context: &context::Context, entry: log::Entry) -> bool {
         let mut state = self.lock();
-        if !state.log.advance(&entry) {
+        if !context.view_mut().advance(&entry) {
             return false;
         }
-        let mut view = context.view_mut();
-        for change in &entry.changes {
-            view.apply(change);
-        }
-        view.revision = entry.revision;
-        drop(view);
-        let lag = context.clock.unix().0.saturating_sub(entry.written);
-        tracing::info!(
-            event = "config_applied",
-            revision = entry.revision,
-            lag_ms = lag
-        );
+        let revision = entry.revision;
+        let lag_ms = context.clock.unix().0.saturating_sub(entry.written);
+        tracing::info!(event = "config_applied", revision, lag_ms);
         state.recent.push_back(entry);
         if state.recent.len() > KEPT {
             state.recent.pop_front();
@@ -90,23 +75,26 @@
     }
 
     /// Takes a newer whole state.
-    pub fn replace(&self, context: &context::Context, newer: log::State) {
+    pub fn replace(&self, context: &context::Context, newer: &log::State) {
+        let fresh = view::View::new(newer);
         let mut state = self.lock();
-        let fresh = view::View::new(newer.revision, &newer.items);
-        if !state.log.replace(newer) {
+        let mut view = context.view_mut();
+        if fresh.revision <= view.revision {
             return;
         }
+        *view = fresh;
+        drop(view);
         state.recent.clear();
-        *context.view_mut() = fresh;
-        tracing::info!(event = "config_replaced", revision = state.log.revision);
         drop(state);
+        tracing::info!(event = "config_replaced", revision = newer.revision);
         self.tell_listener();
     }
 
     /// What a peer at `from - 1` needs: the entries from `from` on, or the whole state in parts.
-    pub fn tell(&self, from: u64) -> Vec<message::Message> {
+    pub fn tell(&self, context: &context::Context, from: u64) -> Vec<message::Message> {
         let state = self.lock();
-        if state.log.revision < from {
+        let view = context.view();
+        if view.revision < from {
             return Vec::new();
         }
         let oldest = state.recent.front().map_or(u64::MAX, |e| e.revision);
@@ -115,13 +103,14 @@
             let entries = newer.take(MAX_ENTRIES).cloned().collect();
             return vec![message::Message::Entries(entries)];
         }
-        let segments = log::segments(&state.log.items);
+        let segments = log::segments(view.items());
         let parts = segments.len() as u32;
-        let revision = state.log.revision;
+        let revision = view.revision;
         let part = |(n, bytes)| {
+            let part = n as u32;
             message::Message::Segment(message::Segment {
                 revision,
-                part: n as u32,
+                part,
                 parts,
                 bytes,
             })
@@ -132,7 +121,7 @@
     /// Takes one part of a whole state from a peer.
     pub fn segment(&self, context: &context::Context, segment: message::Segment) {
         let mut state = self.lock();
-        if segment.revision <= state.log.revision || segment.part >= segment.parts {
+        if segment.revision <= context.view().revision || segment.part >= segment.parts {
             return;
         }
         let same =
@@ -155,7 +144,7 @@
                 return;
             }
         }
-        self.replace(context, log::State { revision, items });
+        self.replace(context, &log::State { revision, items });
     }
 
     /// Follows the store until stopped. `should_watch` tells whether this host is one of those
@@ -168,7 +157,7 @@
     ) {
         let mut after = 0;
         while !stop.is_set() {
-            if self.revision() > 0 && !should_watch() {
+            if context.view().revision > 0 && !should_watch() {
                 stop.wait(PAUSE.duration());
                 continue;
             }
@@ -205,18 +194,22 @@
         Ok(changes.revision)
     }
 
-    /// Reads the snapshot, if it is ahead, and the log after it.
+    /// Reads the snapshot, if it is ahead, and the log after it. A host that was away for long
+    /// finds its next entry removed and the snapshot ahead of it.
     fn catch_up(&self, context: &context::Context) -> Result<(), remote::Error> {
         let env = &context.settings.environment;
         let store = &*context.store;
-        if self.revision() == 0
+        if remote::snapshot_revision(store, env)? > context.view().revision
             && let Some(newer) = remote::snapshot(store, env)?
         {
-            self.replace(context, newer);
+            self.replace(context, &newer);
         }
-        while let Some(entry) = remote::entry(store, env, self.revision() + 1)? {
+        loop {
+            let next = context.view().revision + 1;
+            let Some(entry) = remote::entry(store, env, next)? else {
+                return Ok(());
+            };
             self.advance(context, entry);
         }
-        Ok(())
     }
 }
--- a/crates/host/src/gate.rs
+++ b/crates/host/src/gate.rs
@@ -512,8 +512,16 @@
             self.send(host, message::Message::Decide(decision));
             return;
         }
-        self.send(host, message::Message::Queued(ask.ticket));
         self.ask_own(ask);
+        // A decision that is on its way already says as much.
+        let waits = {
+            let state = self.lock();
+            let desk = state.desks.get(&ask.service);
+            desk.is_some_and(|d| d.dispatcher.waits(ask.ticket))
+        };
+        if waits {
+            self.send(host, message::Message::Queued(ask.ticket));
+        }
     }
 
     fn queued(&self, ticket: ask::Ticket) {
--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -12,6 +12,8 @@
     store: sync::Arc<dyn store::Store>,
     clock: clock::Clock,
     state: State,
+    pause: clock::Millis,
+    looked: Option<clock::Millis>,
 }
 
 enum State {
@@ -46,6 +48,8 @@
         };
         let state = State::Following(lease::Follower::new(owner, times));
         Self {
+            pause: times.renew(),
+            looked: None,
             key,
             store,
             clock,
@@ -56,10 +60,18 @@
     /// Renews the lease, or claims it if its holder is gone; the term in which orders may go out
     /// if this host holds it.
     pub fn step(&mut self) -> Option<orders::Term> {
+        let now = self.clock.now();
         let state = match &self.state {
+            // A follower's reads count against the store's rate: no more often than beats come.
+            State::Following(_) if self.looked.is_some_and(|at| now.since(at) < self.pause) => {
+                return None;
+            }
             State::Following(follower) => self.follow(follower.clone()),
             State::Holding(holder) => self.hold(holder.clone()),
         };
+        if matches!(state, State::Following(_)) {
+            self.looked = Some(now);
+        }
         self.state = state;
         self.term()
     }
--- a/crates/host/src/ledger.rs
+++ b/crates/host/src/ledger.rs
@@ -152,12 +152,13 @@
 
     /// Writes this host's open records; tells whether all are in the store.
     pub fn flush(&self, store: &dyn store::Store) -> bool {
+        let now = clock::Clock::System.unix().0;
         self.lock().wanted = false;
         let mut tries = WRITES;
         while tries > 0 {
             tries -= 1;
             let state = self.lock();
-            let (book, over) = (state.own.added(), state.revision);
+            let (book, over) = (state.own.added(now), state.revision);
             drop(state);
             let Some(book) = book else { return true };
             let Some(standing) = write(store, &book, over) else {
@@ -254,6 +255,7 @@
 /// Adds the copies of a host that is gone to its book; the records that stand then.
 fn write_orphan(store: &dyn store::Store, mut ledger: usage::Ledger) -> Option<usage::Numbers> {
     let key = book_key(ledger.incarnation());
+    let now = clock::Clock::System.unix().0;
     let mut over = None;
     if let Some(found) = store.get(&key).ok()? {
         let found = standing(&found)?;
@@ -261,7 +263,7 @@
         over = Some(found.revision);
     }
     for _ in 0..WRITES {
-        let Some(book) = ledger.added() else {
+        let Some(book) = ledger.added(now) else {
             return Some(ledger.records().clone());
         };
         let written = write(store, &book, over)?;
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -195,7 +195,7 @@
             return;
         };
         let beat = message::Beat {
-            revision: self.follower.revision(),
+            revision: self.context.view().revision,
             leaving: !self.context.phase.is_serving(),
         };
         for (host, _) in links.connected() {
@@ -378,7 +378,7 @@
             .directory
             .beat(host, beat.revision, beat.leaving, now);
         self.context.hear();
-        let own = self.follower.revision();
+        let own = self.context.view().revision;
         if beat.revision > own {
             gate::Outbox::send(self, host, message::Message::WantConfig(own + 1));
         }
@@ -432,7 +432,7 @@
         match message {
             message::Message::Beat(beat) => self.on_beat(host, &beat),
             message::Message::WantConfig(from) => {
-                for part in self.follower.tell(from) {
+                for part in self.follower.tell(&self.context, from) {
                     gate::Outbox::send(self, host, part);
                 }
             }
@@ -462,7 +462,7 @@
 
     fn opened(&self, host: &name::Host) {
         let beat = message::Beat {
-            revision: self.follower.revision(),
+            revision: self.context.view().revision,
             leaving: !self.context.phase.is_serving(),
         };
         gate::Outbox::send(self, host, message::Message::Beat(beat));
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -1,13 +1,15 @@
 //! Seals usage windows and reports them, while this host holds the report lease.
 //!
-//! A window's figures are created in the store before they are first sent, and only the bytes
-//! that stand there are ever sent.
+//! A window's figures stand in the store before they are first sent, and only the bytes that
+//! stand there are ever sent. They are in parts, since those of many teams pass the largest value
+//! of the store; the window's head, created only if absent, names the parts that count.
 
 use std::time;
 
 use base::clock;
 use platform::{orders, reports, store};
 use policy::usage;
+use serde::{Deserialize, Serialize};
 
 use crate::{context, leader, ledger, stop};
 
@@ -19,16 +21,47 @@
 const PAGE: usize = 256;
 /// Reported windows kept in the store.
 const KEPT_WINDOWS: u64 = 2;
+/// Lines of a part at most: it stays well under the store's largest value.
+const PART_LINES: usize = 4_000;
+/// A book with no open entry that was not written for this long is removed.
+const BOOK_LIFE: clock::Millis = clock::Millis::secs(48 * 3600);
 /// Key of the lease.
 pub const LEASE: &str = "lease/report";
 /// Key of the number of the last window reported.
 pub const REPORTED: &str = "usage/reported";
 
-/// Key of a sealed window.
+/// Key of a window's head.
 pub fn window_key(number: u64) -> String {
     format!("usage/window/{number:012}")
 }
 
+fn part_prefix(number: u64) -> String {
+    format!("usage/part/{number:012}/")
+}
+
+fn part_key(number: u64, seal: u64, part: u32) -> String {
+    format!("{}{seal:016x}/{part:04}", part_prefix(number))
+}
+
+/// The head of a sealed window.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+struct Head {
+    number: u64,
+    sealed: u64,
+    seal: u64,
+    parts: u32,
+    through: std::collections::BTreeMap<usage::Incarnation, u64>,
+}
+
+/// One part of a window's figures, as it is reported.
+#[derive(Debug, Serialize)]
+struct Part<'a> {
+    window: u64,
+    part: u32,
+    parts: u32,
+    lines: &'a [usage::Line],
+}
+
 /// Seals and reports until stopped.
 pub fn run(context: &context::Context, reports: &dyn reports::Reports, stop: &stop::Stop) {
     let settings = &context.settings;
@@ -71,21 +104,32 @@
         None => None,
     };
     let last = reported.map_or(0, |(n, _)| n);
-    let next = match store.get(&window_key(last + 1))? {
-        Some(sealed) => sealed,
+    let head = match store.get(&window_key(last + 1))? {
+        Some(sealed) => read_head(&sealed)?,
         None => match seal(context, last)? {
-            Some(sealed) => sealed,
+            Some(head) => head,
             None => return Ok(()),
         },
     };
-    let sent = reports.send(last + 1, next.bytes(), term);
-    tracing::info!(event = "usage_reported", window = last + 1, fence = term.epoch, result = ?sent);
-    if sent.is_err() {
-        return Ok(());
+    for part in 0..head.parts {
+        let key = part_key(head.number, head.seal, part);
+        let Some(sealed) = store.get(&key)? else {
+            return Err(store::Error::Unknown);
+        };
+        let number = reports::Number {
+            window: head.number,
+            part,
+            parts: head.parts,
+        };
+        let sent = reports.send(number, sealed.bytes(), term);
+        tracing::info!(event = "usage_reported", window = head.number, part, fence = term.epoch, result = ?sent);
+        if sent.is_err() {
+            return Ok(());
+        }
     }
     let expect = reported.map_or(store::Expect::Absent, |(_, at)| store::Expect::Revision(at));
-    store.put(REPORTED, (last + 1).to_string().as_bytes(), expect)?;
-    prune(store, last + 1, &next)
+    store.put(REPORTED, head.number.to_string().as_bytes(), expect)?;
+    prune(context, &head)
 }
 
 fn number(e: &store::Entry) -> u64 {
@@ -95,17 +139,17 @@
         .unwrap_or_default()
 }
 
-fn window(e: &store::Entry) -> Result<usage::Window, store::Error> {
+fn read_head(e: &store::Entry) -> Result<Head, store::Error> {
     serde_json::from_slice(e.bytes()).map_err(|_| store::Error::Unknown)
 }
 
-/// Seals the window after `last`, if it is time and there is something in it; the entry that
+/// Seals the window after `last`, if it is time and there is something in it; the head that
 /// stands in the store, whoever wrote it.
-fn seal(context: &context::Context, last: u64) -> Result<Option<store::Entry>, store::Error> {
+fn seal(context: &context::Context, last: u64) -> Result<Option<Head>, store::Error> {
     let store = &*context.store;
     let before = match store.get(&window_key(last))? {
-        Some(e) => window(&e)?,
-        None if last == 0 => usage::Window::default(),
+        Some(e) => read_head(&e)?,
+        None if last == 0 => Head::default(),
         None => return Err(store::Error::Unknown),
     };
     let now = context.clock.unix();
@@ -113,19 +157,44 @@
         return Ok(None);
     }
     let books: Vec<_> = books(store)?.into_iter().map(|(book, _)| book).collect();
-    let sealed = usage::seal(&before, &books, now.0);
-    if sealed.lines.is_empty() {
+    let before = usage::Window {
+        number: before.number,
+        through: before.through,
+        ..usage::Window::default()
+    };
+    let window = usage::seal(&before, &books, now.0);
+    if window.lines.is_empty() {
         return Ok(None);
     }
-    let key = window_key(last + 1);
-    let bytes = serde_json::to_vec(&sealed).map_err(|_| store::Error::Unknown)?;
-    match store::create(store, &key, &bytes)? {
-        store::Created::Mine(revision) => Ok(Some(store::Entry {
-            key,
-            value: Some(bytes),
-            revision,
-        })),
-        store::Created::Other(entry) => Ok(Some(entry)),
+    write(store, window).map(Some)
+}
+
+/// Writes a window's parts, then its head if there is none.
+fn write(store: &dyn store::Store, window: usage::Window) -> Result<Head, store::Error> {
+    let chunks: Vec<_> = window.lines.chunks(PART_LINES).collect();
+    let head = Head {
+        number: window.number,
+        sealed: window.sealed,
+        seal: rand::random(),
+        parts: chunks.len() as u32,
+        through: window.through.clone(),
+    };
+    let unreadable = |_| store::Error::Unknown;
+    for (n, lines) in chunks.iter().enumerate() {
+        let part = Part {
+            window: head.number,
+            part: n as u32,
+            parts: head.parts,
+            lines,
+        };
+        let bytes = serde_json::to_vec(&part).map_err(unreadable)?;
+        let key = part_key(head.number, head.seal, n as u32);
+        store.put(&key, &bytes, store::Expect::Any)?;
+    }
+    let bytes = serde_json::to_vec(&head).map_err(unreadable)?;
+    match store::create(store, &window_key(head.number), &bytes)? {
+        store::Created::Mine(_) => Ok(head),
+        store::Created::Other(entry) => read_head(&entry),
     }
 }
 
@@ -140,37 +209,42 @@
         };
         after = last.key.clone();
         for entry in &page {
-            match serde_json::from_slice(entry.bytes()) {
-                Ok(book) => out.push((book, entry.revision)),
-                Err(_) => tracing::error!(event = "book_unreadable", key = %entry.key),
-            }
+            let Ok(book) = serde_json::from_slice(entry.bytes()) else {
+                // A book left out would be taken again from its beginning later.
+                tracing::error!(event = "book_unreadable", key = %entry.key);
+                return Err(store::Error::Unknown);
+            };
+            out.push((book, entry.revision));
         }
     }
 }
 
-/// Removes old windows, and trims the entries of reported windows from the books.
-fn prune(
-    store: &dyn store::Store,
-    reported: u64,
-    entry: &store::Entry,
-) -> Result<(), store::Error> {
-    if let Some(old) = reported.checked_sub(KEPT_WINDOWS) {
+/// Removes old windows, trims the entries of the reported window from the books, and removes
+/// books that are long done.
+fn prune(context: &context::Context, reported: &Head) -> Result<(), store::Error> {
+    let store = &*context.store;
+    if let Some(old) = reported.number.checked_sub(KEPT_WINDOWS) {
         store.delete(&window_key(old), store::Expect::Any)?;
+        for part in store.list(&part_prefix(old), "", PAGE)? {
+            store.delete(&part.key, store::Expect::Any)?;
+        }
     }
-    let sealed = window(entry)?;
+    let now = context.clock.unix();
     for (book, revision) in books(store)? {
-        let through = sealed
+        let key = ledger::book_key(&book.incarnation);
+        let at = store::Expect::Revision(revision);
+        let through = reported
             .through
             .get(&book.incarnation)
             .copied()
             .unwrap_or_default();
-        let Some(trimmed) = book.trimmed(through) else {
-            continue;
-        };
-        let bytes = serde_json::to_vec(&trimmed).map_err(|_| store::Error::Unknown)?;
-        // Its host may have written first: the next window trims it then.
-        let key = ledger::book_key(&book.incarnation);
-        let _ = store.put(&key, &bytes, store::Expect::Revision(revision));
+        // Its host may have written first: a later window trims it then.
+        if let Some(trimmed) = book.trimmed(through) {
+            let bytes = serde_json::to_vec(&trimmed).map_err(|_| store::Error::Unknown)?;
+            let _ = store.put(&key, &bytes, at);
+        } else if book.entries.is_empty() && now.since(clock::Millis(book.touched)) > BOOK_LIFE {
+            let _ = store.delete(&key, at);
+        }
     }
     Ok(())
 }
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -1,4 +1,4 @@
-//! Frames on a stream: four bytes of length, little-endian, then the message in `bincode`.
+//! Frames on a stream: three bytes of length, little-endian, then the message in `bincode`.
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -6,7 +6,7 @@
 /// The longest message, in bytes.
 pub const MAX_BYTES: usize = 2 << 20;
 
-const HEADER_BYTES: usize = 4;
+const HEADER_BYTES: usize = 3;
 
 /// A frame that can't be read: the connection is of no more use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,7 +30,7 @@
         out.truncate(start);
         return Err(Garbage);
     }
-    out[start..start + HEADER_BYTES].copy_from_slice(&(len as u32).to_le_bytes());
+    out[start..start + HEADER_BYTES].copy_from_slice(&(len as u32).to_le_bytes()[..HEADER_BYTES]);
     Ok(())
 }
 
@@ -61,7 +61,8 @@
         let Some((header, rest)) = rest.split_first_chunk::<HEADER_BYTES>() else {
             return Ok(None);
         };
-        let len = u32::from_le_bytes(*header) as usize;
+        let [a, b, c] = *header;
+        let len = u32::from_le_bytes([a, b, c, 0]) as usize;
         if len > MAX_BYTES {
             return Err(Garbage);
         }
--- a/crates/platform/src/reports.rs
+++ b/crates/platform/src/reports.rs
@@ -4,17 +4,28 @@
 
 use crate::orders;
 
+/// Which report it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Number {
+    /// The window, from 1.
+    pub window: u64,
+    /// The part, from 0.
+    pub part: u32,
+    /// How many parts the window has.
+    pub parts: u32,
+}
+
 /// Takes the figures of a usage window.
 pub trait Reports: Send + Sync {
-    /// Sends the sealed bytes of window `number` within `term`.
+    /// Sends the sealed bytes of a part of a window within `term`.
     ///
     /// # Errors
     ///
     /// See [`orders::Error`]; after `Unknown` the same bytes may be sent again.
-    fn send(&self, number: u64, sealed: &[u8], term: orders::Term) -> Result<(), orders::Error>;
+    fn send(&self, number: Number, sealed: &[u8], term: orders::Term) -> Result<(), orders::Error>;
 }
 
-/// Reports over HTTP: `POST /usage/NUMBER`.
+/// Reports over HTTP: `POST /usage/WINDOW?part=&parts=&fence=`.
 #[derive(Debug)]
 pub struct Http(orders::Guarded);
 
@@ -26,12 +37,15 @@
 }
 
 impl Reports for Http {
-    fn send(&self, number: u64, sealed: &[u8], term: orders::Term) -> Result<(), orders::Error> {
-        let (status, _) = self.0.post(
-            &format!("/usage/{number}?fence={}", term.epoch),
-            sealed,
-            term,
-        )?;
+    fn send(&self, number: Number, sealed: &[u8], term: orders::Term) -> Result<(), orders::Error> {
+        let Number {
+            window,
+            part,
+            parts,
+        } = number;
+        let fence = term.epoch;
+        let path = format!("/usage/{window}?part={part}&parts={parts}&fence={fence}");
+        let (status, _) = self.0.post(&path, sealed, term)?;
         match status {
             200 => Ok(()),
             412 => Err(orders::Error::Fenced),
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -101,7 +101,12 @@
 
     /// Whether a request waits or runs here.
     pub fn knows(&self, ticket: ask::Ticket) -> bool {
-        self.running.contains_key(&ticket) || self.queue.iter().any(|w| w.ask.ticket == ticket)
+        self.running.contains_key(&ticket) || self.waits(ticket)
+    }
+
+    /// Whether a request waits here.
+    pub fn waits(&self, ticket: ask::Ticket) -> bool {
+        self.queue.iter().any(|w| w.ask.ticket == ticket)
     }
 
     /// Where a request runs.
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -159,6 +159,8 @@
     pub records: Numbers,
     /// Entries that are not trimmed.
     pub entries: Vec<Entry>,
+    /// When records were last added, in milliseconds of the Unix epoch.
+    pub touched: u64,
 }
 
 impl Book {
@@ -169,6 +171,7 @@
             number: 0,
             records: Numbers::default(),
             entries: Vec::new(),
+            touched: 0,
         }
     }
 
@@ -231,9 +234,9 @@
         self.open.contains_key(&number)
     }
 
-    /// The book with the open records added, to be written over the one that stands; `None` if
-    /// none is open.
-    pub fn added(&self) -> Option<Book> {
+    /// The book with the open records added at `at`, to be written over the one that stands;
+    /// `None` if none is open.
+    pub fn added(&self, at: u64) -> Option<Book> {
         if self.open.is_empty() {
             return None;
         }
@@ -244,6 +247,7 @@
             figures.add(&record.account, &record.amount);
         }
         book.number += 1;
+        book.touched = at;
         book.entries.push(Entry {
             number: book.number,
             lines: figures.lines(),
@@ -276,21 +280,27 @@
     pub through: collections::BTreeMap<Incarnation, u64>,
 }
 
-/// The window after `last`: all entries of `books` that no window has taken.
+/// The window after `last`: all entries of `books` that no window has taken. Books that are gone
+/// are no longer listed.
 pub fn seal(last: &Window, books: &[Book], at: u64) -> Window {
-    let mut through = last.through.clone();
+    let mut through = collections::BTreeMap::new();
     let mut figures = Figures::default();
     for book in books {
-        let taken = through.entry(book.incarnation.clone()).or_default();
+        let mut taken = last
+            .through
+            .get(&book.incarnation)
+            .copied()
+            .unwrap_or_default();
         for entry in &book.entries {
-            if entry.number <= *taken {
+            if entry.number <= taken {
                 continue;
             }
-            *taken = entry.number;
+            taken = entry.number;
             for line in &entry.lines {
                 figures.add(&line.account, &line.amount);
             }
         }
+        through.insert(book.incarnation.clone(), taken);
     }
     Window {
         number: last.number + 1,
