--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -78,7 +78,9 @@
 
 const DEFAULT_BOUND_MS: u64 = 30_000;
 const MAX_TIER: u8 = 7;
+const MIN_FLOOR: f64 = 0.001;
 const MAX_FLOOR: f64 = 0.5;
+const DEFAULT_FLOOR: f64 = 0.02;
 const MAX_SLOTS: u32 = 65_536;
 
 fn default_bound() -> u64 {
@@ -204,14 +206,14 @@
                 "give the target in milliseconds",
             );
         }
-        let floor = c.floor.as_ref().map_or(0.0, |f| f.value);
+        let floor = c.floor.as_ref().map_or(DEFAULT_FLOOR, |f| f.value);
         if let Some(f) = &c.floor
-            && !(0.0..=MAX_FLOOR).contains(&f.value)
+            && !(MIN_FLOOR..=MAX_FLOOR).contains(&f.value)
         {
             self.fault(
                 f,
                 format!("floor {} is out of range", f.value),
-                "use 0 to 0.5",
+                "use 0.001 to 0.5: without a floor the class could starve",
             );
         }
         document::Class {
--- /dev/null
+++ b/crates/host/examples/quickstart.rs
@@ -0,0 +1,130 @@
+//! A small site in one process: a host, stand-ins for the systems around it, a document and a key.
+//!
+//! `cargo run -p jacinthslip --example quickstart [IP:PORT]`
+
+use std::io::BufRead as _;
+use std::net;
+
+use base::clock;
+use config::{document, item, key, log, parse, remote};
+use eyre::WrapErr as _;
+use jacinthslip::{life, settings, stop};
+use platform::store;
+use standin::{engine, plain, platform as standin_platform, store as standin_store};
+
+const DEFAULT_LISTEN: &str = "127.0.0.1:8080";
+const TEAM: &str = "quotes";
+const KEY: &str = "jk-quickstart";
+
+fn any_port() -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn text(engine: net::SocketAddr, plain: net::SocketAddr) -> String {
+    format!(
+        "classes:
+  - {{name: quote, tier: 0, first_ms: 670, gap_ms: 64}}
+  - {{name: sheet, tier: 2, first_ms: 30000, floor: 0.05}}
+teams:
+  - {{name: {TEAM}, classes: [quote, sheet], weight: 2}}
+services:
+  - name: drafter
+    kind: engine
+    models: [drafter-7b]
+    upstreams:
+      - {{name: engine-1, dc: lalitpur, address: \"{engine}\", slots: 8}}
+  - name: ledger
+    kind: plain
+    upstreams:
+      - {{name: ledger-1, dc: lalitpur, address: \"{plain}\", slots: 8}}
+"
+    )
+}
+
+fn host(listen: &str, store: net::SocketAddr, platform: net::SocketAddr) -> String {
+    format!(
+        "host: host-1
+dc: lalitpur
+region: bagmati
+listen: \"{listen}\"
+peer: \"127.0.0.1:0\"
+store: \"{store}\"
+platform: \"{platform}\"
+secret: only-for-the-quickstart
+times: {{linger_ms: 100}}
+"
+    )
+}
+
+/// Puts the document and a key in force, as `jacinthctl apply`, `promote` and `issue` do.
+fn configure(store: &dyn store::Store, doc: &document::Document) -> eyre::Result<()> {
+    let mut state = log::State::default();
+    let mut changes = item::diff(&state.items, &item::items(doc));
+    let digest = key::digest(KEY);
+    let issued = item::Key {
+        digest,
+        team: TEAM.into(),
+        withdrawn: false,
+    };
+    changes.push(item::Change::Put(item::Item::Key(issued)));
+    let written = clock::Clock::System.unix().0;
+    let stamp = remote::Stamp {
+        writer: rand::random(),
+        written,
+    };
+    Ok(remote::append(
+        store,
+        "production",
+        &mut state,
+        changes,
+        stamp,
+    )?)
+}
+
+fn main() -> eyre::Result<()> {
+    let listen = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| DEFAULT_LISTEN.to_owned());
+    let store = standin_store::Store::start(any_port())?;
+    let platform = standin_platform::Platform::start(any_port(), false)?;
+    let speed = engine::Settings {
+        slots: 8,
+        first_ms: 150,
+        gap_ms: 40,
+    };
+    let engine = engine::Engine::start(any_port(), speed)?;
+    let plain = plain::Plain::start(any_port())?;
+
+    let doc = parse::document("site.yaml", &text(engine.address(), plain.address()))?;
+    configure(&*store.memory, &doc)?;
+    let settings = host(&listen, store.address(), platform.address());
+    let settings = settings::parse("host.yaml", &settings)?;
+    let serving = life::Starting::new(settings)
+        .start()
+        .wrap_err("give another address: cargo run -p jacinthslip --example quickstart IP:PORT")?;
+
+    let url = format!("http://{}", serving.address());
+    println!("A host serves a small site at {url}. In another terminal, a streamed answer:\n");
+    println!("  curl -N {url}/v1/chat/completions -H 'Authorization: Bearer {KEY}' \\");
+    println!(
+        "    -d '{{\"model\": \"drafter-7b\", \"stream\": true, \"messages\": [{{\"role\": \"user\", \"content\": \"Draft a quote.\"}}]}}'\n"
+    );
+    println!("Then try:\n");
+    println!("  curl {url}/v1/models -H 'Authorization: Bearer {KEY}'");
+    println!("  curl {url}/v1/models -H 'Authorization: Bearer unknown'      # an honest refusal");
+    println!(
+        "  curl {url}/s/ledger/deposits -H 'Authorization: Bearer {KEY}' -H 'Idempotency-Key: d-1' -d 'deposit 100'"
+    );
+    println!(
+        "  curl {url}/s/ledger/deposits -H 'Authorization: Bearer {KEY}' -H 'Idempotency-Key: d-1' -d 'deposit 100'   # runs once"
+    );
+    println!("  curl {url}/metrics");
+    println!(
+        "  cargo run -p jacinthctl -- status --store {}\n",
+        store.address()
+    );
+    println!("Press Enter to drain and stop.");
+    let _ = std::io::stdin().lock().read_line(&mut String::new());
+    serving.drain().finish(&stop::Stop::default());
+    Ok(())
+}
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -18,8 +18,10 @@
 const LIST: clock::Millis = clock::Millis(2_000);
 /// Hosts of each data centre that keep connections to other data centres.
 const RELAYS: usize = 2;
+/// How often a host tells what it dispatches.
+const SUMMARY: clock::Millis = clock::Millis(1_200);
 /// What a host told of its services counts for this long.
-const FRESH: clock::Millis = clock::Millis(3_000);
+const FRESH: clock::Millis = clock::Millis(4_000);
 /// A host silent for this long is gone: its requests leave the desks.
 const GONE: clock::Millis = clock::Millis(5_000);
 
@@ -104,6 +106,7 @@
     /// Keeps heartbeats, connections and desks up to date until stopped.
     pub fn run(&self, stop: &stop::Stop) {
         let mut listed = clock::Millis::ZERO;
+        let mut summarized = clock::Millis::ZERO;
         while !stop.wait(BEAT.duration()) {
             let now = self.context.clock.now();
             if now.since(listed) >= LIST || listed == clock::Millis::ZERO {
@@ -114,7 +117,10 @@
             self.configure_desks();
             self.beat();
             self.context.gate.tell_holding();
-            self.summarize(now);
+            if now.since(summarized) >= SUMMARY {
+                summarized = now;
+                self.summarize(now);
+            }
             self.forget_gone(now);
             self.context.metrics.set_control(self.bytes());
         }
--- a/crates/host/tests/path.rs
+++ b/crates/host/tests/path.rs
@@ -111,3 +111,41 @@
         refused.status == 403
     });
 }
+
+#[test]
+fn the_quickstart_serves_what_it_prints() {
+    use std::io::Read as _;
+    use std::io::Write as _;
+
+    let listen = env::free_port().to_string();
+    let host = std::path::Path::new(env!("CARGO_BIN_EXE_jacinthslip"));
+    let example = host.parent().expect("folder").join("examples/quickstart");
+    let mut child = std::process::Command::new(example)
+        .arg(&listen)
+        .stdin(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("quickstart");
+    let ready = format!("http://{listen}/readyz");
+    env::until("the quickstart", || {
+        env::call("GET", &ready, &[], "").is_ok_and(|a| a.status == 200)
+    });
+    let url = format!("http://{listen}/v1/chat/completions");
+    let answer = env::chat(&url, "jk-quickstart", "Draft a quote.", 3).expect("answer");
+    assert!(answer.is_whole(), "{answer:?}");
+    child
+        .stdin
+        .take()
+        .expect("stdin")
+        .write_all(b"\n")
+        .expect("enter");
+    let mut printed = String::new();
+    child
+        .stdout
+        .take()
+        .expect("stdout")
+        .read_to_string(&mut printed)
+        .expect("output");
+    assert!(printed.contains(&format!("curl -N {url}")), "{printed}");
+    assert!(child.wait().expect("exit").success());
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -106,7 +106,7 @@
 
     /// Whether a request waits here.
     pub fn waits(&self, ticket: ask::Ticket) -> bool {
-        self.queue.iter().any(|w| w.ask.ticket == ticket)
+        self.queue.contains(ticket)
     }
 
     /// Where a request runs.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -72,24 +72,55 @@
 
 #[derive(Debug, Default)]
 struct Tier {
+    /// Teams with waiting requests.
     lanes: collections::BTreeMap<name::Team, Lane>,
+    /// Teams without, while they have a debt.
+    idle: collections::HashMap<name::Team, Lane>,
     base: u64,
     len: usize,
     pace: Pace,
 }
 
+impl Tier {
+    /// A team's lane, waiting or idle.
+    fn lane(&mut self, team: &name::Team) -> Option<&mut Lane> {
+        match self.lanes.get_mut(team) {
+            Some(lane) => Some(lane),
+            None => self.idle.get_mut(team),
+        }
+    }
+
+    /// Takes a request out of its lane, and the lane out of the waiting ones if it was the last.
+    fn take(&mut self, team: &name::Team, ticket: ask::Ticket) -> Option<Waiting> {
+        let lane = self.lanes.get_mut(team)?;
+        let at = lane.waiting.iter().position(|w| w.ask.ticket == ticket)?;
+        let taken = lane.waiting.remove(at);
+        self.len -= 1;
+        if lane.waiting.is_empty()
+            && let Some((team, lane)) = self.lanes.remove_entry(team)
+        {
+            self.idle.insert(team, lane);
+        }
+        taken
+    }
+}
+
 /// The waiting requests of one service.
 #[derive(Debug, Default)]
 pub struct Queue {
     tiers: collections::BTreeMap<u8, Tier>,
+    places: collections::HashMap<ask::Ticket, (u8, name::Team)>,
 }
 
 impl Queue {
     /// Adds a request behind its team's others.
     pub fn push(&mut self, ask: ask::Ask, now: clock::Millis) {
+        self.places
+            .insert(ask.ticket, (ask.terms.tier, ask.team.clone()));
         let tier = self.tiers.entry(ask.terms.tier).or_default();
         let base = tier.base;
-        let lane = tier.lanes.entry(ask.team.clone()).or_default();
+        let idle = tier.idle.remove(&ask.team).unwrap_or_default();
+        let lane = tier.lanes.entry(ask.team.clone()).or_insert(idle);
         if lane.waiting.is_empty() {
             lane.vtime = lane.vtime.max(base);
         }
@@ -105,6 +136,11 @@
         }
     }
 
+    /// Whether a request waits.
+    pub fn contains(&self, ticket: ask::Ticket) -> bool {
+        self.places.contains_key(&ticket)
+    }
+
     /// How many requests wait.
     pub fn len(&self) -> usize {
         self.tiers.values().map(|t| t.len).sum()
@@ -150,9 +186,8 @@
             return 0.0;
         };
         let by_tier = tier.pace.time_for(ahead + 1, now);
-        let Some(lane) = tier.lanes.get(team) else {
-            return by_tier;
-        };
+        let lane = tier.lanes.get(team).or_else(|| tier.idle.get(team));
+        let Some(lane) = lane else { return by_tier };
         by_tier.max(lane.pace.time_for(lane.waiting.len() + 1, now))
     }
 
@@ -183,16 +218,8 @@
 
     /// Takes a request out.
     pub fn remove(&mut self, ticket: ask::Ticket) -> Option<Waiting> {
-        for tier in self.tiers.values_mut() {
-            for lane in tier.lanes.values_mut() {
-                let Some(at) = lane.waiting.iter().position(|w| w.ask.ticket == ticket) else {
-                    continue;
-                };
-                tier.len -= 1;
-                return lane.waiting.remove(at);
-            }
-        }
-        None
+        let (tier, team) = self.places.remove(&ticket)?;
+        self.tiers.get_mut(&tier)?.take(&team, ticket)
     }
 
     /// A team's request was granted: moves the tier's floor of virtual time, notes the pace and
@@ -202,26 +229,28 @@
             return;
         };
         tier.pace.grant(tier.len > 0, now);
-        if let Some(lane) = tier.lanes.get_mut(team) {
-            tier.base = tier.base.max(lane.vtime);
+        let mut base = tier.base;
+        if let Some(lane) = tier.lane(team) {
+            base = base.max(lane.vtime);
             lane.pace.grant(!lane.waiting.is_empty(), now);
         }
-        if tier.lanes.len() <= IDLE_TEAMS {
-            return;
+        tier.base = base;
+        if tier.idle.len() > IDLE_TEAMS {
+            tier.idle.retain(|_, l| l.vtime > base);
         }
-        let base = tier.base;
-        tier.lanes
-            .retain(|_, l| !l.waiting.is_empty() || l.vtime > base);
     }
 
     /// Charges `tokens` of service to a team; a negative charge gives back.
     pub fn charge(&mut self, tier: u8, team: &name::Team, weight: u32, tokens: i64) {
         let tier = self.tiers.entry(tier).or_default();
-        let base = tier.base;
-        let lane = tier.lanes.entry(team.clone()).or_insert_with(|| Lane {
-            vtime: base,
-            ..Lane::default()
-        });
+        if tier.lane(team).is_none() {
+            let lane = Lane {
+                vtime: tier.base,
+                ..Lane::default()
+            };
+            tier.idle.insert(team.clone(), lane);
+        }
+        let Some(lane) = tier.lane(team) else { return };
         lane.weight = u64::from(weight.max(1));
         let amount = tokens.unsigned_abs() * UNIT / lane.weight;
         if tokens >= 0 {
