--- a/crates/host/benches/slopes.rs
+++ b/crates/host/benches/slopes.rs
@@ -244,6 +244,7 @@
     };
     let summary = message::Summary {
         dc: "dc-01".into(),
+        region: "region-1".into(),
         host: "host-0399".into(),
         address: ([10, 0, 0, 1], 9000).into(),
         services: vec![load],
--- a/crates/host/src/gate.rs
+++ b/crates/host/src/gate.rs
@@ -34,6 +34,19 @@
     fn terms(&self, class: &name::Class, team: &name::Team) -> Option<(ask::Terms, u32)>;
 }
 
+/// Finds another data centre for a request that this one refuses.
+pub trait Neighbours: Send + Sync {
+    /// The dispatcher of a data centre that can meet the target. `wait` is what this data centre
+    /// would take, `slack` what is left, `bytes` what would cross the link.
+    fn find(
+        &self,
+        service: &name::Service,
+        wait: clock::Millis,
+        slack: clock::Millis,
+        bytes: u64,
+    ) -> Option<name::Host>;
+}
+
 /// Where a request was granted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Source {
@@ -93,12 +106,16 @@
     waiter: sync::Arc<Waiter>,
     ask: message::Ask,
     granted: Option<(name::Upstream, Source)>,
+    /// The dispatcher of another data centre that was asked.
+    away: Option<name::Host>,
+    at: clock::Millis,
 }
 
 #[derive(Default)]
 struct State {
     desks: collections::HashMap<name::Service, Desk>,
     entries: collections::HashMap<ask::Ticket, Entry>,
+    away: collections::HashSet<(name::Host, name::Service)>,
     next: u32,
 }
 
@@ -110,6 +127,7 @@
     state: sync::Mutex<State>,
     outbox: sync::OnceLock<sync::Weak<dyn Outbox>>,
     terms: sync::OnceLock<sync::Weak<dyn Terms>>,
+    neighbours: sync::OnceLock<sync::Weak<dyn Neighbours>>,
 }
 
 /// The number of a host in the upper half of its tickets.
@@ -133,6 +151,7 @@
         let number = number(directory.host());
         let outbox = sync::OnceLock::new();
         let terms = sync::OnceLock::new();
+        let neighbours = sync::OnceLock::new();
         Self {
             clock,
             number,
@@ -140,13 +159,20 @@
             state: sync::Mutex::default(),
             outbox,
             terms,
+            neighbours,
         }
     }
 
     /// Connects the gate to other hosts and to the configuration.
-    pub fn connect(&self, outbox: sync::Weak<dyn Outbox>, terms: sync::Weak<dyn Terms>) {
+    pub fn connect(
+        &self,
+        outbox: sync::Weak<dyn Outbox>,
+        terms: sync::Weak<dyn Terms>,
+        neighbours: sync::Weak<dyn Neighbours>,
+    ) {
         let _ = self.outbox.set(outbox);
         let _ = self.terms.set(terms);
+        let _ = self.neighbours.set(neighbours);
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
@@ -218,21 +244,14 @@
         self.carry_out(effects);
     }
 
-    /// Waits for a slot.
+    /// Waits for a slot, in this data centre or in another that can meet the target.
     ///
     /// # Errors
     ///
     /// The refusal; nothing ran under this ticket.
     pub fn enter(self: &sync::Arc<Self>, ask: message::Ask) -> Result<Pass, refusal::Refusal> {
         let start = self.clock.now();
-        let waiter = sync::Arc::new(Waiter::default());
-        let ticket = ask.ticket;
-        let entry = Entry {
-            waiter: waiter.clone(),
-            ask: ask.clone(),
-            granted: None,
-        };
-        self.lock().entries.insert(ticket, entry);
+        let waiter = self.expect(&ask, None);
         let mut ask = ask;
         let waited = ask.waited;
         loop {
@@ -243,7 +262,84 @@
                 continue;
             };
             drop(slot);
-            return self.settle(ask, waiter, decision, source);
+            let settled = self.settle(ask.clone(), waiter, decision, source);
+            return settled.or_else(|refusal| self.spill(ask, refusal));
+        }
+    }
+
+    /// Registers a request that a decision is awaited for.
+    fn expect(&self, ask: &message::Ask, away: Option<name::Host>) -> sync::Arc<Waiter> {
+        let waiter = sync::Arc::new(Waiter::default());
+        let at = self.clock.now();
+        let entry = Entry {
+            waiter: waiter.clone(),
+            ask: ask.clone(),
+            granted: None,
+            away,
+            at,
+        };
+        self.lock().entries.insert(ask.ticket, entry);
+        waiter
+    }
+
+    /// How many requests this host has at another dispatcher that it asked there after `at`.
+    pub fn away_since(&self, host: &name::Host, service: &name::Service, at: clock::Millis) -> u32 {
+        let state = self.lock();
+        let there =
+            |e: &&Entry| e.away.as_ref() == Some(host) && &e.ask.service == service && e.at >= at;
+        state.entries.values().filter(there).count() as u32
+    }
+
+    /// Asks another data centre for a request that this one refuses; `refusal` stands if none
+    /// grants it in time.
+    fn spill(
+        self: &sync::Arc<Self>,
+        mut ask: message::Ask,
+        refusal: refusal::Refusal,
+    ) -> Result<Pass, refusal::Refusal> {
+        use refusal::Reason;
+        if !matches!(refusal.reason, Reason::TargetMissed | Reason::NoUpstream) {
+            return Err(refusal);
+        }
+        let Some(full) = self.expand(&ask) else {
+            return Err(refusal);
+        };
+        let slack = full.terms.first.since(ask.waited);
+        let wait = slack + refusal.retry.unwrap_or(clock::Millis::secs(1));
+        let neighbours = self.neighbours.get().and_then(sync::Weak::upgrade);
+        let found = neighbours.and_then(|n| n.find(&ask.service, wait, slack, crossing(&ask)));
+        let Some(host) = found else {
+            return Err(refusal);
+        };
+        ask.ticket = self.ticket();
+        let waiter = self.expect(&ask, Some(host.clone()));
+        let sent = self.send(&host, message::Message::Ask(ask.clone()));
+        let limit = if sent { slack } else { clock::Millis::ZERO };
+        let decision = waiter
+            .wait(limit, |s| s.decision.is_some())
+            .decision
+            .clone();
+        match decision {
+            Some((ask::Decision::Grant(_, upstream), _)) => {
+                tracing::debug!(event = "spilled", host = %host, upstream = %upstream);
+                let started = self.clock.now();
+                Ok(Pass {
+                    gate: self.clone(),
+                    ask,
+                    waiter,
+                    upstream,
+                    started,
+                    ended: false,
+                })
+            }
+            _ => {
+                self.lock().entries.remove(&ask.ticket);
+                self.send(
+                    &host,
+                    message::Message::Withdraw(ask.service.clone(), ask.ticket),
+                );
+                Err(refusal)
+            }
         }
     }
 
@@ -490,7 +586,7 @@
                 self.compare(host, &service, digest);
             }
             message::Message::TellHolding(service) => {
-                let held = self.held(&service);
+                let held = self.held(host, &service);
                 self.send(host, message::Message::Held(service, held));
             }
             message::Message::Held(service, held) => self.adopt(host, &service, &held),
@@ -532,11 +628,13 @@
         }
     }
 
-    /// What this host runs of a service under grants that count at its dispatcher.
-    fn held(&self, service: &name::Service) -> Vec<message::Held> {
+    /// What this host runs of a service under grants that count at the dispatcher `host`.
+    fn held(&self, host: &name::Host, service: &name::Service) -> Vec<message::Held> {
+        let own = self.directory.dispatcher(service, self.clock.now());
         let mut out = Vec::new();
         for entry in self.lock().entries.values() {
-            if &entry.ask.service != service {
+            let counts_at = entry.away.as_ref().unwrap_or(&own);
+            if &entry.ask.service != service || counts_at != host {
                 continue;
             }
             let Some((upstream, _)) = &entry.granted else {
@@ -550,27 +648,42 @@
         out
     }
 
-    /// Tells each service's dispatcher in brief what this host runs.
+    /// Tells each dispatcher in brief what this host runs under its grants.
     pub fn tell_holding(&self) {
-        let mut digests: collections::HashMap<name::Service, message::Digest> =
+        let now = self.clock.now();
+        let mut digests: collections::HashMap<(name::Host, name::Service), message::Digest> =
             collections::HashMap::new();
-        for (ticket, entry) in &self.lock().entries {
-            if entry.granted.is_some() {
-                digests
-                    .entry(entry.ask.service.clone())
-                    .or_default()
-                    .add(*ticket);
-            }
+        let mut state = self.lock();
+        for service in state.desks.keys() {
+            let dispatcher = self.directory.dispatcher(service, now);
+            digests.entry((dispatcher, service.clone())).or_default();
         }
-        let now = self.clock.now();
-        let services: Vec<name::Service> = self.lock().desks.keys().cloned().collect();
-        for service in services {
-            let dispatcher = self.directory.dispatcher(&service, now);
-            if &dispatcher == self.directory.host() {
+        // A dispatcher that was asked from afar is told of the end too.
+        for place in std::mem::take(&mut state.away) {
+            digests.entry(place).or_default();
+        }
+        let mut away = collections::HashSet::new();
+        for (ticket, entry) in &state.entries {
+            if entry.granted.is_none() {
                 continue;
             }
-            let digest = digests.get(&service).copied().unwrap_or_default();
-            self.send(&dispatcher, message::Message::Holding(service, digest));
+            let service = &entry.ask.service;
+            let dispatcher = match &entry.away {
+                Some(host) => host.clone(),
+                None => self.directory.dispatcher(service, now),
+            };
+            let place = (dispatcher, service.clone());
+            if entry.away.is_some() {
+                away.insert(place.clone());
+            }
+            digests.entry(place).or_default().add(*ticket);
+        }
+        state.away = away;
+        drop(state);
+        for ((host, service), digest) in digests {
+            if &host != self.directory.host() {
+                self.send(&host, message::Message::Holding(service, digest));
+            }
         }
     }
 
@@ -652,6 +765,16 @@
     }
 }
 
+/// Bytes that a spilled request sends over the link, its answer included: a token travels as an
+/// event of its own.
+fn crossing(ask: &message::Ask) -> u64 {
+    const BYTES_PER_PROMPT_TOKEN: u64 = 5;
+    const BYTES_PER_EVENT: u64 = 200;
+    const EXPECTED_EVENTS: u64 = 400;
+    let events = u64::from(ask.limit).min(EXPECTED_EVENTS);
+    u64::from(ask.prompt) * BYTES_PER_PROMPT_TOKEN + events * BYTES_PER_EVENT
+}
+
 /// This host's share of each upstream.
 fn part(sites: &[pool::Site], hosts: u32, index: u32) -> Vec<pool::Site> {
     let mut out = Vec::new();
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -8,7 +8,7 @@
 use base::{clock, name};
 use peer::{link, message};
 use platform::hosts;
-use policy::{ask, pool, scale, usage};
+use policy::{ask, pool, scale, spill, usage};
 
 use crate::{context, follow, gate, stop};
 
@@ -18,6 +18,10 @@
 const LIST: clock::Millis = clock::Millis(2_000);
 /// Hosts of each data centre that keep connections to other data centres.
 const RELAYS: usize = 2;
+/// One way between data centres of a region.
+const WITHIN_REGION: clock::Millis = clock::Millis(1);
+/// One way between regions.
+const BETWEEN_REGIONS: clock::Millis = clock::Millis(20);
 /// How often a host tells what it dispatches.
 const SUMMARY: clock::Millis = clock::Millis(1_200);
 /// What a host told of its services counts for this long.
@@ -36,6 +40,7 @@
     summaries: sync::Mutex<collections::HashMap<name::Host, Told<message::Summary>>>,
     retired: sync::Mutex<Option<Told<Vec<name::Upstream>>>>,
     told: sync::Mutex<usage::Numbers>,
+    link: sync::Mutex<spill::Link>,
 }
 
 /// What another host told, and when.
@@ -60,6 +65,8 @@
                 state: hosts::State::Live,
             });
         }
+        let rate = context.settings.limits.link / 1_000;
+        let link = spill::Link::new(rate, context.clock.now());
         Self {
             context,
             follower,
@@ -70,6 +77,7 @@
             summaries: sync::Mutex::default(),
             retired: sync::Mutex::default(),
             told: sync::Mutex::default(),
+            link: sync::Mutex::new(link),
         }
     }
 
@@ -89,10 +97,10 @@
         let sink: sync::Weak<dyn link::Sink> = weak.clone();
         let outbox: sync::Weak<dyn gate::Outbox> = weak.clone();
         let terms: sync::Weak<dyn gate::Terms> = weak.clone();
-        self.follower.listen(weak);
+        self.follower.listen(weak.clone());
         let links = link::Links::start(identity, settings.peer, sink)?;
         let _ = self.links.set(links);
-        self.context.gate.connect(outbox, terms);
+        self.context.gate.connect(outbox, terms, weak);
         self.want_peers();
         Ok(())
     }
@@ -150,7 +158,8 @@
         *self.list() = list;
     }
 
-    /// Hosts to be connected with: all of this data centre; between data centres only relays.
+    /// Hosts to be connected with: all of this data centre; between data centres only relays. Of
+    /// a pair the one with the lesser name dials.
     fn want_peers(&self) {
         let Some(links) = self.links.get() else {
             return;
@@ -180,7 +189,9 @@
             hosts.sort_by(|a, b| a.name.cmp(&b.name));
             let mut up = 0;
             for host in hosts.iter().take(RELAYS * 2) {
-                links.want(&host.name, &host.dc, host.address);
+                if own < &host.name {
+                    links.want(&host.name, &host.dc, host.address);
+                }
                 up += usize::from(connected.contains(&host.name));
                 if up == RELAYS {
                     break;
@@ -239,6 +250,7 @@
         };
         let summary = message::Summary {
             dc: self.context.settings.dc.clone(),
+            region: self.context.settings.region.clone(),
             host: self.context.settings.host.clone(),
             address: links.address(),
             services: self.context.gate.loads(),
@@ -378,6 +390,52 @@
         }
     }
 
+    /// Keeps a summary; a relay passes one from another data centre on in its own.
+    fn on_summary(&self, host: &name::Host, summary: message::Summary) {
+        let own = &self.context.settings.dc;
+        let foreign = &summary.dc != own;
+        if foreign && &summary.host == host {
+            self.pass_on(&summary);
+        }
+        self.keep_summary(summary, self.context.clock.now());
+    }
+
+    fn pass_on(&self, summary: &message::Summary) {
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        for (host, dc) in links.connected() {
+            if dc == self.context.settings.dc {
+                links.send(&host, message::Message::Summary(summary.clone()));
+            }
+        }
+    }
+
+    /// The neighbour that `summary` describes, for one service.
+    fn neighbour(
+        &self,
+        told: &Told<message::Summary>,
+        service: &name::Service,
+    ) -> Option<spill::Neighbour> {
+        let summary = &told.what;
+        if summary.dc == self.context.settings.dc {
+            return None;
+        }
+        let load = summary.services.iter().find(|l| &l.service == service)?;
+        let paid = summary.region != self.context.settings.region;
+        let sent = self
+            .context
+            .gate
+            .away_since(&summary.host, service, told.at);
+        Some(spill::Neighbour {
+            free: load.free.saturating_sub(sent),
+            waiting: load.waiting,
+            distance: if paid { BETWEEN_REGIONS } else { WITHIN_REGION },
+            paid,
+            told: told.at,
+        })
+    }
+
     fn on_beat(&self, host: &name::Host, beat: &message::Beat) {
         let now = self.context.clock.now();
         self.context
@@ -433,6 +491,48 @@
     }
 }
 
+impl gate::Neighbours for Node {
+    fn find(
+        &self,
+        service: &name::Service,
+        wait: clock::Millis,
+        slack: clock::Millis,
+        bytes: u64,
+    ) -> Option<name::Host> {
+        let links = self.links.get()?;
+        let now = self.context.clock.now();
+        let mut summaries = self
+            .summaries
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut best: Option<(bool, u32, name::Host)> = None;
+        for told in summaries.values() {
+            let Some(n) = self.neighbour(told, service) else {
+                continue;
+            };
+            if !spill::wins(&n, wait, slack, now) {
+                continue;
+            }
+            let summary = &told.what;
+            links.want(&summary.host, &summary.dc, summary.address);
+            self.context.directory.place(&summary.host, &summary.dc);
+            let rank = (!n.paid, n.free - n.waiting, summary.host.clone());
+            if best.as_ref().is_none_or(|b| rank > *b) {
+                best = Some(rank);
+            }
+        }
+        let (free_of_charge, _, host) = best?;
+        let mut link = self
+            .link
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if !free_of_charge && !link.spend(bytes, now) {
+            return None;
+        }
+        Some(host)
+    }
+}
+
 impl link::Sink for Node {
     fn message(&self, host: &name::Host, message: message::Message) {
         match message {
@@ -458,15 +558,21 @@
             message::Message::Written(incarnation, records) => {
                 self.context.ledger.drop_copies(&incarnation, &records);
             }
-            message::Message::Summary(summary) => {
-                self.keep_summary(summary, self.context.clock.now());
-            }
+            message::Message::Summary(summary) => self.on_summary(host, summary),
             message::Message::Retire(upstreams) => self.keep_retired(upstreams),
             other => self.context.gate.message(host, other),
         }
     }
 
     fn opened(&self, host: &name::Host) {
+        let connected = self
+            .links
+            .get()
+            .map(link::Links::connected)
+            .unwrap_or_default();
+        if let Some((_, dc)) = connected.iter().find(|(name, _)| name == host) {
+            self.context.directory.place(host, dc);
+        }
         let beat = message::Beat {
             revision: self.context.view().revision,
             leaving: !self.context.phase.is_serving(),
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,6 +1,6 @@
 //! Connections to other hosts, kept up in the background.
 //!
-//! Of a pair of hosts the one with the lesser name dials. Messages to a host that is not
+//! A host dials those it is told to want. Messages to a host that is not
 //! connected, or slower than its queue is long, are dropped: every message is repeated by its
 //! sender where it matters.
 
@@ -212,7 +212,7 @@
     fn to_dial(&self) -> Vec<(name::Host, net::SocketAddr)> {
         let mut out = Vec::new();
         for (host, peer) in self.lock().iter() {
-            if peer.wanted && peer.out.is_none() && self.identity.host < *host {
+            if peer.wanted && peer.out.is_none() {
                 out.push((host.clone(), peer.address));
             }
         }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -129,6 +129,8 @@
 pub struct Summary {
     /// The data centre.
     pub dc: name::Dc,
+    /// Its region.
+    pub region: name::Region,
     /// The dispatching host.
     pub host: name::Host,
     /// Where it listens to other hosts.
