--- a/crates/policy/src/scale.rs
+++ b/crates/policy/src/scale.rs
@@ -44,15 +44,47 @@
 }
 
 /// Use of the slots aimed at.
-const AIM: f64 = 0.8;
+const AIM: f64 = 0.9;
 /// Weight of a new sample in the short mean, as one part in this many.
 const SHORT: f64 = 3.0;
 /// Weight of a new sample in the long mean, as one part in this many.
-const LONG: f64 = 30.0;
+const LONG: f64 = 20.0;
 /// An order that had no effect is repeated or given up after this.
 const ORDER_LIFE: clock::Millis = clock::Millis(20_000);
-/// An upstream that could not be started is left alone for this long.
+/// After a start that failed, no upstream of its kind is tried for this long at first.
 const SHORTAGE: clock::Millis = clock::Millis(60_000);
+/// The longest such time; it doubles with each failure.
+const MAX_SHORTAGE: clock::Millis = clock::Millis(480_000);
+
+/// Whether upstreams of one kind, cheap or not, can be had.
+#[derive(Clone, Copy, Debug, Default)]
+struct Market {
+    pause: clock::Millis,
+    until: clock::Millis,
+}
+
+impl Market {
+    fn failed(&mut self, now: clock::Millis) {
+        if now < self.until {
+            return;
+        }
+        let next = clock::Millis(self.pause.0 * 2);
+        self.pause = next.clamp(SHORTAGE, MAX_SHORTAGE);
+        self.until = now + self.pause;
+    }
+
+    /// Whether the last start failed: one upstream is tried at a time, and counts for nothing
+    /// until it runs.
+    fn is_doubtful(&self) -> bool {
+        self.pause > clock::Millis::ZERO
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    start: bool,
+    at: clock::Millis,
+}
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Means {
@@ -61,18 +93,12 @@
 }
 
 impl Means {
+    /// Up within a few samples, so that noise alone starts nothing; down slowly, so that what the
+    /// next burst needs still runs.
     fn add(&mut self, x: f64) {
-        // Up at once, down slowly: the long mean is what stops wait for.
-        self.short = if x > self.short {
-            x
-        } else {
-            self.short + (x - self.short) / SHORT
-        };
-        self.long = if x > self.long {
-            x
-        } else {
-            self.long + (x - self.long) / LONG
-        };
+        self.short += (x - self.short) / SHORT;
+        let fall = (self.short - self.long) / LONG;
+        self.long = self.short.max(self.long + fall);
     }
 }
 
@@ -81,8 +107,9 @@
 pub struct Scaler {
     firm: Means,
     loose: Means,
-    pending: collections::HashMap<name::Upstream, clock::Millis>,
-    short: collections::HashMap<name::Upstream, clock::Millis>,
+    pending: collections::HashMap<name::Upstream, Pending>,
+    firm_market: Market,
+    cheap_market: Market,
 }
 
 impl Scaler {
@@ -92,20 +119,29 @@
         self.loose.add(demand.loose);
     }
 
+    fn market(&self, cheap: bool) -> &Market {
+        if cheap {
+            &self.cheap_market
+        } else {
+            &self.firm_market
+        }
+    }
+
     /// The orders that bring the running upstreams to the demand.
     pub fn orders(&mut self, sites: &[Site], now: clock::Millis) -> Vec<Order> {
         self.settle(sites, now);
         let up = want(self.firm.short, self.loose.short);
         let keep = want(self.firm.long, self.loose.long);
+        let target = self.plan(sites, up);
+        let kept = self.plan(sites, keep);
         let mut out = Vec::new();
-        let target = self.plan(sites, up, now);
-        let kept = self.plan(sites, keep, now);
         for s in sites {
             if !s.ordered || self.pending.contains_key(&s.name) {
                 continue;
             }
-            let start = target.contains(&s.name) && !s.running;
-            let stop = !kept.contains(&s.name) && !target.contains(&s.name) && s.running;
+            let wanted = target.contains(&s.name);
+            let start = wanted && !s.running && self.may_start(s, sites, now);
+            let stop = !wanted && !kept.contains(&s.name) && s.running;
             if start {
                 out.push(Order::Start(s.name.clone()));
             } else if stop {
@@ -113,41 +149,52 @@
             } else {
                 continue;
             }
-            self.pending.insert(s.name.clone(), now);
+            self.pending
+                .insert(s.name.clone(), Pending { start, at: now });
         }
         out
     }
 
-    /// Drops orders that took effect, and remembers starts that did not.
+    fn may_start(&self, s: &Site, sites: &[Site], now: clock::Millis) -> bool {
+        let market = self.market(s.cheap);
+        if !market.is_doubtful() {
+            return true;
+        }
+        let tried =
+            |o: &Site| o.cheap == s.cheap && self.pending.get(&o.name).is_some_and(|p| p.start);
+        now >= market.until && !sites.iter().any(tried)
+    }
+
+    /// Drops orders that took effect, and learns from starts that did not.
     fn settle(&mut self, sites: &[Site], now: clock::Millis) {
         for s in sites {
-            let Some(at) = self.pending.get(&s.name) else {
+            let Some(pending) = self.pending.get(&s.name).copied() else {
                 continue;
             };
-            if now.since(*at) < ORDER_LIFE {
+            let done = s.running == pending.start;
+            if !done && now.since(pending.at) < ORDER_LIFE {
                 continue;
             }
             self.pending.remove(&s.name);
-            if !s.running {
-                self.short.insert(s.name.clone(), now);
+            if !pending.start {
+                continue;
+            }
+            let market = if s.cheap {
+                &mut self.cheap_market
+            } else {
+                &mut self.firm_market
+            };
+            if done {
+                *market = Market::default();
+            } else {
+                market.failed(now);
             }
         }
-        self.short.retain(|_, at| now.since(*at) < SHORTAGE);
-    }
-
-    /// Notes that the list shows an ordered upstream as wished.
-    pub fn confirm(&mut self, name: &name::Upstream) {
-        self.pending.remove(name);
     }
 
     /// The least costly set of upstreams that covers the demand: running ones before others of
     /// the same price, so that nothing is swapped for its equal.
-    fn plan(
-        &self,
-        sites: &[Site],
-        demand: Demand,
-        now: clock::Millis,
-    ) -> collections::HashSet<name::Upstream> {
+    fn plan(&self, sites: &[Site], demand: Demand) -> collections::HashSet<name::Upstream> {
         let mut out = collections::HashSet::new();
         let mut firm = demand.firm;
         let mut loose = demand.loose;
@@ -157,10 +204,7 @@
             if firm <= 0.0 && s.ordered {
                 break;
             }
-            if self.is_short(s, now) {
-                continue;
-            }
-            firm -= f64::from(s.slots);
+            firm -= self.covers(s);
             out.insert(s.name.clone());
         }
         loose += firm.min(0.0);
@@ -169,21 +213,21 @@
             if loose <= 0.0 {
                 break;
             }
-            if out.contains(&s.name) || self.is_short(s, now) {
+            if out.contains(&s.name) {
                 continue;
             }
-            loose -= f64::from(s.slots);
+            loose -= self.covers(s);
             out.insert(s.name.clone());
         }
         out
     }
 
-    fn is_short(&self, s: &Site, now: clock::Millis) -> bool {
-        let recent = self
-            .short
-            .get(&s.name)
-            .is_some_and(|at| now.since(*at) < SHORTAGE);
-        recent && !s.running
+    /// Slots that an upstream can be counted on for.
+    fn covers(&self, s: &Site) -> f64 {
+        if !s.running && self.market(s.cheap).is_doubtful() {
+            return 0.0;
+        }
+        f64::from(s.slots)
     }
 }
 
