Keys barred while the store is down; old claims swept

A withdrawn key has to stop within seconds, but withdrawing needs the store, which is away for long stretches. Weighed: a queue at the operator's side (the key works meanwhile) and a write to any host with an operator's account (no such accounts). jacinthctl bar proves by HMAC that the operator holds the hosts' secret; the host stops the key at once, tells the others with each heartbeat, and the relays withdraw it in the log once the store answers. Test on processes: store down, one host told, three hosts refuse, one that starts meanwhile too, and the log holds the withdrawal afterwards.

Claims under idempotency keys grew for ever.

--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 
+use hmac::Mac as _;
 use sha2::Digest as _;
 
 /// The SHA-256 of a caller's key in hexadecimal, as the configuration keeps it.
@@ -9,6 +10,26 @@
     hex(&sha2::Sha256::digest(key.as_bytes()))
 }
 
+/// Proves to a host that an operator, who holds the hosts' secret, bars the key with this digest.
+pub fn bar_proof(secret: &str, digest: &str) -> String {
+    hex(&bar_mac(secret, digest).finalize().into_bytes())
+}
+
+/// Whether `proof` is that of an operator.
+pub fn is_bar_proof(secret: &str, digest: &str, proof: &str) -> bool {
+    bytes(proof).is_some_and(|p| bar_mac(secret, digest).verify_slice(&p).is_ok())
+}
+
+fn bar_mac(secret: &str, digest: &str) -> hmac::Hmac<sha2::Sha256> {
+    let mut mac = match hmac::Hmac::<sha2::Sha256>::new_from_slice(secret.as_bytes()) {
+        Ok(mac) => mac,
+        Err(_) => unreachable!("HMAC takes keys of any length"),
+    };
+    mac.update(b"bar ");
+    mac.update(digest.as_bytes());
+    mac
+}
+
 /// A digest as bytes, a quarter of the memory of its text; `None` if `text` is not a digest.
 pub fn bytes(text: &str) -> Option<[u8; 32]> {
     let mut out = [0; 32];
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -161,6 +161,11 @@
         self.teams.get(&key.team).cloned()
     }
 
+    /// Whether a key is known and withdrawn.
+    pub fn is_withdrawn(&self, digest: &[u8; 32]) -> bool {
+        self.keys.get(digest).is_some_and(|k| k.withdrawn)
+    }
+
     /// A team by name.
     pub fn team(&self, name: &str) -> Option<sync::Arc<document::Team>> {
         self.teams.get(name).cloned()
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -65,6 +65,16 @@
             /// The environment; production if not given.
             optional --env env: String
         }
+        /// Stop a key at once through a host, also while the store is down; the hosts withdraw it
+        /// for good once they reach the store.
+        cmd bar {
+            /// Any host, IP:PORT where callers connect.
+            required --host host: SocketAddr
+            /// A file that holds the hosts' secret.
+            required --secret-file file: PathBuf
+            /// The key itself, or its SHA-256 in hexadecimal.
+            required --key key: String
+        }
         /// Withdraw a key for good.
         cmd withdraw {
             /// The store, IP:PORT.
@@ -93,6 +103,7 @@
     Status(Status),
     History(History),
     Issue(Issue),
+    Bar(Bar),
     Withdraw(Withdraw),
 }
 
@@ -140,6 +151,13 @@
     pub env: Option<String>,
 }
 
+#[derive(Debug)]
+pub struct Bar {
+    pub host: SocketAddr,
+    pub secret_file: PathBuf,
+    pub key: String,
+}
+
 #[derive(Debug)]
 pub struct Withdraw {
     pub store: SocketAddr,
--- a/crates/ctl/src/fault.rs
+++ b/crates/ctl/src/fault.rs
@@ -21,6 +21,10 @@
     NoTeam(String),
     /// No such key in the environment.
     NoKey,
+    /// The secret can't be read.
+    Secret(String),
+    /// The host did not take the request.
+    Host(String),
 }
 
 impl From<remote::Error> for Fault {
@@ -44,7 +48,10 @@
                 exit_codes::ExitCode::Conflict
             }
             Self::Remote(remote::Error::Unknown) => exit_codes::ExitCode::Unknown,
-            Self::Remote(_) | Self::NoTeam(_) | Self::NoKey => exit_codes::ExitCode::Failure,
+            Self::Secret(_) => exit_codes::ExitCode::Usage,
+            Self::Remote(_) | Self::NoTeam(_) | Self::NoKey | Self::Host(_) => {
+                exit_codes::ExitCode::Failure
+            }
         }
     }
 }
@@ -70,6 +77,16 @@
                 "no team {team:?} in this environment; nothing was changed. \
                  Add it to the document, apply and promote."
             ),
+            Self::Secret(e) => {
+                write!(
+                    f,
+                    "the secret can't be read: {e}. Give the file that holds it."
+                )
+            }
+            Self::Host(e) => write!(
+                f,
+                "{e}; the key is not barred. Check the secret, or try another host."
+            ),
             Self::NoKey => write!(
                 f,
                 "no such key in this environment; nothing was changed. \
--- a/crates/ctl/src/key.rs
+++ b/crates/ctl/src/key.rs
@@ -1,14 +1,17 @@
 //! Commands that issue and withdraw keys.
 
+use std::fs;
+
+use base::clock;
 use config::{item, key, remote};
-use platform::store_http;
+use platform::{http, store_http};
 
 use crate::{change, cli, fault};
 
+/// Time for a call to a host.
+const CALL: clock::Millis = clock::Millis(5_000);
 /// Tries to append among other operators' changes.
 const TRIES: u32 = 10;
-/// Characters of a SHA-256 in hexadecimal.
-const DIGEST_CHARS: usize = 64;
 
 /// Appends the change that `make` gives, again if another operator was first.
 fn append(
@@ -48,17 +51,38 @@
     Ok(())
 }
 
+/// The digest of a key given itself or as its digest.
+fn digest_of(text: &str) -> String {
+    match key::bytes(text) {
+        Some(bytes) => key::hex(&bytes),
+        None => key::digest(text),
+    }
+}
+
+/// Stops a key at a host.
+pub(crate) fn bar(args: &cli::Bar) -> Result<(), fault::Fault> {
+    let secret = fs::read_to_string(&args.secret_file)
+        .map_err(|e| fault::Fault::Secret(format!("{}: {e}", args.secret_file.display())))?;
+    let digest = digest_of(&args.key);
+    let proof = key::bar_proof(secret.trim(), &digest);
+    let body = serde_json::json!({"digest": digest, "proof": proof}).to_string();
+    let url = format!("http://{}/operator/bar", args.host);
+    let answer = http::agent(CALL).post(url).send(&body);
+    match answer.map(|a| a.status().as_u16()) {
+        Ok(200) => {
+            println!("key barred");
+            Ok(())
+        }
+        Ok(status) => Err(fault::Fault::Host(format!("the host answered {status}"))),
+        Err(e) => Err(fault::Fault::Host(e.to_string())),
+    }
+}
+
 /// Withdraws a key.
 pub(crate) fn withdraw(args: &cli::Withdraw) -> Result<(), fault::Fault> {
     let store = store_http::Http::new(args.store);
     let env = args.env.as_deref().unwrap_or(change::PRODUCTION);
-    let is_digest =
-        args.key.len() == DIGEST_CHARS && args.key.chars().all(|c| c.is_ascii_hexdigit());
-    let digest = if is_digest {
-        args.key.to_lowercase()
-    } else {
-        key::digest(&args.key)
-    };
+    let digest = digest_of(&args.key);
     let revision = append(&store, env, |items| {
         let found = items.get(&item::Id::Key(digest.clone()));
         let Some(item::Item::Key(old)) = found else {
--- a/crates/host/src/caller.rs
+++ b/crates/host/src/caller.rs
@@ -6,7 +6,7 @@
 use config::{document, key};
 use policy::usage;
 
-use crate::context;
+use crate::{bars, context};
 
 /// What a path asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -17,7 +17,7 @@
     Models,
     /// A plain service, and the path behind its name with the query.
     Plain(&'a str, &'a str),
-    /// Health, readiness or metrics.
+    /// Health, readiness, metrics, or a key to bar.
     Operator(&'a str),
     /// Nothing known.
     Unknown,
@@ -29,7 +29,7 @@
     match path {
         "/v1/chat/completions" => Target::Chat,
         "/v1/models" => Target::Models,
-        "/healthz" | "/readyz" | "/metrics" => Target::Operator(path),
+        "/healthz" | "/readyz" | "/metrics" | bars::PATH => Target::Operator(path),
         _ => match url.strip_prefix("/s/") {
             Some(rest) => plain(rest),
             None => Target::Unknown,
@@ -105,7 +105,7 @@
     /// Whether the caller's key still works.
     pub fn still_known(&self, context: &context::Context) -> bool {
         match &self.digest {
-            Some(digest) => context.view().team_of(digest).is_some(),
+            Some(digest) => context.team_of(digest).is_some(),
             None => true,
         }
     }
@@ -130,12 +130,9 @@
     service: &document::Service,
 ) -> Result<Caller, refusal::Refusal> {
     let refuse = |reason| Err(refusal::Refusal::not_run(reason));
-    let view = context.view();
     let digest = credentials.key.as_deref().map(key::digest);
-    let team = match &digest {
-        Some(digest) => view.team_of(digest),
-        None => None,
-    };
+    let team = digest.as_deref().and_then(|digest| context.team_of(digest));
+    let view = context.view();
     if digest.is_some() && team.is_some() && !context.trusts_keys() && !service.open {
         return refuse(refusal::Reason::StaleKeys);
     }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic;
 
 use base::{clock, name};
-use config::view;
+use config::{document, key, view};
 use peer::message;
 use platform::store;
 use policy::usage;
 
-use crate::{directory, gate, ledger, metrics, settings, upstream};
+use crate::{bars, directory, gate, ledger, metrics, settings, upstream};
 
 /// How far a host is in its life, as callers see it.
 #[derive(Debug, Default)]
@@ -51,6 +51,8 @@
     pub incarnation: u64,
     /// The configuration as requests read it.
     pub view: sync::RwLock<view::View>,
+    /// Keys barred at a host and not yet withdrawn in the configuration.
+    pub bars: bars::Bars,
     /// The key-value service.
     pub store: sync::Arc<dyn store::Store>,
     /// Grants.
@@ -101,6 +103,14 @@
             .store(self.clock.now().0, atomic::Ordering::Relaxed);
     }
 
+    /// The team of a working key, by its digest.
+    pub fn team_of(&self, digest: &str) -> Option<sync::Arc<document::Team>> {
+        if key::bytes(digest).is_some_and(|d| self.bars.contains(&d)) {
+            return None;
+        }
+        self.view().team_of(digest)
+    }
+
     /// Whether the store or a peer was heard recently enough to trust known keys.
     pub fn trusts_keys(&self) -> bool {
         let heard = clock::Millis(self.heard.load(atomic::Ordering::Relaxed));
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! The host of jacinthslip as a library, for the program and the quickstart.
 
 pub mod agent;
+pub mod bars;
 pub mod body;
 pub mod caller;
 pub mod chat;
@@ -25,4 +26,5 @@
 pub mod settings;
 pub mod stop;
 pub mod supervisor;
+pub mod sweep;
 pub mod upstream;
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -10,7 +10,7 @@
 use platform::hosts;
 use policy::{ask, pool, scale, spill, usage};
 
-use crate::{context, follow, gate, stop};
+use crate::{bars, context, follow, gate, stop};
 
 /// How often heartbeats go out.
 const BEAT: clock::Millis = clock::Millis(400);
@@ -124,6 +124,7 @@
             self.want_peers();
             self.configure_desks();
             self.beat();
+            self.tell_bars();
             self.context.gate.tell_holding();
             if now.since(summarized) >= SUMMARY {
                 summarized = now;
@@ -220,6 +221,20 @@
         }
     }
 
+    /// Tells all connected hosts which keys are barred.
+    fn tell_bars(&self) {
+        let barred = self.context.bars.list();
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        if barred.is_empty() {
+            return;
+        }
+        for (host, _) in links.connected() {
+            links.send(&host, message::Message::Barred(barred.clone()));
+        }
+    }
+
     /// Sets the upstreams of every service at its desk: those of this data centre that run.
     pub fn configure_desks(&self) {
         let dc = &self.context.settings.dc;
@@ -550,6 +565,11 @@
                 self.context.ledger.drop_copies(&incarnation, &records);
             }
             message::Message::Summary(summary) => self.on_summary(host, summary),
+            message::Message::Barred(digests) => {
+                for digest in &digests {
+                    bars::bar(&self.context, digest);
+                }
+            }
             message::Message::Retire(upstreams) => self.keep_retired(upstreams),
             other => self.context.gate.message(host, other),
         }
--- a/crates/host/src/once.rs
+++ b/crates/host/src/once.rs
@@ -3,7 +3,7 @@
 //! The claim is created in the store before the first byte is sent. Whoever finds another's
 //! claim gets the kept answer, or is told that the outcome is unknown; never a second run.
 
-use base::{name, refusal};
+use base::{clock, name, refusal};
 use config::key;
 use platform::store;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,15 @@
 /// The largest answer kept for repeats, in bytes.
 const MAX_KEPT: usize = 64 * 1024;
 
+/// Prefix of all claims in the store.
+pub const CLAIMS: &str = "once/";
+
+/// When a claim was made, in milliseconds of the Unix epoch; `None` if the entry is no claim.
+pub fn claimed_at(entry: &store::Entry) -> Option<clock::Millis> {
+    let claim: Claim = serde_json::from_slice(entry.bytes()).ok()?;
+    Some(clock::Millis(claim.at))
+}
+
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 struct Claim {
     /// The request that claimed: unique, so that a host knows its own claim after a lost answer.
@@ -43,7 +52,7 @@
 fn claim_key(team: &str, service: &name::Service, once: &str) -> String {
     let digest = sha2::Sha256::digest(once.as_bytes());
     let team = if team.is_empty() { "-" } else { team };
-    format!("once/{team}/{service}/{}", key::hex(&digest))
+    format!("{CLAIMS}{team}/{service}/{}", key::hex(&digest))
 }
 
 fn digest(call: &plain::Call) -> String {
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -11,12 +11,14 @@
 use policy::usage;
 use serde::{Deserialize, Serialize};
 
-use crate::{context, leader, ledger, stop};
+use crate::{context, leader, ledger, stop, sweep};
 
 /// Hosts of each data centre that stand by for the lease.
 const CANDIDATES: u32 = 2;
 /// How often the lease and the windows are looked at.
 const STEP: time::Duration = time::Duration::from_millis(200);
+/// How often a page of claims is looked at.
+const SWEEP: clock::Millis = clock::Millis(1_000);
 /// Books read at a time.
 const PAGE: usize = 256;
 /// Reported windows kept in the store.
@@ -62,7 +64,7 @@
     lines: &'a [usage::Line],
 }
 
-/// Seals and reports until stopped.
+/// Seals and reports until stopped, and sweeps old claims.
 pub fn run(context: &context::Context, reports: &dyn reports::Reports, stop: &stop::Stop) {
     let settings = &context.settings;
     let mut leader = leader::Leader::new(
@@ -74,6 +76,8 @@
         settings.times.lease,
     );
     let mut looked = clock::Millis::ZERO;
+    let mut swept = clock::Millis::ZERO;
+    let mut sweep = sweep::Sweep::default();
     while !stop.wait(STEP) {
         let (index, _) = context.directory.rank(context.clock.now());
         if index >= CANDIDATES && !leader.is_holding() {
@@ -81,6 +85,10 @@
         }
         let Some(term) = leader.step() else { continue };
         let now = context.clock.now();
+        if now.since(swept) >= SWEEP {
+            swept = now;
+            let _ = sweep.step(&*context.store, context.clock.unix());
+        }
         if now.since(looked) < clock::Millis(settings.times.window.0 / 4) {
             continue;
         }
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -9,7 +9,7 @@
 use base::{clock, refusal};
 use platform::accept;
 
-use crate::{caller, chat, context, plain, reply, stop};
+use crate::{bars, caller, chat, context, plain, reply, stop};
 
 /// Stack of a request's thread.
 const STACK_BYTES: usize = 256 * 1024;
@@ -108,6 +108,9 @@
 fn answer(context: &context::Context, request: tiny_http::Request) {
     let url = request.url().to_owned();
     let target = caller::target(&url);
+    if target == caller::Target::Operator(bars::PATH) {
+        return bars::serve(context, request);
+    }
     if let caller::Target::Operator(path) = target {
         return reply::operator(request, context, path);
     }
--- a/crates/host/tests/config.rs
+++ b/crates/host/tests/config.rs
@@ -201,3 +201,53 @@
         site.engines[0].stats()["running"] == 0
     });
 }
+
+#[test]
+fn a_key_barred_while_the_store_is_down_stops_everywhere_and_is_withdrawn_later() {
+    let (mut site, key) = env::Site::ready(&["lalitpur", "lalitpur", "lekhnath"], 3);
+    let chat = |site: &env::Site, n: usize| {
+        env::chat(&site.url(n, "/v1/chat/completions"), &key, "x", 2)
+            .expect("answer")
+            .status
+    };
+    env::until("all peers", || {
+        (0..3).all(|n| site.log(n).matches("event=peer_opened").count() >= 2)
+    });
+    site.store.fault(r#"{"down":true}"#);
+    let secret = site.dir.join("secret");
+    let bar = |site: &env::Site| {
+        let host = site.places[1].listen.to_string();
+        env::ctl(&[
+            "bar",
+            "--host",
+            &host,
+            "--secret-file",
+            &secret.display().to_string(),
+            "--key",
+            &key,
+        ])
+    };
+    fs::write(&secret, "not the hosts' secret").expect("secret");
+    assert_eq!(bar(&site).0, 1);
+    assert_eq!(chat(&site, 1), 200);
+    fs::write(&secret, env::SECRET).expect("secret");
+    let (code, _, err) = bar(&site);
+    assert_eq!(code, 0, "{err}");
+    for n in 0..3 {
+        env::until("the key barred", || chat(&site, n) == 401);
+    }
+    // A host that starts meanwhile hears of it from its peers.
+    site.host_mut(0).kill();
+    site.start(0);
+    env::until("the key barred at the new host", || chat(&site, 0) == 401);
+    site.store.fault("{}");
+    let store = site.store.address.to_string();
+    env::until("the key withdrawn", || {
+        env::ctl(&["history", "--store", &store])
+            .1
+            .matches("key ")
+            .count()
+            >= 2
+    });
+    assert_eq!(chat(&site, 2), 401);
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -45,6 +45,8 @@
     Written(usage::Incarnation, usage::Numbers),
     /// Free and waiting slots of the services that a host dispatches.
     Summary(Summary),
+    /// Keys that an operator barred at a host, by their digests in hexadecimal.
+    Barred(Vec<String>),
     /// Upstreams that are about to be stopped by order: no new work.
     Retire(Vec<name::Upstream>),
 }
