--- /dev/null
+++ b/crates/peer/tests/frames.rs
@@ -0,0 +1,120 @@
+//! Frames and proofs: what was sent is read, garbage is told, nothing panics.
+
+use base::clock;
+use peer::{auth, frame, message};
+use policy::{ask, usage};
+use proptest::prelude::*;
+
+fn messages() -> impl Strategy<Value = message::Message> {
+    let name = "[a-z0-9-]{1,20}";
+    let beat = (any::<u64>(), any::<bool>()).prop_map(|(revision, leaving)| {
+        message::Message::Beat(message::Beat { revision, leaving })
+    });
+    let ask = (name, name, any::<u64>(), any::<u32>(), any::<bool>()).prop_map(
+        |(service, team, ticket, prompt, resumable)| {
+            message::Message::Ask(message::Ask {
+                service: service.as_str().into(),
+                class: "chat".into(),
+                ticket: ask::Ticket(ticket),
+                team: team.as_str().into(),
+                waited: clock::Millis(u64::from(prompt)),
+                prompt,
+                limit: prompt,
+                prefix: ticket,
+                resumable,
+                held: 0,
+                avoid: vec![team.as_str().into()],
+            })
+        },
+    );
+    let copied = any::<u64>().prop_map(message::Message::Copied);
+    let written = (name, proptest::collection::vec(0u64..1_000, 0..50)).prop_map(|(host, all)| {
+        let mut numbers = usage::Numbers::default();
+        all.into_iter().for_each(|n| numbers.insert(n));
+        message::Message::Written(usage::Incarnation(host), numbers)
+    });
+    prop_oneof![beat, ask, copied, written]
+}
+
+proptest! {
+    #[test]
+    fn messages_come_through_however_the_bytes_are_cut(
+        sent in proptest::collection::vec(messages(), 1..20),
+        cuts in proptest::collection::vec(1usize..40, 1..50),
+    ) {
+        let mut bytes = Vec::new();
+        for m in &sent {
+            prop_assert!(frame::write(m, &mut bytes).is_ok());
+        }
+        let mut reader = frame::Reader::default();
+        let mut received: Vec<message::Message> = Vec::new();
+        let mut rest = &bytes[..];
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let (part, after) = rest.split_at(rest.len().min(*cuts.next().unwrap_or(&1)));
+            reader.push(part);
+            rest = after;
+            while let Ok(Some(m)) = reader.read() {
+                received.push(m);
+            }
+        }
+        prop_assert_eq!(received, sent);
+    }
+
+    #[test]
+    fn garbage_is_told_or_waited_for_and_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let mut reader = frame::Reader::default();
+        reader.push(&bytes);
+        for _ in 0..bytes.len() {
+            match reader.read::<message::Message>() {
+                Ok(Some(_)) => {}
+                Ok(None) | Err(frame::Garbage) => break,
+            }
+        }
+    }
+
+    #[test]
+    fn a_cut_frame_is_waited_for(
+        m in messages(), at in any::<prop::sample::Index>(),
+    ) {
+        let mut bytes = Vec::new();
+        prop_assert!(frame::write(&m, &mut bytes).is_ok());
+        let cut = at.index(bytes.len());
+        let mut reader = frame::Reader::default();
+        reader.push(&bytes[..cut]);
+        prop_assert_eq!(reader.read::<message::Message>(), Ok(None));
+    }
+}
+
+fn hello(host: &str, nonce: u8) -> auth::Hello {
+    auth::Hello {
+        version: message::VERSION,
+        host: host.into(),
+        dc: "lalitpur".into(),
+        nonce: [nonce; auth::NONCE_BYTES],
+    }
+}
+
+#[test]
+fn a_proof_holds_only_for_its_secret_its_hosts_and_its_connection() {
+    let (a, b) = (hello("a", 1), hello("b", 2));
+    // b proves itself to a.
+    let proof = auth::prove("secret", &b.host, &a);
+    assert!(auth::verify("secret", &b, &a, &proof));
+    assert!(!auth::verify("another", &b, &a, &proof));
+    assert!(!auth::verify("secret", &b, &hello("a", 9), &proof));
+    assert!(!auth::verify("secret", &hello("c", 2), &a, &proof));
+    // What a sent can't be played back to it, nor can somebody claim its name.
+    assert!(!auth::verify(
+        "secret",
+        &b,
+        &a,
+        &auth::prove("secret", &a.host, &b)
+    ));
+    assert!(!auth::verify(
+        "secret",
+        &a,
+        &a,
+        &auth::prove("secret", &a.host, &a)
+    ));
+}
