A lost dispatcher measured: a host that falls back counts what it runs

The benchmark now loses the dispatcher for 1.5 s in the middle of each burst, three times. Causes: the hosts' own desks did not know what the hosts ran under the lost dispatcher's grants, so their shares came on top and the engines were booked twice; and the successor had learnt nothing.

--- a/crates/host/src/gate.rs
+++ b/crates/host/src/gate.rs
@@ -229,6 +229,7 @@
             sites: Vec::new(),
             whole: true,
         });
+        let taken_over = whole && !desk.whole;
         desk.whole = whole;
         let shared = if whole {
             sites.clone()
@@ -242,6 +243,9 @@
         }
         drop(state);
         self.carry_out(effects);
+        if taken_over {
+            self.adopt_own(service);
+        }
     }
 
     /// Waits for a slot, in this data centre or in another that can meet the target.
@@ -360,10 +364,32 @@
                 message::Message::Withdraw(ask.service.clone(), ask.ticket),
             );
         }
+        self.adopt_own(&ask.service);
         self.ask_own(ask);
         ASK_AGAIN
     }
 
+    /// Counts at this host's own desk what it runs under grants of a dispatcher that is silent or
+    /// gone.
+    fn adopt_own(&self, service: &name::Service) {
+        let now = self.clock.now();
+        let mut running = Vec::new();
+        for entry in self.lock().entries.values() {
+            let here = entry.away.is_none() && &entry.ask.service == service;
+            if let (true, Some((upstream, Source::Peer(_)))) = (here, &entry.granted) {
+                running.push((entry.ask.clone(), upstream.clone()));
+            }
+        }
+        for (ask, upstream) in running {
+            let Some(full) = self.expand(&ask) else {
+                continue;
+            };
+            if let Some(desk) = self.lock().desks.get_mut(service) {
+                desk.dispatcher.adopt(full, &upstream, now);
+            }
+        }
+    }
+
     fn ask_own(&self, ask: &message::Ask) {
         let Some(full) = self.expand(ask) else {
             let refusal = refusal::Refusal::not_run(refusal::Reason::UnknownClass);
@@ -532,6 +558,8 @@
             Source::Peer(host) => {
                 let message = message::Message::Done(service.clone(), ticket, *spent);
                 self.send(host, message);
+                // The own desk may have adopted it meanwhile.
+                self.done(service, ticket, spent);
             }
         }
     }
--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -15,67 +15,41 @@
 const TEAMS: usize = 10;
 const REPORT_LAG: u64 = 500;
 const STOP_LAG: u64 = 15;
-
-/// A class: name, tier, target to the first token, mean tokens, share of the load, resumable.
-type Class = (&'static str, u8, u64, f64, f64, bool);
-
-struct Load {
-    name: &'static str,
-    classes: [Class; 3],
-    engines: usize,
-    slots: u32,
-    gap: f64,
-    base: f64,
-    burst: f64,
-    burst_class: usize,
-}
-
-const LOADS: [Load; 3] = [
-    Load {
-        name: "himal drafter",
-        classes: [
-            ("quote", 0, 800, 200.0, 0.35, true),
-            ("answer", 1, 2_000, 120.0, 0.25, true),
-            ("sheet", 2, 30_000, 500.0, 0.4, true),
-        ],
-        engines: 10,
-        slots: 8,
-        gap: 20.0,
-        base: 0.75,
-        burst: 4.0,
-        burst_class: 1,
-    },
-    Load {
-        name: "haddad draw-model",
-        classes: [
-            ("seeding", 0, 700, 150.0, 0.3, true),
-            ("draw", 1, 1_500, 200.0, 0.3, true),
-            ("club", 2, 20_000, 300.0, 0.4, true),
-        ],
-        engines: 10,
-        slots: 8,
-        gap: 20.0,
-        base: 0.75,
-        burst: 4.0,
-        burst_class: 0,
-    },
-    Load {
-        name: "ledger, 3 workers",
-        classes: [
-            ("deposit", 0, 1_000, 10.0, 0.4, false),
-            ("list", 1, 2_000, 10.0, 0.4, false),
-            ("export", 2, 20_000, 60.0, 0.2, false),
-        ],
-        engines: 3,
-        slots: 4,
-        gap: 10.0,
-        base: 0.75,
-        burst: 4.0,
-        burst_class: 2,
-    },
+const BASE_LOAD: f64 = 0.75;
+const BURST: f64 = 4.0;
+/// The dispatcher is lost for this long at these times, in the middle of bursts.
+const LOST: [u64; 3] = [28_000, 68_000, 108_000];
+const LOST_FOR: u64 = 1_500;
+
+/// A class: name, tier, target to the first token, mean tokens, share of the load.
+type Class = (&'static str, u8, u64, f64, f64);
+
+/// A workload: name, classes, engines, slots, time between tokens, class that bursts, whether its
+/// answers can be continued elsewhere.
+struct Load(&'static str, [Class; 3], usize, u32, f64, usize, bool);
+
+const HIMAL: [Class; 3] = [
+    ("quote", 0, 800, 200.0, 0.35),
+    ("answer", 1, 2_000, 120.0, 0.25),
+    ("sheet", 2, 30_000, 500.0, 0.4),
+];
+const HADDAD: [Class; 3] = [
+    ("seeding", 0, 700, 150.0, 0.3),
+    ("draw", 1, 1_500, 200.0, 0.3),
+    ("club", 2, 20_000, 300.0, 0.4),
+];
+const LEDGER: [Class; 3] = [
+    ("deposit", 0, 1_000, 10.0, 0.4),
+    ("list", 1, 2_000, 10.0, 0.4),
+    ("export", 2, 20_000, 60.0, 0.2),
+];
+static LOADS: [Load; 3] = [
+    Load("himal drafter", HIMAL, 10, 8, 20.0, 1, true),
+    Load("haddad draw-model", HADDAD, 10, 8, 20.0, 0, true),
+    Load("ledger", LEDGER, 3, 4, 10.0, 2, false),
 ];
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Default)]
 struct Request {
     id: u64,
     class: usize,
@@ -83,11 +57,11 @@
     arrived: u64,
     length: u32,
     held: u32,
+    made: u32,
+    sent: u64,
     first: Option<u64>,
     refused: Option<u64>,
     whole: bool,
-    sent: u64,
-    made: u32,
     avoid: Option<usize>,
 }
 
@@ -99,15 +73,20 @@
     stop_at: Option<u64>,
 }
 
-/// A fake engine: runs up to its slots, the rest wait inside by priority.
+/// A fake engine: runs up to its slots, the rest wait inside by priority; reports lag.
 struct Engine {
-    slots: u32,
     running: Vec<Slot>,
     inside: BTreeMap<(u8, u64), Slot>,
     factor: f64,
     down: bool,
     leaving: bool,
-    reports: VecDeque<(u64, u32)>,
+    reports: VecDeque<(u64, usize)>,
+}
+
+impl Engine {
+    fn load(&self) -> usize {
+        self.running.len() + self.inside.len()
+    }
 }
 
 enum Act {
@@ -116,21 +95,11 @@
     Stop(u64),
 }
 
-/// Makes a way for a load.
-type Make = fn(&Load) -> Box<dyn Way>;
-
 /// A way of deciding.
 trait Way {
-    fn arrive(&mut self, r: &Request, world: &World, out: &mut Vec<Act>);
-    fn ended(
-        &mut self,
-        r: &Request,
-        engine: usize,
-        o: ask::Outcome,
-        world: &World,
-        out: &mut Vec<Act>,
-    );
-    fn tick(&mut self, world: &World, out: &mut Vec<Act>);
+    fn arrive(&mut self, r: &Request, w: &World, out: &mut Vec<Act>);
+    fn ended(&mut self, _: &Request, _: ask::Outcome, _: &World, _: &mut Vec<Act>) {}
+    fn tick(&mut self, w: &World, out: &mut Vec<Act>);
 }
 
 struct World {
@@ -150,70 +119,107 @@
     u.as_str()[1..].parse().unwrap_or_default()
 }
 
-fn make_ask(r: &Request, world: &World) -> ask::Ask {
-    let (class, tier, first, mean, _, resumable) = world.load.classes[r.class];
+fn make_ask(r: &Request, w: &World) -> ask::Ask {
+    let (class, tier, first, mean, _) = w.load.1[r.class];
+    let waited = if r.held > 0 { 0 } else { w.now - r.arrived };
+    let first = Millis(first);
+    let bound = Millis(8_000);
+    let class = class.into();
+    let terms = ask::Terms {
+        class,
+        tier,
+        first,
+        bound,
+        floor: 20,
+        evictable: tier > 0,
+    };
     ask::Ask {
         ticket: ask::Ticket(r.id << 8 | r.sent),
         team: format!("t{}", r.team).as_str().into(),
         weight: 1,
-        terms: ask::Terms {
-            class: class.into(),
-            tier,
-            first: Millis(first),
-            bound: Millis(8_000),
-            floor: 20,
-            evictable: tier > 0,
-        },
-        waited: Millis(if r.held > 0 { 0 } else { world.now - r.arrived }),
+        terms,
+        waited: Millis(waited),
         prompt: 50,
         limit: (mean * 20.0) as u32,
         prefix: 0,
-        resumable,
+        resumable: w.load.6,
         held: r.held,
         avoid: r.avoid.iter().map(|e| upstream(*e)).collect(),
     }
 }
 
-/// Our dispatchers: one that sees all, or one on each host with its share of the slots.
+/// Our dispatchers: desk 0 sees all slots; desks 1 to `HOSTS` have a host's share each.
 struct Ours {
     desks: Vec<dispatch::Dispatcher>,
     sites: Vec<Vec<pool::Site>>,
-    grants: HashMap<u64, u64>,
+    /// Desk and time of the grant, by request.
+    grants: HashMap<u64, (usize, u64)>,
+    waiting: HashMap<u64, usize>,
+    alone: bool,
+    loses: bool,
 }
 
 impl Ours {
-    fn new(load: &Load, hosts: usize) -> Self {
-        let desks = (0..hosts)
+    fn new(load: &Load, alone: bool, loses: bool) -> Self {
+        let mut sites = vec![Vec::new(); HOSTS + 1];
+        for (desk, list) in sites.iter_mut().enumerate() {
+            for n in 0..load.2 {
+                let part = share::slots(load.3, HOSTS as u32, ((desk + n) % HOSTS) as u32);
+                let slots = if desk == 0 { load.3 } else { part };
+                let cheap = n == 2 && load.6;
+                list.push(pool::Site {
+                    name: upstream(n),
+                    slots,
+                    price: 1,
+                    cheap,
+                });
+            }
+            list.retain(|s| s.slots > 0);
+        }
+        let desks = sites
+            .iter()
             .map(|_| dispatch::Dispatcher::default())
             .collect();
-        let mut sites = Vec::new();
-        for h in 0..hosts {
-            let site = |n: usize| pool::Site {
-                name: upstream(n),
-                slots: share::slots(load.slots, hosts as u32, ((h + n) % hosts) as u32),
-                price: 1,
-                cheap: n == 2 && load.classes[0].5,
-            };
-            sites.push(
-                (0..load.engines)
-                    .map(site)
-                    .filter(|s| s.slots > 0)
-                    .collect(),
-            );
-        }
+        let grants = HashMap::new();
         Self {
             desks,
             sites,
-            grants: HashMap::new(),
+            grants,
+            waiting: HashMap::new(),
+            alone,
+            loses,
+        }
+    }
+
+    fn is_lost(&self, now: u64) -> bool {
+        self.loses && LOST.iter().any(|t| (*t..t + LOST_FOR).contains(&now))
+    }
+
+    fn desk(&self, id: u64, now: u64) -> usize {
+        if self.alone || self.is_lost(now) {
+            id as usize % HOSTS + 1
+        } else {
+            0
         }
     }
 
-    fn carry(&mut self, decisions: Vec<ask::Decision>, world: &World, out: &mut Vec<Act>) {
-        for d in decisions {
+    fn put(&mut self, id: u64, ask: ask::Ask, w: &World, out: &mut Vec<Act>) {
+        let desk = self.desk(id, w.now);
+        self.waiting.insert(id, desk);
+        let mut decisions = Vec::new();
+        self.desks[desk].ask(ask, Millis(w.now), &mut decisions);
+        self.carry(desk, decisions, w, out);
+    }
+
+    fn carry(&mut self, desk: usize, list: Vec<ask::Decision>, w: &World, out: &mut Vec<Act>) {
+        for d in list {
             let id = d.ticket().0 >> 8;
+            if !matches!(d, ask::Decision::Preempt(_)) {
+                self.waiting.remove(&id);
+            }
             out.push(match d {
                 ask::Decision::Grant(_, u) => {
-                    self.grants.insert(id, world.now);
+                    self.grants.insert(id, (desk, w.now));
                     Act::Send(id, engine_of(&u))
                 }
                 ask::Decision::Refuse(..) => Act::Refuse(id),
@@ -221,50 +227,79 @@
             });
         }
     }
+
+    /// The dispatcher is lost, or another takes its place: waiting requests ask again, and the
+    /// new one is told what runs.
+    fn change_over(&mut self, w: &World, out: &mut Vec<Act>) {
+        let now = Millis(w.now);
+        let lost = self.is_lost(w.now);
+        let waiting = std::mem::take(&mut self.waiting);
+        for (id, desk) in &waiting {
+            self.desks[*desk].withdraw(make_ask(&w.requests[id], w).ticket);
+        }
+        if !lost {
+            // The next dispatcher is a host whose desk has learnt from others' grants.
+            self.desks.swap(0, 1);
+            self.desks[1] = dispatch::Dispatcher::default();
+            self.desks[0].configure(&self.sites[0], now, &mut Vec::new());
+        }
+        for (n, e) in w.engines.iter().enumerate() {
+            for s in e.running.iter().chain(e.inside.values()) {
+                let mut r = w.requests[&s.id].clone();
+                r.sent -= 1;
+                // Each host counts what it runs against its own share.
+                let desk = if lost { s.id as usize % HOSTS + 1 } else { 0 };
+                self.desks[desk].adopt(make_ask(&r, w), &upstream(n), now);
+                self.grants.entry(s.id).and_modify(|g| g.0 = desk);
+            }
+        }
+        for id in waiting.into_keys() {
+            self.put(id, make_ask(&w.requests[&id], w), w, out);
+        }
+    }
 }
 
 impl Way for Ours {
-    fn arrive(&mut self, r: &Request, world: &World, out: &mut Vec<Act>) {
-        let mut decisions = Vec::new();
-        let desk = r.id as usize % self.desks.len();
-        self.desks[desk].ask(make_ask(r, world), Millis(world.now), &mut decisions);
-        self.carry(decisions, world, out);
+    fn arrive(&mut self, r: &Request, w: &World, out: &mut Vec<Act>) {
+        self.put(r.id, make_ask(r, w), w, out);
     }
 
-    fn ended(
-        &mut self,
-        r: &Request,
-        _: usize,
-        outcome: ask::Outcome,
-        world: &World,
-        out: &mut Vec<Act>,
-    ) {
-        let started = self.grants.remove(&r.id).unwrap_or(world.now);
-        let first = r.first.map_or(0, |f| f.saturating_sub(started));
+    fn ended(&mut self, r: &Request, outcome: ask::Outcome, w: &World, out: &mut Vec<Act>) {
+        let Some((desk, started)) = self.grants.remove(&r.id) else {
+            return;
+        };
+        let first = Millis(r.first.map_or(0, |f| f.saturating_sub(started)));
+        let total = Millis(w.now - started);
         let spent = ask::Spent {
             outcome,
             tokens: r.made,
-            first: Millis(first),
-            total: Millis(world.now - started),
+            first,
+            total,
         };
         let ticket = ask::Ticket(r.id << 8 | (r.sent - 1));
         let mut decisions = Vec::new();
-        let desk = r.id as usize % self.desks.len();
-        self.desks[desk].done(ticket, &spent, Millis(world.now), &mut decisions);
-        self.carry(decisions, world, out);
+        self.desks[desk].done(ticket, &spent, Millis(w.now), &mut decisions);
+        self.carry(desk, decisions, w, out);
+        // The hosts' own desks learn from what the dispatcher granted.
+        if desk == 0 && outcome == ask::Outcome::Whole {
+            self.desks[1 + r.id as usize % HOSTS].learn(&make_ask(r, w), &spent);
+        }
     }
 
-    fn tick(&mut self, world: &World, out: &mut Vec<Act>) {
-        let mut decisions = Vec::new();
-        for (h, desk) in self.desks.iter_mut().enumerate() {
-            if world.now.is_multiple_of(500) {
-                let usable = |s: &&pool::Site| !world.engines[engine_of(&s.name)].leaving;
-                let sites: Vec<_> = self.sites[h].iter().filter(usable).cloned().collect();
-                desk.configure(&sites, Millis(world.now), &mut decisions);
+    fn tick(&mut self, w: &World, out: &mut Vec<Act>) {
+        if self.loses && LOST.iter().any(|t| *t == w.now || t + LOST_FOR == w.now) {
+            self.change_over(w, out);
+        }
+        for n in 0..self.desks.len() {
+            let mut decisions = Vec::new();
+            if w.now.is_multiple_of(500) {
+                let mut sites = self.sites[n].clone();
+                sites.retain(|s| !w.engines[engine_of(&s.name)].leaving);
+                self.desks[n].configure(&sites, Millis(w.now), &mut decisions);
             }
-            desk.tick(Millis(world.now), &mut decisions);
+            self.desks[n].tick(Millis(w.now), &mut decisions);
+            self.carry(n, decisions, w, out);
         }
-        self.carry(decisions, world, out);
     }
 }
 
@@ -275,21 +310,18 @@
 }
 
 impl Way for AtOnce {
-    fn arrive(&mut self, r: &Request, world: &World, out: &mut Vec<Act>) {
-        let mut usable: Vec<usize> = (0..world.engines.len()).collect();
-        usable.retain(|e| !world.engines[*e].leaving && r.avoid != Some(*e));
+    fn arrive(&mut self, r: &Request, w: &World, out: &mut Vec<Act>) {
+        let mut usable: Vec<usize> = (0..w.engines.len()).collect();
+        usable.retain(|e| !w.engines[*e].leaving && r.avoid != Some(*e));
         self.turn += 1;
-        let reported = |e: &usize| world.engines[*e].reports.front().map_or(0, |x| x.1);
-        let chosen = if self.least {
-            let shift = self.turn % usable.len();
-            usable.rotate_left(shift);
-            usable.iter().copied().min_by_key(reported)
-        } else {
-            usable.get(self.turn % usable.len()).copied()
-        };
-        out.extend(chosen.map(|e| Act::Send(r.id, e)));
+        let turn = self.turn % usable.len();
+        usable.rotate_left(turn);
+        let reported = |e: &&usize| w.engines[**e].reports.front().map_or(0, |x| x.1);
+        let least = usable.iter().min_by_key(reported);
+        let chosen = if self.least { least } else { usable.first() };
+        out.extend(chosen.map(|e| Act::Send(r.id, *e)));
     }
-    fn ended(&mut self, _: &Request, _: usize, _: ask::Outcome, _: &World, _: &mut Vec<Act>) {}
+
     fn tick(&mut self, _: &World, _: &mut Vec<Act>) {}
 }
 
@@ -301,38 +333,35 @@
 }
 
 impl OneQueue {
-    fn pull(&mut self, world: &World, out: &mut Vec<Act>) {
-        let mut free: Vec<(usize, u32)> = Vec::new();
-        for (n, e) in world.engines.iter().enumerate() {
-            let busy = (e.running.len() + e.inside.len()) as u32;
-            if !e.leaving && !(self.oracle && (e.down || e.factor > 1.5)) && busy < e.slots {
-                free.push((n, e.slots - busy));
+    fn pull(&mut self, w: &World, out: &mut Vec<Act>) {
+        let mut free: Vec<(usize, usize)> = Vec::new();
+        for (n, e) in w.engines.iter().enumerate() {
+            let bad = e.leaving || self.oracle && (e.down || e.factor > 1.5);
+            let room = (w.load.3 as usize).saturating_sub(e.load());
+            if !bad && room > 0 {
+                free.push((n, room));
             }
         }
         while !self.waiting.is_empty() && !free.is_empty() {
-            let best = if self.oracle { self.best(world) } else { 0 };
-            let id = self.waiting.remove(best);
-            let r = &world.requests[&id];
-            let Some(at) =
-                (0..free.len()).max_by_key(|f| (r.avoid != Some(free[*f].0), free[*f].1))
-            else {
+            let best = if self.oracle { self.best(w) } else { 0 };
+            let r = &w.requests[&self.waiting.remove(best)];
+            let rank = |f: &usize| (r.avoid != Some(free[*f].0), free[*f].1);
+            let Some(at) = (0..free.len()).max_by_key(rank) else {
                 return;
             };
-            let tier = world.load.classes[r.class].1;
+            let tier = w.load.1[r.class].1;
             *self.served.entry((tier, r.team)).or_default() += f64::from(r.length - r.held);
-            out.push(Act::Send(id, free[at].0));
+            out.push(Act::Send(r.id, free[at].0));
             free[at].1 -= 1;
-            if free[at].1 == 0 {
-                free.remove(at);
-            }
+            free.retain(|f| f.1 > 0);
         }
     }
 
     /// The highest tier, then a continued answer, then the team with the least service.
-    fn best(&self, world: &World) -> usize {
+    fn best(&self, w: &World) -> usize {
         let rank = |at: &usize| {
-            let r = &world.requests[&self.waiting[*at]];
-            let tier = world.load.classes[r.class].1;
+            let r = &w.requests[&self.waiting[*at]];
+            let tier = w.load.1[r.class].1;
             let served = self
                 .served
                 .get(&(tier, r.team))
@@ -344,57 +373,50 @@
     }
 
     /// Refuses what can't start in time and stops lower tiers for what otherwise could not.
-    fn foresee(&mut self, world: &World, out: &mut Vec<Act>) {
-        let mut stopping: usize = 0;
-        for e in &world.engines {
-            stopping += e.running.iter().filter(|s| s.stop_at.is_some()).count();
-        }
+    fn foresee(&mut self, w: &World, out: &mut Vec<Act>) {
+        let running: Vec<&Slot> = w.engines.iter().flat_map(|e| &e.running).collect();
+        let mut stopping = running.iter().filter(|s| s.stop_at.is_some()).count();
         self.waiting
-            .sort_by_key(|id| world.load.classes[world.requests[id].class].1);
-        let mut kept = Vec::new();
-        for id in std::mem::take(&mut self.waiting) {
-            let r = &world.requests[&id];
-            let (_, tier, first, _, _, _) = world.load.classes[r.class];
-            let left = (r.arrived + first).saturating_sub(world.now + 80);
-            if left == 0 && r.held == 0 {
-                out.push(Act::Refuse(id));
-                continue;
+            .sort_by_key(|id| w.load.1[w.requests[id].class].1);
+        self.waiting.retain(|id| {
+            let r = &w.requests[id];
+            let (_, tier, first, ..) = w.load.1[r.class];
+            let left = (r.arrived + first).saturating_sub(w.now + 80);
+            if r.held > 0 || left >= 100 {
+                return true;
             }
-            kept.push(id);
-            if left < 100 && r.held == 0 && stopping == 0 {
-                let victims = world.engines.iter().flat_map(|e| &e.running);
-                let may = |s: &&Slot| {
-                    let v = &world.requests[&s.id];
-                    s.tier > tier && s.stop_at.is_none() && world.load.classes[v.class].5
-                };
-                let victim = victims.filter(may).max_by_key(|s| s.tier);
-                out.extend(victim.map(|v| Act::Stop(v.id)));
-            } else if left < 100 {
-                stopping = stopping.saturating_sub(1);
+            if left == 0 {
+                out.push(Act::Refuse(*id));
+            } else if stopping > 0 {
+                stopping -= 1;
+            } else if w.load.6 {
+                let lower = running
+                    .iter()
+                    .filter(|s| s.tier > tier && s.stop_at.is_none());
+                out.extend(lower.max_by_key(|s| s.tier).map(|v| Act::Stop(v.id)));
             }
-        }
-        self.waiting = kept;
+            left > 0
+        });
     }
 }
 
 impl Way for OneQueue {
-    fn arrive(&mut self, r: &Request, world: &World, out: &mut Vec<Act>) {
+    fn arrive(&mut self, r: &Request, w: &World, out: &mut Vec<Act>) {
         self.waiting.push(r.id);
-        self.pull(world, out);
+        self.pull(w, out);
     }
-    fn ended(&mut self, _: &Request, _: usize, _: ask::Outcome, _: &World, _: &mut Vec<Act>) {}
-    fn tick(&mut self, world: &World, out: &mut Vec<Act>) {
+
+    fn tick(&mut self, w: &World, out: &mut Vec<Act>) {
         if self.oracle {
-            self.foresee(world, out);
+            self.foresee(w, out);
         }
-        self.pull(world, out);
+        self.pull(w, out);
     }
 }
 
 impl World {
     fn new(load: &'static Load) -> Self {
         let engine = |_| Engine {
-            slots: load.slots,
             running: Vec::new(),
             inside: BTreeMap::new(),
             factor: 1.0,
@@ -402,7 +424,7 @@
             leaving: false,
             reports: VecDeque::new(),
         };
-        let engines = (0..load.engines).map(engine).collect();
+        let engines = (0..load.2).map(engine).collect();
         Self {
             now: 0,
             load,
@@ -413,6 +435,7 @@
         }
     }
 
+    /// A straggler, a crash, and an eviction with three seconds' notice.
     fn faults(&mut self) {
         let t = self.now;
         self.engines[0].factor = if (30_000..50_000).contains(&t) {
@@ -426,20 +449,19 @@
     }
 
     fn apply(&mut self, acts: Vec<Act>) {
+        let now = self.now;
         for act in acts {
             match act {
                 Act::Send(id, e) => self.send(id, e),
                 Act::Refuse(id) => {
-                    if let Some(r) = self.requests.get_mut(&id) {
-                        r.refused = Some(self.now);
-                    }
+                    self.requests
+                        .entry(id)
+                        .and_modify(|r| r.refused = Some(now));
                 }
                 Act::Stop(id) => {
-                    let at = self.now + STOP_LAG;
-                    for s in self.engines.iter_mut().flat_map(|e| &mut e.running) {
-                        if s.id == id && s.stop_at.is_none() {
-                            s.stop_at = Some(at);
-                        }
+                    let all = self.engines.iter_mut().flat_map(|e| &mut e.running);
+                    for s in all.filter(|s| s.id == id) {
+                        s.stop_at.get_or_insert(now + STOP_LAG);
                     }
                 }
             }
@@ -452,10 +474,9 @@
         };
         r.sent += 1;
         r.made = 0;
-        let tier = self.load.classes[r.class].1;
+        let tier = self.load.1[r.class].1;
         // A continued answer is prefilled again with what is held.
         let prefill = 40.0 + 0.2 * f64::from(50 + r.held);
-        let place = (tier, r.arrived * 1_000 + id % 1_000);
         let slot = Slot {
             id,
             tier,
@@ -463,85 +484,75 @@
             progress: 0.0,
             stop_at: None,
         };
-        self.engines[e].inside.insert(place, slot);
+        self.engines[e]
+            .inside
+            .insert((tier, r.arrived * 1_000 + id % 1_000), slot);
     }
 
     /// Runs every engine for a tick; what ended, how and where.
     fn run(&mut self) -> Vec<(u64, usize, ask::Outcome)> {
         let mut ended = Vec::new();
+        let (now, slots) = (self.now, self.load.3 as usize);
         for (n, e) in self.engines.iter_mut().enumerate() {
             if e.down {
-                let inside = std::mem::take(&mut e.inside);
-                let lost = e.running.drain(..).chain(inside.into_values());
+                let inside = std::mem::take(&mut e.inside).into_values();
+                let lost = e.running.drain(..).chain(inside);
                 ended.extend(lost.map(|s| (s.id, n, ask::Outcome::Failed)));
             }
-            while e.running.len() < e.slots as usize
+            while e.running.len() < slots
                 && let Some((_, slot)) = e.inside.pop_first()
             {
                 e.running.push(slot);
             }
-            let crowd = 1.0 + 0.3 * e.running.len() as f64 / f64::from(e.slots);
+            let crowd = 1.0 + 0.3 * e.running.len() as f64 / slots as f64;
             let speed = TICK as f64 / (e.factor * crowd / 1.15);
-            let now = self.now;
             e.running.retain_mut(|s| {
                 let Some(r) = self.requests.get_mut(&s.id) else {
                     return false;
                 };
                 s.progress += speed;
-                let due = ((s.progress - s.prefill) / self.load.gap).max(0.0) as u32;
+                let due = ((s.progress - s.prefill) / self.load.4).max(0.0) as u32;
                 let new = due.min(r.length - r.held).saturating_sub(r.made);
                 r.made += new;
                 self.made += u64::from(new);
-                if r.made > 0 && r.first.is_none() {
-                    r.first = Some(now);
-                }
-                if r.made + r.held >= r.length {
-                    ended.push((s.id, n, ask::Outcome::Whole));
-                    return false;
+                if r.made > 0 {
+                    r.first.get_or_insert(now);
                 }
-                let stop = s.stop_at.is_some_and(|at| at <= now);
-                if stop {
-                    ended.push((s.id, n, ask::Outcome::Stopped));
-                }
-                !stop
+                let outcome = match (r.made + r.held >= r.length, s.stop_at) {
+                    (true, _) => ask::Outcome::Whole,
+                    (false, Some(at)) if at <= now => ask::Outcome::Stopped,
+                    _ => return true,
+                };
+                ended.push((s.id, n, outcome));
+                false
             });
-            if self.now.is_multiple_of(100) {
-                e.reports
-                    .push_back((self.now, (e.running.len() + e.inside.len()) as u32));
+            if now.is_multiple_of(100) {
+                e.reports.push_back((now, e.load()));
             }
-            while e.reports.len() > 1 && e.reports[1].0 + REPORT_LAG <= self.now {
+            while e.reports.len() > 1 && e.reports[1].0 + REPORT_LAG <= now {
                 e.reports.pop_front();
             }
         }
         ended
     }
 
-    fn settle(&mut self, way: &mut dyn Way, ended: Vec<(u64, usize, ask::Outcome)>) {
-        for (id, engine, outcome) in ended {
-            let Some(r) = self.requests.get(&id).cloned() else {
-                continue;
-            };
-            let mut acts = Vec::new();
-            way.ended(&r, engine, outcome, self, &mut acts);
+    fn settle(&mut self, way: &mut dyn Way, id: u64, engine: usize, outcome: ask::Outcome) {
+        let mut acts = Vec::new();
+        way.ended(&self.requests[&id].clone(), outcome, self, &mut acts);
+        self.apply(std::mem::take(&mut acts));
+        let Some(r) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if outcome == ask::Outcome::Whole {
+            r.whole = true;
+        } else if self.load.6 {
+            r.held += std::mem::take(&mut r.made);
+            r.avoid = (outcome == ask::Outcome::Failed).then_some(engine);
+            self.wasted += u64::from(r.held) / 20;
+            way.arrive(&r.clone(), self, &mut acts);
             self.apply(acts);
-            let resumable = self.load.classes[r.class].5;
-            let Some(r) = self.requests.get_mut(&id) else {
-                continue;
-            };
-            match outcome {
-                ask::Outcome::Whole => r.whole = true,
-                _ if resumable => {
-                    r.held += r.made;
-                    r.made = 0;
-                    r.avoid = (outcome == ask::Outcome::Failed).then_some(engine);
-                    self.wasted += u64::from(r.held) / 20;
-                    let again = r.clone();
-                    let mut acts = Vec::new();
-                    way.arrive(&again, self, &mut acts);
-                    self.apply(acts);
-                }
-                _ => self.wasted += u64::from(r.made),
-            }
+        } else {
+            self.wasted += u64::from(r.made);
         }
     }
 }
@@ -549,11 +560,11 @@
 fn arrivals(load: &'static Load, seed: u64) -> Vec<Request> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut out = Vec::new();
-    let capacity = load.engines as f64 * f64::from(load.slots) / load.gap;
-    for t in (0..END).step_by(TICK as usize) {
-        for (class, (_, _, _, mean, part, _)) in load.classes.iter().enumerate() {
-            let burst = t % 40_000 > 25_000 && t % 40_000 < 35_000 && class == load.burst_class;
-            let rate = capacity * load.base * part / mean * if burst { load.burst } else { 1.0 };
+    let capacity = load.2 as f64 * f64::from(load.3) / load.4;
+    for arrived in (0..END).step_by(TICK as usize) {
+        for (class, (_, _, _, mean, part)) in load.1.iter().enumerate() {
+            let burst = (25_001..35_000).contains(&(arrived % 40_000)) && class == load.5;
+            let rate = capacity * BASE_LOAD * part / mean * if burst { BURST } else { 1.0 };
             if rng.random::<f64>() >= rate * TICK as f64 {
                 continue;
             }
@@ -562,78 +573,56 @@
             let team = if large { 0 } else { rng.random_range(0..TEAMS) };
             let spread: f64 = -rng.random::<f64>().max(1e-9).ln();
             let length = (mean * spread).clamp(2.0, mean * 8.0) as u32;
+            let id = out.len() as u64 + 1;
             out.push(Request {
-                id: out.len() as u64 + 1,
+                id,
                 class,
                 team,
-                arrived: t,
+                arrived,
                 length,
-                held: 0,
-                first: None,
-                refused: None,
-                whole: false,
-                sent: 0,
-                made: 0,
-                avoid: None,
+                ..Request::default()
             });
         }
     }
     out
 }
 
-#[derive(Default)]
-struct Score {
-    attained: [f64; 3],
-    goodput: f64,
-    wasted: f64,
-    worst: f64,
-    told: f64,
-}
-
-fn score(world: &World) -> Score {
-    let mut out = Score {
-        worst: 1.0,
-        ..Score::default()
-    };
-    let mut good = 0;
-    let mut late = 0;
+/// Attained by class, good tokens a second, wasted share, worst team, median time to a refusal.
+fn score(w: &World) -> [f64; 7] {
+    let mut out = [0.0, 0.0, 0.0, 0.0, 0.0, 1.0, 0.0];
+    let mut lost = w.wasted;
     let mut told: Vec<u64> = Vec::new();
-    for (class, (_, _, target, ..)) in world.load.classes.iter().enumerate() {
-        let mut all = 0.0;
-        let mut met = 0.0;
+    for (class, (_, _, target, ..)) in w.load.1.iter().enumerate() {
+        let (mut all, mut met) = (0.0, 0.0);
         let mut teams = [(0.0, 0.0); TEAMS];
-        for r in world.requests.values().filter(|r| r.class == class) {
+        for r in w.requests.values().filter(|r| r.class == class) {
             all += 1.0;
             told.extend(r.refused.map(|t| t - r.arrived));
             teams[r.team].0 += f64::from(r.length);
-            // A plain answer is due whole, a streamed one with its first token.
-            let in_time = r.first.is_some_and(|f| f - r.arrived <= *target);
-            if r.whole && in_time {
+            if r.whole && r.first.is_some_and(|f| f - r.arrived <= *target) {
                 met += 1.0;
-                good += u64::from(r.length);
+                out[3] += f64::from(r.length) / (END as f64 / 1_000.0);
                 teams[r.team].1 += f64::from(r.length);
             } else {
-                late += u64::from(r.held + r.made);
+                lost += u64::from(r.held + r.made);
             }
         }
-        out.attained[class] = met / all;
-        out.worst = out.worst.min(worst_share(&teams));
+        out[class] = 100.0 * met / all;
+        out[5] = worst_share(teams).min(out[5]);
     }
-    out.goodput = good as f64 / (END as f64 / 1000.0);
-    out.wasted = (world.wasted + late) as f64 / world.made.max(1) as f64;
+    out[4] = 100.0 * lost as f64 / w.made.max(1) as f64;
     told.sort_unstable();
-    out.told = told.get(told.len() / 2).copied().unwrap_or_default() as f64;
+    out[6] = told.get(told.len() / 2).copied().unwrap_or_default() as f64;
     out
 }
 
 /// The least that a team got of its max-min fair share of what its class was served.
-fn worst_share(teams: &[(f64, f64)]) -> f64 {
+fn worst_share(mut teams: [(f64, f64); TEAMS]) -> f64 {
     let mut left: f64 = teams.iter().map(|t| t.1).sum();
-    let mut by_demand: Vec<_> = teams.to_vec();
-    by_demand.sort_by(|a, b| a.0.total_cmp(&b.0));
+    teams.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut worst: f64 = 1.0;
-    for (n, (demand, served)) in by_demand.iter().enumerate() {
-        let due = demand.min(left / (by_demand.len() - n) as f64);
+    for (n, (demand, served)) in teams.into_iter().enumerate() {
+        let due = demand.min(left / (TEAMS - n) as f64);
         left -= due;
         if due > 0.0 {
             worst = worst.min(served / due);
@@ -642,25 +631,36 @@
     worst
 }
 
-fn play(load: &'static Load, way: &mut dyn Way, seed: u64) -> Score {
-    let mut world = World::new(load);
+fn play(load: &'static Load, way: &mut dyn Way, seed: u64) -> [f64; 7] {
+    let mut w = World::new(load);
     let mut arriving = arrivals(load, seed).into_iter().peekable();
-    while world.now < END + 30_000 {
-        world.faults();
-        while let Some(r) = arriving.next_if(|r| r.arrived <= world.now) {
-            world.requests.insert(r.id, r.clone());
-            let mut acts = Vec::new();
-            way.arrive(&r, &world, &mut acts);
-            world.apply(acts);
-        }
-        let ended = world.run();
-        world.settle(way, ended);
+    while w.now < END + 30_000 {
+        w.faults();
         let mut acts = Vec::new();
-        way.tick(&world, &mut acts);
-        world.apply(acts);
-        world.now += TICK;
+        while let Some(r) = arriving.next_if(|r| r.arrived <= w.now) {
+            w.requests.insert(r.id, r.clone());
+            way.arrive(&r, &w, &mut acts);
+            w.apply(std::mem::take(&mut acts));
+        }
+        for (id, engine, outcome) in w.run() {
+            w.settle(way, id, engine, outcome);
+        }
+        way.tick(&w, &mut acts);
+        w.apply(acts);
+        w.now += TICK;
     }
-    score(&world)
+    score(&w)
+}
+
+/// Makes a way for a load.
+type Make = fn(&Load) -> Box<dyn Way>;
+
+fn queue(oracle: bool) -> Box<dyn Way> {
+    Box::new(OneQueue {
+        waiting: Vec::new(),
+        oracle,
+        served: HashMap::new(),
+    })
 }
 
 fn main() {
@@ -668,73 +668,51 @@
         .filter_map(|a| a.parse().ok())
         .next()
         .unwrap_or(5u64);
+    let ways: [(&str, Make); 7] = [
+        ("oracle", |_| queue(true)),
+        ("ours, one dispatcher", |l| {
+            Box::new(Ours::new(l, false, false))
+        }),
+        ("ours, dispatcher lost", |l| {
+            Box::new(Ours::new(l, false, true))
+        }),
+        ("ours, hosts alone", |l| Box::new(Ours::new(l, true, false))),
+        ("first come", |_| queue(false)),
+        ("round robin", |_| {
+            Box::new(AtOnce {
+                turn: 0,
+                least: false,
+            })
+        }),
+        ("least reported load", |_| {
+            Box::new(AtOnce {
+                turn: 0,
+                least: true,
+            })
+        }),
+    ];
     for load in &LOADS {
+        let [a, b, c] = load.1.map(|c| c.0);
         println!(
             "\n{}: {} workers of {} slots, {seeds} seeds",
-            load.name, load.engines, load.slots
+            load.0, load.2, load.3
         );
+        print!("{:<22}{a:>9}{b:>9}{c:>9}", "way");
         println!(
-            "{:<22}{:>9}{:>9}{:>9}{:>10}{:>9}{:>8}{:>9}",
-            "way",
-            load.classes[0].0,
-            load.classes[1].0,
-            load.classes[2].0,
-            "good tok/s",
-            "wasted",
-            "worst",
-            "told ms"
+            "{:>12}{:>8}{:>8}{:>9}",
+            "good tok/s", "wasted", "worst", "told ms"
         );
-        let ways: [(&str, Make); 6] = [
-            ("oracle", |_| {
-                Box::new(OneQueue {
-                    waiting: Vec::new(),
-                    oracle: true,
-                    served: HashMap::new(),
-                })
-            }),
-            ("ours, one dispatcher", |l| Box::new(Ours::new(l, 1))),
-            ("ours, hosts alone", |l| Box::new(Ours::new(l, HOSTS))),
-            ("first come", |_| {
-                Box::new(OneQueue {
-                    waiting: Vec::new(),
-                    oracle: false,
-                    served: HashMap::new(),
-                })
-            }),
-            ("round robin", |_| {
-                Box::new(AtOnce {
-                    turn: 0,
-                    least: false,
-                })
-            }),
-            ("least reported load", |_| {
-                Box::new(AtOnce {
-                    turn: 0,
-                    least: true,
-                })
-            }),
-        ];
         for (name, make) in ways {
-            let mut sum = Score::default();
+            let mut mean = [0.0; 7];
             for seed in 1..=seeds {
-                let s = play(load, &mut *make(load), seed);
-                for c in 0..3 {
-                    sum.attained[c] += s.attained[c];
-                }
-                sum.goodput += s.goodput;
-                sum.wasted += s.wasted;
-                sum.worst += s.worst;
-                sum.told += s.told;
+                let scores = play(load, &mut *make(load), seed);
+                mean.iter_mut()
+                    .zip(scores)
+                    .for_each(|(m, s)| *m += s / seeds as f64);
             }
-            let n = seeds as f64;
-            let [a, b, c] = sum.attained.map(|x| 100.0 * x / n);
-            println!(
-                "{name:<22}{a:>8.1}%{b:>8.1}%{c:>8.1}%{:>10.0}{:>8.1}%{:>8.2}{:>9.0}",
-                sum.goodput / n,
-                100.0 * sum.wasted / n,
-                sum.worst / n,
-                sum.told / n
-            );
+            let [a, b, c, good, wasted, worst, told] = mean;
+            print!("{name:<22}{a:>8.1}%{b:>8.1}%{c:>8.1}%");
+            println!("{good:>12.0}{wasted:>7.1}%{worst:>8.2}{told:>9.0}");
         }
     }
 }
