--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -1,12 +1,13 @@
-//! The store in memory: an adapter for tests, and the core of the stand-in.
+//! The ports in memory: adapters for tests, and the core of the stand-ins.
 
 use std::collections;
 use std::sync;
 use std::time;
 
-use base::clock;
+use base::{clock, name};
+use serde::{Deserialize, Serialize};
 
-use crate::store;
+use crate::{hosts, orders, reports, store};
 
 /// A store in memory. Watches see the last write of each key.
 #[derive(Debug, Default)]
@@ -158,3 +159,161 @@
         }
     }
 }
+
+/// An order as it came.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Arrived {
+    /// The order.
+    pub order: orders::Order,
+    /// Whether it came after an order with a higher fencing number.
+    pub stale: bool,
+    /// Whether it was refused for that.
+    pub refused: bool,
+}
+
+/// A part of a usage window as it came.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Its window.
+    pub window: u64,
+    /// Its part.
+    pub part: u32,
+    /// The sender's fencing number.
+    pub fence: u64,
+    /// Its bytes.
+    pub body: String,
+}
+
+/// What a platform has seen.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Seen {
+    /// Orders in their sequence.
+    pub orders: Vec<Arrived>,
+    /// Usage reports in their sequence.
+    pub reports: Vec<Report>,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    list: hosts::List,
+    seen: Seen,
+    fences: collections::HashMap<name::Dc, u64>,
+}
+
+/// A platform in memory: list, orders and reports.
+#[derive(Debug, Default)]
+pub struct Platform {
+    records: sync::Mutex<Records>,
+    checks: bool,
+}
+
+impl Platform {
+    /// A platform that refuses orders with an old fencing number if `checks` is set.
+    pub fn new(checks: bool) -> Self {
+        Self {
+            records: sync::Mutex::default(),
+            checks,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Records> {
+        self.records
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// What it has seen.
+    pub fn seen(&self) -> Seen {
+        self.lock().seen.clone()
+    }
+
+    /// Sets what the list says.
+    pub fn set_list(&self, list: hosts::List) {
+        self.lock().list = list;
+    }
+
+    /// What the list says.
+    pub fn list(&self) -> hosts::List {
+        self.lock().list.clone()
+    }
+
+    /// Takes an order that came; tells whether it was carried out.
+    pub fn take_order(&self, order: orders::Order) -> bool {
+        let mut records = self.lock();
+        let newest = records.fences.entry(order.dc.clone()).or_default();
+        let stale = order.fence < *newest;
+        *newest = order.fence.max(*newest);
+        let refused = stale && self.checks;
+        if !refused {
+            carry_out(&mut records.list, &order);
+        }
+        records.seen.orders.push(Arrived {
+            order,
+            stale,
+            refused,
+        });
+        !refused
+    }
+
+    /// Takes a report that came.
+    pub fn take_report(&self, report: Report) {
+        self.lock().seen.reports.push(report);
+    }
+}
+
+fn carry_out(list: &mut hosts::List, order: &orders::Order) {
+    list.upstreams.retain(|u| u.name != order.upstream);
+    if order.action == orders::Action::Start {
+        let state = hosts::State::Live;
+        list.upstreams.push(hosts::Upstream {
+            name: order.upstream.clone(),
+            state,
+        });
+    }
+}
+
+fn is_over(term: orders::Term) -> bool {
+    clock::Clock::System.now() >= term.deadline
+}
+
+impl hosts::Hosts for Platform {
+    fn read(&self) -> Result<hosts::List, hosts::Unreadable> {
+        Ok(self.list())
+    }
+}
+
+impl orders::Orders for Platform {
+    fn send(&self, order: &orders::Order, term: orders::Term) -> Result<(), orders::Error> {
+        if is_over(term) {
+            return Err(orders::Error::TermOver);
+        }
+        let done = self.take_order(order.clone());
+        if done {
+            Ok(())
+        } else {
+            Err(orders::Error::Fenced)
+        }
+    }
+}
+
+impl reports::Reports for Platform {
+    fn send(
+        &self,
+        number: reports::Number,
+        sealed: &[u8],
+        term: orders::Term,
+    ) -> Result<(), orders::Error> {
+        if is_over(term) {
+            return Err(orders::Error::TermOver);
+        }
+        let body = String::from_utf8_lossy(sealed).into_owned();
+        let reports::Number { window, part, .. } = number;
+        self.take_report(Report {
+            window,
+            part,
+            fence: term.epoch,
+            body,
+        });
+        Ok(())
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,57 +1,13 @@
 //! The platform's list of hosts, its ordering interface and its usage reports.
 
-use std::collections;
 use std::io;
 use std::net;
 use std::sync;
 
-use base::name;
-use platform::{hosts, orders};
-use serde::{Deserialize, Serialize};
+use platform::{hosts, memory};
 
 use crate::{faults, serve};
 
-/// An order as it arrived.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Arrived {
-    /// The order.
-    pub order: orders::Order,
-    /// Whether it came after an order with a higher fencing number.
-    pub stale: bool,
-    /// Whether it was refused for that.
-    pub refused: bool,
-}
-
-/// A usage report as it arrived.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Report {
-    /// Its window.
-    pub window: u64,
-    /// Its part.
-    pub part: u64,
-    /// The sender's fencing number.
-    pub fence: u64,
-    /// Its bytes.
-    pub body: String,
-}
-
-/// What the platform has seen.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Stats {
-    /// Orders in their sequence.
-    pub orders: Vec<Arrived>,
-    /// Usage reports in their sequence.
-    pub reports: Vec<Report>,
-}
-
-#[derive(Default)]
-struct State {
-    list: hosts::List,
-    stats: Stats,
-    fences: collections::HashMap<name::Dc, u64>,
-    checks: bool,
-}
-
 /// A running platform.
 pub struct Platform {
     server: serve::Server,
@@ -61,7 +17,7 @@
 }
 
 struct Core {
-    state: sync::Mutex<State>,
+    memory: memory::Platform,
     faults: sync::Arc<faults::Faults>,
 }
 
@@ -73,12 +29,9 @@
     /// The address can't be bound.
     pub fn start(address: net::SocketAddr, checks: bool) -> io::Result<Self> {
         let faults = sync::Arc::new(faults::Faults::default());
-        let state = State {
-            checks,
-            ..State::default()
-        };
+        let memory = memory::Platform::new(checks);
         let core = Core {
-            state: sync::Mutex::new(state),
+            memory,
             faults: faults.clone(),
         };
         let core = sync::Arc::new(core);
@@ -97,28 +50,22 @@
     }
 
     /// What it has seen.
-    pub fn stats(&self) -> Stats {
-        self.core.lock().stats.clone()
+    pub fn stats(&self) -> memory::Seen {
+        self.core.memory.seen()
     }
 
     /// Sets what the list says.
     pub fn set_list(&self, list: hosts::List) {
-        self.core.lock().list = list;
+        self.core.memory.set_list(list);
     }
 
     /// What the list says.
     pub fn list(&self) -> hosts::List {
-        self.core.lock().list.clone()
+        self.core.memory.list()
     }
 }
 
 impl Core {
-    fn lock(&self) -> sync::MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-    }
-
     fn answer(&self, mut request: tiny_http::Request) {
         let body = serve::body(&mut request);
         let url = request.url().to_owned();
@@ -130,11 +77,12 @@
                 return serve::empty(request, 200);
             }
             "/stats" => {
-                let stats = self.lock().stats.clone();
+                let stats = self.memory.seen();
                 return serve::json(request, 200, &stats);
             }
             "/list" => {
-                self.lock().list = serde_json::from_slice(&body).unwrap_or_default();
+                self.memory
+                    .set_list(serde_json::from_slice(&body).unwrap_or_default());
                 return serve::empty(request, 200);
             }
             _ => {}
@@ -156,7 +104,7 @@
 
     fn reply(&self, request: tiny_http::Request, url: &str, body: &[u8]) {
         if serve::path(url) == "/hosts" {
-            let list = self.lock().list.clone();
+            let list = self.memory.list();
             return serve::json(request, 200, &list);
         }
         let status = self.call(url, body);
@@ -166,21 +114,22 @@
     fn call(&self, url: &str, body: &[u8]) -> u16 {
         let path = serve::path(url);
         if path == "/orders" {
-            return match serde_json::from_slice(body) {
-                Ok(order) => self.order(order),
-                Err(_) => 400,
+            let Ok(order) = serde_json::from_slice(body) else {
+                return 400;
+            };
+            return if self.memory.take_order(order) {
+                200
+            } else {
+                412
             };
         }
-        let Some(window) = path.strip_prefix("/usage/").and_then(|n| n.parse().ok()) else {
-            return 404;
-        };
-        let number = |name| {
-            let text = serve::query(url, name);
-            text.and_then(|f| f.parse().ok()).unwrap_or_default()
-        };
-        let (fence, part) = (number("fence"), number("part"));
+        let window = path.strip_prefix("/usage/").and_then(|n| n.parse().ok());
+        let Some(window) = window else { return 404 };
+        let number = |name| serve::query(url, name).and_then(|n| n.parse::<u64>().ok());
+        let part = number("part").unwrap_or_default() as u32;
+        let fence = number("fence").unwrap_or_default();
         let body = String::from_utf8_lossy(body).into_owned();
-        self.lock().stats.reports.push(Report {
+        self.memory.take_report(memory::Report {
             window,
             part,
             fence,
@@ -188,32 +137,4 @@
         });
         200
     }
-
-    fn order(&self, order: orders::Order) -> u16 {
-        let mut state = self.lock();
-        let newest = state.fences.entry(order.dc.clone()).or_default();
-        let stale = order.fence < *newest;
-        *newest = order.fence.max(*newest);
-        let refused = stale && state.checks;
-        if !refused {
-            carry_out(&mut state.list, &order);
-        }
-        state.stats.orders.push(Arrived {
-            order,
-            stale,
-            refused,
-        });
-        if refused { 412 } else { 200 }
-    }
-}
-
-fn carry_out(list: &mut hosts::List, order: &orders::Order) {
-    list.upstreams.retain(|u| u.name != order.upstream);
-    if order.action == orders::Action::Start {
-        let state = hosts::State::Live;
-        list.upstreams.push(hosts::Upstream {
-            name: order.upstream.clone(),
-            state,
-        });
-    }
 }
