--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -3,103 +3,17 @@
 use std::io;
 use std::sync;
 
-use base::{clock, hash, name, refusal};
+use base::{clock, name, refusal};
 use config::document;
 use peer::message;
 use policy::{ask, usage};
 use serde_json::json;
 
-use crate::{body, caller, chunk, context, metrics, reply, retry, upstream};
+use crate::{body, caller, chat_request, chunk, context, metrics, pass, reply, retry, upstream};
 
-/// Bytes of the conversation's beginning that count as its prefix.
-const PREFIX_BYTES: usize = 1_024;
-/// Bytes of text that count as one token where the engine has not counted.
-const BYTES_PER_TOKEN: usize = 4;
-/// Tokens of an answer when the caller names no limit.
-const DEFAULT_LIMIT: u32 = 4_096;
 /// Looks at the key again after this many tokens.
 const CHECK_EVERY: u32 = 32;
 
-/// The parts of a request that the router reads; the rest goes to the engine as it came.
-struct Request {
-    json: serde_json::Map<String, serde_json::Value>,
-    model: String,
-    stream: bool,
-    limit: u32,
-    prompt: u32,
-    prefix: u64,
-}
-
-fn bad() -> refusal::Refusal {
-    refusal::Refusal::not_run(refusal::Reason::BadRequest)
-}
-
-impl Request {
-    fn parse(bytes: &[u8]) -> Result<Self, refusal::Refusal> {
-        let json: serde_json::Map<_, _> = serde_json::from_slice(bytes).map_err(|_| bad())?;
-        let model = json
-            .get("model")
-            .and_then(|m| m.as_str())
-            .ok_or_else(bad)?
-            .to_owned();
-        let messages = json
-            .get("messages")
-            .and_then(|m| m.as_array())
-            .ok_or_else(bad)?;
-        if messages.is_empty() || json.get("n").is_some_and(|n| n != &json!(1)) {
-            return Err(bad());
-        }
-        let text = serde_json::to_vec(messages).map_err(|_| bad())?;
-        let limit = ["max_completion_tokens", "max_tokens"]
-            .iter()
-            .find_map(|k| json.get(*k));
-        let limit = match limit {
-            None | Some(serde_json::Value::Null) => DEFAULT_LIMIT,
-            Some(n) => n
-                .as_u64()
-                .and_then(|n| u32::try_from(n).ok())
-                .ok_or_else(bad)?,
-        };
-        let stream = match json.get("stream") {
-            None | Some(serde_json::Value::Null) => false,
-            Some(s) => s.as_bool().ok_or_else(bad)?,
-        };
-        let prompt = (text.len() / BYTES_PER_TOKEN) as u32;
-        let prefix = hash::stable(&text[..text.len().min(PREFIX_BYTES)]);
-        Ok(Self {
-            model,
-            stream,
-            limit,
-            prompt,
-            prefix,
-            json,
-        })
-    }
-
-    /// The body for an upstream; `held` is the text that the caller already has.
-    fn body(&self, tier: u8, held: &str, tokens: u32) -> Vec<u8> {
-        let mut json = self.json.clone();
-        json.insert("stream".into(), json!(true));
-        json.insert("stream_options".into(), json!({"include_usage": true}));
-        json.insert("priority".into(), json!(tier));
-        json.remove("max_completion_tokens");
-        if self.json.contains_key("max_tokens") || self.json.contains_key("max_completion_tokens") {
-            json.insert(
-                "max_tokens".into(),
-                json!(self.limit.saturating_sub(tokens)),
-            );
-        }
-        if let (false, Some(messages)) = (held.is_empty(), json.get_mut("messages")) {
-            if let Some(list) = messages.as_array_mut() {
-                list.push(json!({"role": "assistant", "content": held}));
-            }
-            json.insert("continue_final_message".into(), json!(true));
-            json.insert("add_generation_prompt".into(), json!(false));
-        }
-        serde_json::to_vec(&json).unwrap_or_default()
-    }
-}
-
 /// Where the answer goes: straight on as events, or gathered for one whole answer.
 enum Sink {
     Waiting(reply::Reply),
@@ -125,7 +39,7 @@
 /// One answer under way.
 struct Answer<'a> {
     context: &'a context::Context,
-    request: Request,
+    request: chat_request::Request,
     caller: caller::Caller,
     service: sync::Arc<document::Service>,
     id: String,
@@ -178,7 +92,11 @@
     answer.run();
 }
 
-type Admitted = (Request, sync::Arc<document::Service>, caller::Caller);
+type Admitted = (
+    chat_request::Request,
+    sync::Arc<document::Service>,
+    caller::Caller,
+);
 
 fn admit(
     context: &context::Context,
@@ -188,13 +106,13 @@
     if !context.is_ready() {
         return Err(refusal::Refusal::not_run(refusal::Reason::NotReady));
     }
-    let request = Request::parse(bytes)?;
+    let request = chat_request::Request::parse(bytes)?;
     let service = context.view().service_of(&request.model);
     let unknown = || refusal::Refusal::not_run(refusal::Reason::UnknownModel);
     let service = service.ok_or_else(unknown)?;
     let caller = caller::admit(context, credentials, &service)?;
     if caller::carries_key(credentials, bytes) {
-        return Err(bad());
+        return Err(chat_request::bad());
     }
     Ok((request, service, caller))
 }
@@ -276,7 +194,7 @@
         };
         tracing::info!(event = "attempt_ended", request = %self.id, upstream = %failed, reason = reason.as_str());
         if let upstream::Error::Rejected(_) = error {
-            self.give_up(&bad());
+            self.give_up(&chat_request::bad());
             return false;
         }
         self.failed += u32::from(reason != metrics::Retry::Preempted);
@@ -300,7 +218,7 @@
     }
 
     /// Sends to one upstream and passes its answer on.
-    fn attempt(&mut self, pass: &crate::gate::Pass, upstream: &document::Upstream) -> Attempt {
+    fn attempt(&mut self, pass: &pass::Pass, upstream: &document::Upstream) -> Attempt {
         let send = self.context.request_id();
         let body = self
             .request
--- /dev/null
+++ b/crates/host/src/desks.rs
@@ -0,0 +1,238 @@
+//! The dispatchers at work on this host: whole ones for the services that it dispatches, and ones
+//! with its share of the slots for the rest.
+
+use std::collections;
+
+use base::{clock, name, refusal};
+use peer::message;
+use policy::{ask, dispatch, pool, share};
+
+/// A grant younger than this may still be on its way to its host.
+const SETTLE: clock::Millis = clock::Millis(1_000);
+
+/// Decisions to be passed on.
+pub type Decisions = Vec<ask::Decision>;
+
+/// A running request and where it runs.
+pub type Running = (ask::Ask, name::Upstream);
+
+/// What part of a service's slots a host has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// All: the host dispatches the service.
+    Whole,
+    /// A share, as one of `hosts` live ones.
+    Share {
+        /// The host's place among the live ones.
+        index: u32,
+        /// How many there are.
+        hosts: u32,
+    },
+}
+
+struct Desk {
+    dispatcher: dispatch::Dispatcher,
+    sites: Vec<pool::Site>,
+    whole: bool,
+}
+
+/// The desks of one host.
+#[derive(Default)]
+pub struct Desks(collections::HashMap<name::Service, Desk>);
+
+impl Desks {
+    /// Sets the upstreams of a service; tells besides whether this host has just become its
+    /// dispatcher.
+    pub fn configure(
+        &mut self,
+        service: &name::Service,
+        sites: &[pool::Site],
+        part: Part,
+        now: clock::Millis,
+    ) -> (Decisions, bool) {
+        let mut out = Decisions::new();
+        let desk = self.0.entry(service.clone()).or_insert_with(|| Desk {
+            dispatcher: dispatch::Dispatcher::default(),
+            sites: Vec::new(),
+            whole: true,
+        });
+        let whole = part == Part::Whole;
+        let taken_over = whole && !desk.whole;
+        desk.whole = whole;
+        let sites = part.of(sites);
+        if sites != desk.sites {
+            desk.dispatcher.configure(&sites, now, &mut out);
+            desk.sites = sites;
+        }
+        (out, taken_over)
+    }
+
+    /// The services that have a desk.
+    pub fn services(&self) -> impl Iterator<Item = &name::Service> {
+        self.0.keys()
+    }
+
+    /// The dispatcher of a service.
+    pub fn dispatcher(&self, service: &name::Service) -> Option<&dispatch::Dispatcher> {
+        self.0.get(service).map(|d| &d.dispatcher)
+    }
+
+    fn dispatcher_mut(&mut self, service: &name::Service) -> Option<&mut dispatch::Dispatcher> {
+        self.0.get_mut(service).map(|d| &mut d.dispatcher)
+    }
+
+    /// A request asks, or asks again.
+    pub fn ask(&mut self, service: &name::Service, ask: ask::Ask, now: clock::Millis) -> Decisions {
+        let mut out = Decisions::new();
+        match self.dispatcher_mut(service) {
+            Some(d) if d.knows(ask.ticket) => d.tick(now, &mut out),
+            Some(d) => d.ask(ask, now, &mut out),
+            None => {
+                let refusal = refusal::Refusal::not_run(refusal::Reason::NoUpstream);
+                out.push(ask::Decision::Refuse(ask.ticket, refusal));
+            }
+        }
+        out
+    }
+
+    /// A waiting request is gone.
+    pub fn withdraw(&mut self, service: &name::Service, ticket: ask::Ticket) {
+        if let Some(d) = self.dispatcher_mut(service) {
+            d.withdraw(ticket);
+        }
+    }
+
+    /// A granted request ended.
+    pub fn done(
+        &mut self,
+        service: &name::Service,
+        ticket: ask::Ticket,
+        spent: &ask::Spent,
+        now: clock::Millis,
+    ) -> Decisions {
+        let mut out = Decisions::new();
+        if let Some(d) = self.dispatcher_mut(service) {
+            d.done(ticket, spent, now, &mut out);
+        }
+        out
+    }
+
+    /// Learns from an answer that another host granted.
+    pub fn learn(&mut self, service: &name::Service, ask: &ask::Ask, spent: &ask::Spent) {
+        if let Some(d) = self.dispatcher_mut(service) {
+            d.learn(ask, spent);
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, now: clock::Millis) -> Decisions {
+        let mut out = Decisions::new();
+        for desk in self.0.values_mut() {
+            desk.dispatcher.tick(now, &mut out);
+        }
+        out
+    }
+
+    /// Counts running requests that another dispatcher granted.
+    pub fn adopt(&mut self, service: &name::Service, running: Vec<Running>, now: clock::Millis) {
+        let Some(d) = self.dispatcher_mut(service) else {
+            return;
+        };
+        for (ask, upstream) in running {
+            d.adopt(ask, &upstream, now);
+        }
+    }
+
+    /// Takes a host's own list of what it runs for true; `is_theirs` tells by ticket.
+    pub fn reconcile(
+        &mut self,
+        service: &name::Service,
+        running: Vec<Running>,
+        is_theirs: impl Fn(ask::Ticket) -> bool,
+        now: clock::Millis,
+    ) -> Decisions {
+        let mut out = Decisions::new();
+        let known: collections::HashSet<_> = running.iter().map(|(a, _)| a.ticket).collect();
+        if let Some(d) = self.dispatcher_mut(service) {
+            let is_gone = |t| is_theirs(t) && !known.contains(&t);
+            d.forget_running(is_gone, SETTLE, now, &mut out);
+        }
+        self.adopt(service, running, now);
+        out
+    }
+
+    /// A host is gone with all its requests; `is_theirs` tells by ticket.
+    pub fn forget(
+        &mut self,
+        is_theirs: impl Fn(ask::Ticket) -> bool,
+        now: clock::Millis,
+    ) -> Decisions {
+        let mut out = Decisions::new();
+        for desk in self.0.values_mut() {
+            desk.dispatcher.forget(&is_theirs, now, &mut out);
+        }
+        out
+    }
+
+    /// What a host runs of a service by this host's record; `is_theirs` tells by ticket.
+    pub fn digest(
+        &self,
+        service: &name::Service,
+        is_theirs: impl Fn(ask::Ticket) -> bool,
+    ) -> message::Digest {
+        let mut out = message::Digest::default();
+        let Some(d) = self.dispatcher(service) else {
+            return out;
+        };
+        for ticket in d.tickets() {
+            if is_theirs(ticket) {
+                out.add(ticket);
+            }
+        }
+        out
+    }
+
+    /// The load of the services that this host dispatches.
+    pub fn loads(&mut self) -> Vec<message::Load> {
+        let mut out = Vec::new();
+        for (service, desk) in &mut self.0 {
+            if !desk.whole {
+                continue;
+            }
+            let service = service.clone();
+            let waiting = desk.dispatcher.waiting() as u32;
+            let (firm, loose) = desk.dispatcher.demand();
+            let pool = desk.dispatcher.pool();
+            let free = pool.slots().saturating_sub(pool.busy());
+            out.push(message::Load {
+                service,
+                free,
+                waiting,
+                firm,
+                loose,
+            });
+        }
+        out
+    }
+}
+
+impl Part {
+    /// This part of each upstream.
+    fn of(self, sites: &[pool::Site]) -> Vec<pool::Site> {
+        let Self::Share { index, hosts } = self else {
+            return sites.to_vec();
+        };
+        let mut out = Vec::new();
+        for (n, site) in sites.iter().enumerate() {
+            // Rotated by the upstream's place, so that odd slots spread over the hosts.
+            let slots = share::slots(site.slots, hosts, (index + n as u32) % hosts.max(1));
+            if slots > 0 {
+                out.push(pool::Site {
+                    slots,
+                    ..site.clone()
+                });
+            }
+        }
+        out
+    }
+}
--- a/crates/host/src/gate.rs
+++ b/crates/host/src/gate.rs
@@ -1,4 +1,4 @@
-//! Grants of slots: from this host's own dispatchers, or from the dispatching host.
+//! Grants of slots: from this host's own desks, or from the dispatching host.
 //!
 //! A request asks the host that dispatches its service. If no word comes back in time, the host
 //! grants itself its share of the slots. A grant that comes too late is given back at once, so
@@ -6,22 +6,18 @@
 
 use std::collections;
 use std::sync;
-use std::time;
 
 use base::{clock, name, refusal};
 use peer::message;
-use policy::{ask, dispatch, pool, share};
+use policy::{ask, pool};
 
-use crate::directory;
+use crate::{desks, directory, pass, waiter};
 
 /// How long a dispatcher may be silent before the host grants itself its share.
 const ANSWER: clock::Millis = clock::Millis(60);
 /// How often a waiting request asks its dispatcher again.
 const ASK_AGAIN: clock::Millis = clock::Millis(250);
 
-/// A grant younger than this may still be on its way to its host.
-const SETTLE: clock::Millis = clock::Millis(1_000);
-
 /// Sends messages to other hosts.
 pub trait Outbox: Send + Sync {
     /// Queues a message; tells whether it was queued.
@@ -47,65 +43,11 @@
     ) -> Option<name::Host>;
 }
 
-/// Where a request was granted.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Source {
-    Own,
-    Peer(name::Host),
-}
-
-#[derive(Debug, Default)]
-struct Slot {
-    decision: Option<(ask::Decision, Source)>,
-    heard: bool,
-    stopped: bool,
-}
-
-/// What one request waits on.
-#[derive(Debug, Default)]
-struct Waiter {
-    slot: sync::Mutex<Slot>,
-    changed: sync::Condvar,
-}
-
-impl Waiter {
-    fn lock(&self) -> sync::MutexGuard<'_, Slot> {
-        self.slot
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-    }
-
-    /// Waits until `ready` holds or `limit` has passed.
-    fn wait(
-        &self,
-        limit: clock::Millis,
-        ready: impl Fn(&Slot) -> bool,
-    ) -> sync::MutexGuard<'_, Slot> {
-        let end = time::Instant::now() + limit.duration();
-        let mut slot = self.lock();
-        while !ready(&slot) {
-            let left = end.saturating_duration_since(time::Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            let waited = self.changed.wait_timeout(slot, left);
-            slot = waited.unwrap_or_else(sync::PoisonError::into_inner).0;
-        }
-        slot
-    }
-}
-
-struct Desk {
-    dispatcher: dispatch::Dispatcher,
-    /// Upstreams as configured, before this host's share is taken.
-    sites: Vec<pool::Site>,
-    whole: bool,
-}
-
+/// A request of this host that waits or runs.
 struct Entry {
-    waiter: sync::Arc<Waiter>,
+    waiter: sync::Arc<waiter::Waiter>,
     ask: message::Ask,
-    granted: Option<(name::Upstream, Source)>,
+    granted: Option<(name::Upstream, waiter::Source)>,
     /// The dispatcher of another data centre that was asked.
     away: Option<name::Host>,
     at: clock::Millis,
@@ -113,8 +55,9 @@
 
 #[derive(Default)]
 struct State {
-    desks: collections::HashMap<name::Service, Desk>,
+    desks: desks::Desks,
     entries: collections::HashMap<ask::Ticket, Entry>,
+    /// Dispatchers of other data centres that were last told what runs under their grants.
     away: collections::HashSet<(name::Host, name::Service)>,
     next: u32,
 }
@@ -131,7 +74,7 @@
 }
 
 /// The number of a host in the upper half of its tickets.
-pub fn number(host: &name::Host) -> u32 {
+fn number(host: &name::Host) -> u32 {
     base::hash::stable(host.as_str().as_bytes()) as u32
 }
 
@@ -139,27 +82,35 @@
     (ticket.0 >> 32) as u32 == number
 }
 
-/// Work for after the lock is released.
-#[derive(Default)]
-struct Effects {
-    decisions: Vec<ask::Decision>,
-}
+/// What a request used that never ran.
+const NOTHING: ask::Spent = ask::Spent {
+    outcome: ask::Outcome::Stopped,
+    tokens: 0,
+    first: clock::Millis::ZERO,
+    total: clock::Millis::ZERO,
+};
 
 impl Gate {
-    /// A gate that grants alone until it knows other hosts.
-    pub fn new(clock: clock::Clock, directory: sync::Arc<directory::Directory>) -> Self {
+    /// A gate that grants alone until it knows other hosts. Tickets are counted from `first`, so
+    /// that a restarted host does not use those of its earlier start.
+    pub fn new(
+        clock: clock::Clock,
+        directory: sync::Arc<directory::Directory>,
+        first: u32,
+    ) -> Self {
         let number = number(directory.host());
-        let outbox = sync::OnceLock::new();
-        let terms = sync::OnceLock::new();
-        let neighbours = sync::OnceLock::new();
+        let state = State {
+            next: first,
+            ..State::default()
+        };
         Self {
             clock,
             number,
             directory,
-            state: sync::Mutex::default(),
-            outbox,
-            terms,
-            neighbours,
+            state: sync::Mutex::new(state),
+            outbox: sync::OnceLock::new(),
+            terms: sync::OnceLock::new(),
+            neighbours: sync::OnceLock::new(),
         }
     }
 
@@ -181,12 +132,23 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    pub(crate) fn now(&self) -> clock::Millis {
+        self.clock.now()
+    }
+
     /// Sends a message to another host; tells whether it was queued.
     pub fn send(&self, host: &name::Host, message: message::Message) -> bool {
         let outbox = self.outbox.get().and_then(sync::Weak::upgrade);
         outbox.is_some_and(|o| o.send(host, message))
     }
 
+    fn send_withdraw(&self, host: &name::Host, ask: &message::Ask) {
+        self.send(
+            host,
+            message::Message::Withdraw(ask.service.clone(), ask.ticket),
+        );
+    }
+
     fn expand(&self, ask: &message::Ask) -> Option<ask::Ask> {
         let terms = self.terms.get().and_then(sync::Weak::upgrade)?;
         let (terms, weight) = terms.terms(&ask.class, &ask.team)?;
@@ -218,31 +180,16 @@
     }
 
     /// Sets the upstreams of a service in this data centre.
-    pub fn configure(&self, service: &name::Service, sites: Vec<pool::Site>) {
-        let now = self.clock.now();
-        let whole = &self.directory.dispatcher(service, now) == self.directory.host();
-        let (index, hosts) = self.directory.rank(now);
-        let mut effects = Effects::default();
-        let mut state = self.lock();
-        let desk = state.desks.entry(service.clone()).or_insert_with(|| Desk {
-            dispatcher: dispatch::Dispatcher::default(),
-            sites: Vec::new(),
-            whole: true,
-        });
-        let taken_over = whole && !desk.whole;
-        desk.whole = whole;
-        let shared = if whole {
-            sites.clone()
+    pub fn configure(&self, service: &name::Service, sites: &[pool::Site]) {
+        let now = self.now();
+        let part = if &self.directory.dispatcher(service, now) == self.directory.host() {
+            desks::Part::Whole
         } else {
-            part(&sites, hosts, index)
+            let (index, hosts) = self.directory.rank(now);
+            desks::Part::Share { index, hosts }
         };
-        if shared != desk.sites {
-            desk.dispatcher
-                .configure(&shared, now, &mut effects.decisions);
-            desk.sites = shared;
-        }
-        drop(state);
-        self.carry_out(effects);
+        let (decisions, taken_over) = self.lock().desks.configure(service, sites, part, now);
+        self.carry_out(decisions);
         if taken_over {
             self.adopt_own(service);
         }
@@ -253,39 +200,67 @@
     /// # Errors
     ///
     /// The refusal; nothing ran under this ticket.
-    pub fn enter(self: &sync::Arc<Self>, ask: message::Ask) -> Result<Pass, refusal::Refusal> {
-        let start = self.clock.now();
+    pub fn enter(
+        self: &sync::Arc<Self>,
+        mut ask: message::Ask,
+    ) -> Result<pass::Pass, refusal::Refusal> {
+        let start = self.now();
         let waiter = self.expect(&ask, None);
-        let mut ask = ask;
         let waited = ask.waited;
         loop {
-            ask.waited = waited + self.clock.now().since(start);
+            ask.waited = waited + self.now().since(start);
             let limit = self.ask_dispatcher(&ask, &waiter);
-            let slot = waiter.wait(limit, |s| s.decision.is_some());
-            let Some((decision, source)) = slot.decision.clone() else {
-                continue;
-            };
-            drop(slot);
-            let settled = self.settle(ask.clone(), waiter, decision, source);
-            return settled.or_else(|refusal| self.spill(ask, refusal));
+            let decided = waiter
+                .wait(limit, |s| s.decision.is_some())
+                .decision
+                .clone();
+            match decided {
+                None => {}
+                Some((ask::Decision::Grant(_, upstream), source)) => {
+                    self.withdraw_elsewhere(&ask, &source);
+                    return Ok(pass::Pass::new(self.clone(), ask, waiter, upstream));
+                }
+                Some((ask::Decision::Refuse(_, refusal), _)) => {
+                    self.lock().desks.withdraw(&ask.service, ask.ticket);
+                    self.leave(&ask, &NOTHING);
+                    return self.spill(ask, refusal);
+                }
+                // A request is stopped only after its grant.
+                Some((ask::Decision::Preempt(_), _)) => unreachable!("preempted before a grant"),
+            }
         }
     }
 
     /// Registers a request that a decision is awaited for.
-    fn expect(&self, ask: &message::Ask, away: Option<name::Host>) -> sync::Arc<Waiter> {
-        let waiter = sync::Arc::new(Waiter::default());
-        let at = self.clock.now();
+    fn expect(&self, ask: &message::Ask, away: Option<name::Host>) -> sync::Arc<waiter::Waiter> {
+        let waiter = sync::Arc::new(waiter::Waiter::default());
+        let ask = ask.clone();
+        let ticket = ask.ticket;
+        let at = self.now();
         let entry = Entry {
             waiter: waiter.clone(),
-            ask: ask.clone(),
+            ask,
             granted: None,
             away,
             at,
         };
-        self.lock().entries.insert(ask.ticket, entry);
+        self.lock().entries.insert(ticket, entry);
         waiter
     }
 
+    /// A request leaves. A slot that it was granted is given back, also one whose grant came
+    /// after the request had given up.
+    pub(crate) fn leave(&self, ask: &message::Ask, spent: &ask::Spent) {
+        let entry = self.lock().entries.remove(&ask.ticket);
+        let Some((_, source)) = entry.and_then(|e| e.granted) else {
+            return;
+        };
+        if spent.outcome == ask::Outcome::Whole && source != waiter::Source::Own {
+            self.learn(ask, spent);
+        }
+        self.ended(&ask.service, ask.ticket, spent, &source);
+    }
+
     /// How many requests this host has at another dispatcher that it asked there after `at`.
     pub fn away_since(&self, host: &name::Host, service: &name::Service, at: clock::Millis) -> u32 {
         let state = self.lock();
@@ -300,56 +275,47 @@
         self: &sync::Arc<Self>,
         mut ask: message::Ask,
         refusal: refusal::Refusal,
-    ) -> Result<Pass, refusal::Refusal> {
-        use refusal::Reason;
-        if !matches!(refusal.reason, Reason::TargetMissed | Reason::NoUpstream) {
-            return Err(refusal);
-        }
-        let Some(full) = self.expand(&ask) else {
-            return Err(refusal);
-        };
-        let slack = full.terms.first.since(ask.waited);
-        let wait = slack + refusal.retry.unwrap_or(clock::Millis::secs(1));
-        let neighbours = self.neighbours.get().and_then(sync::Weak::upgrade);
-        let found = neighbours.and_then(|n| n.find(&ask.service, wait, slack, crossing(&ask)));
-        let Some(host) = found else {
+    ) -> Result<pass::Pass, refusal::Refusal> {
+        let Some((host, slack)) = self.find_neighbour(&ask, &refusal) else {
             return Err(refusal);
         };
         ask.ticket = self.ticket();
         let waiter = self.expect(&ask, Some(host.clone()));
         let sent = self.send(&host, message::Message::Ask(ask.clone()));
         let limit = if sent { slack } else { clock::Millis::ZERO };
-        let decision = waiter
+        let decided = waiter
             .wait(limit, |s| s.decision.is_some())
             .decision
             .clone();
-        match decision {
-            Some((ask::Decision::Grant(_, upstream), _)) => {
-                tracing::debug!(event = "spilled", host = %host, upstream = %upstream);
-                let started = self.clock.now();
-                Ok(Pass {
-                    gate: self.clone(),
-                    ask,
-                    waiter,
-                    upstream,
-                    started,
-                    ended: false,
-                })
-            }
-            _ => {
-                self.lock().entries.remove(&ask.ticket);
-                self.send(
-                    &host,
-                    message::Message::Withdraw(ask.service.clone(), ask.ticket),
-                );
-                Err(refusal)
-            }
+        if let Some((ask::Decision::Grant(_, upstream), _)) = decided {
+            tracing::debug!(event = "spilled", host = %host, upstream = %upstream);
+            return Ok(pass::Pass::new(self.clone(), ask, waiter, upstream));
         }
+        self.send_withdraw(&host, &ask);
+        self.leave(&ask, &NOTHING);
+        Err(refusal)
+    }
+
+    /// A dispatcher elsewhere that can meet the target, and the time that is left for it.
+    fn find_neighbour(
+        &self,
+        ask: &message::Ask,
+        refusal: &refusal::Refusal,
+    ) -> Option<(name::Host, clock::Millis)> {
+        use refusal::Reason;
+        if !matches!(refusal.reason, Reason::TargetMissed | Reason::NoUpstream) {
+            return None;
+        }
+        let slack = self.expand(ask)?.terms.first.since(ask.waited);
+        let wait = slack + refusal.retry.unwrap_or(clock::Millis::secs(1));
+        let neighbours = self.neighbours.get().and_then(sync::Weak::upgrade)?;
+        let host = neighbours.find(&ask.service, wait, slack, crossing(ask))?;
+        Some((host, slack))
     }
 
     /// Asks the dispatching host, or this host's own desk; returns how long to wait for more.
-    fn ask_dispatcher(&self, ask: &message::Ask, waiter: &Waiter) -> clock::Millis {
-        let dispatcher = self.directory.dispatcher(&ask.service, self.clock.now());
+    fn ask_dispatcher(&self, ask: &message::Ask, waiter: &waiter::Waiter) -> clock::Millis {
+        let dispatcher = self.directory.dispatcher(&ask.service, self.now());
         if &dispatcher != self.directory.host() {
             waiter.lock().heard = false;
             if self.send(&dispatcher, message::Message::Ask(ask.clone())) {
@@ -359,12 +325,9 @@
                 }
             }
             tracing::debug!(event = "dispatcher_silent", host = %dispatcher);
-            self.send(
-                &dispatcher,
-                message::Message::Withdraw(ask.service.clone(), ask.ticket),
-            );
+            self.send_withdraw(&dispatcher, ask);
+            self.adopt_own(&ask.service);
         }
-        self.adopt_own(&ask.service);
         self.ask_own(ask);
         ASK_AGAIN
     }
@@ -372,118 +335,60 @@
     /// Counts at this host's own desk what it runs under grants of a dispatcher that is silent or
     /// gone.
     fn adopt_own(&self, service: &name::Service) {
-        let now = self.clock.now();
-        let mut running = Vec::new();
+        let mut granted = Vec::new();
         for entry in self.lock().entries.values() {
             let here = entry.away.is_none() && &entry.ask.service == service;
-            if let (true, Some((upstream, Source::Peer(_)))) = (here, &entry.granted) {
-                running.push((entry.ask.clone(), upstream.clone()));
-            }
-        }
-        for (ask, upstream) in running {
-            let Some(full) = self.expand(&ask) else {
-                continue;
-            };
-            if let Some(desk) = self.lock().desks.get_mut(service) {
-                desk.dispatcher.adopt(full, &upstream, now);
+            if let (true, Some((upstream, waiter::Source::Peer(_)))) = (here, &entry.granted) {
+                granted.push(message::Held {
+                    ask: entry.ask.clone(),
+                    upstream: upstream.clone(),
+                });
             }
         }
+        let running = self.expand_all(&granted);
+        self.lock().desks.adopt(service, running, self.now());
     }
 
-    fn ask_own(&self, ask: &message::Ask) {
-        let Some(full) = self.expand(ask) else {
-            let refusal = refusal::Refusal::not_run(refusal::Reason::UnknownClass);
-            self.deliver(ask::Decision::Refuse(ask.ticket, refusal), Source::Own);
-            return;
-        };
-        let now = self.clock.now();
-        let mut effects = Effects::default();
-        let mut state = self.lock();
-        match state.desks.get_mut(&ask.service) {
-            Some(desk) if desk.dispatcher.knows(ask.ticket) => {
-                desk.dispatcher.tick(now, &mut effects.decisions);
-            }
-            Some(desk) => desk.dispatcher.ask(full, now, &mut effects.decisions),
-            None => {
-                let refusal = refusal::Refusal::not_run(refusal::Reason::NoUpstream);
-                effects
-                    .decisions
-                    .push(ask::Decision::Refuse(ask.ticket, refusal));
-            }
-        }
-        drop(state);
-        self.carry_out(effects);
+    fn expand_all(&self, held: &[message::Held]) -> Vec<desks::Running> {
+        let full = |h: &message::Held| Some((self.expand(&h.ask)?, h.upstream.clone()));
+        held.iter().filter_map(full).collect()
     }
 
-    fn settle(
-        self: &sync::Arc<Self>,
-        ask: message::Ask,
-        waiter: sync::Arc<Waiter>,
-        decision: ask::Decision,
-        source: Source,
-    ) -> Result<Pass, refusal::Refusal> {
-        match decision {
-            ask::Decision::Grant(_, upstream) => {
-                self.withdraw_elsewhere(&ask, &source);
-                let gate = self.clone();
-                let started = self.clock.now();
-                Ok(Pass {
-                    gate,
-                    ask,
-                    waiter,
-                    upstream,
-                    started,
-                    ended: false,
-                })
-            }
-            ask::Decision::Refuse(ticket, refusal) => {
-                self.lock().entries.remove(&ticket);
-                self.withdraw_own(&ask.service, ticket);
-                Err(refusal)
-            }
-            ask::Decision::Preempt(ticket) => {
-                self.lock().entries.remove(&ticket);
-                Err(refusal::Refusal::not_run(refusal::Reason::Shed))
+    fn ask_own(&self, ask: &message::Ask) {
+        let decisions = match self.expand(ask) {
+            Some(full) => self.lock().desks.ask(&ask.service, full, self.now()),
+            None => {
+                let refusal = refusal::Refusal::not_run(refusal::Reason::UnknownClass);
+                vec![ask::Decision::Refuse(ask.ticket, refusal)]
             }
-        }
+        };
+        self.carry_out(decisions);
     }
 
     /// Takes a granted request out of the queue it was not granted from.
-    fn withdraw_elsewhere(&self, ask: &message::Ask, source: &Source) {
-        if source != &Source::Own {
-            return self.withdraw_own(&ask.service, ask.ticket);
+    fn withdraw_elsewhere(&self, ask: &message::Ask, source: &waiter::Source) {
+        if source != &waiter::Source::Own {
+            return self.lock().desks.withdraw(&ask.service, ask.ticket);
         }
-        let dispatcher = self.directory.dispatcher(&ask.service, self.clock.now());
+        let dispatcher = self.directory.dispatcher(&ask.service, self.now());
         if &dispatcher != self.directory.host() {
-            self.send(
-                &dispatcher,
-                message::Message::Withdraw(ask.service.clone(), ask.ticket),
-            );
-        }
-    }
-
-    fn withdraw_own(&self, service: &name::Service, ticket: ask::Ticket) {
-        if let Some(desk) = self.lock().desks.get_mut(service) {
-            desk.dispatcher.withdraw(ticket);
+            self.send_withdraw(&dispatcher, ask);
         }
     }
 
     /// Passes decisions to the requests waiting here, or to the hosts that asked.
-    fn carry_out(&self, effects: Effects) {
-        for decision in effects.decisions {
+    fn carry_out(&self, decisions: desks::Decisions) {
+        for decision in decisions {
             if is_from(decision.ticket(), self.number) {
-                self.deliver(decision, Source::Own);
-                continue;
+                self.deliver(decision, waiter::Source::Own);
+            } else if let Some(host) = self.host_of(decision.ticket()) {
+                self.send(&host, message::Message::Decide(decision));
             }
-            let Some(host) = self.host_of(decision.ticket()) else {
-                continue;
-            };
-            self.send(&host, message::Message::Decide(decision));
         }
     }
 
     fn host_of(&self, ticket: ask::Ticket) -> Option<name::Host> {
-        let heard = self.directory.heard(self.clock.now());
+        let heard = self.directory.heard(self.now());
         let found = heard
             .into_iter()
             .find(|(host, _, _)| is_from(ticket, number(host)));
@@ -491,58 +396,43 @@
     }
 
     /// Gives a decision to its request; gives a grant back that nobody waits for.
-    fn deliver(&self, decision: ask::Decision, source: Source) {
+    fn deliver(&self, decision: ask::Decision, source: waiter::Source) {
         let ticket = decision.ticket();
         let mut state = self.lock();
         let Some(entry) = state.entries.get_mut(&ticket) else {
+            let services: Vec<_> = state.desks.services().cloned().collect();
             drop(state);
             if let ask::Decision::Grant(..) = decision {
-                self.give_back(ticket, &source, None);
+                self.give_back(&services, ticket, &source);
             }
             return;
         };
         let waiter = entry.waiter.clone();
         match &decision {
-            ask::Decision::Preempt(_) => {
-                waiter.lock().stopped = true;
-            }
-            ask::Decision::Grant(_, upstream) => {
-                if let Some((_, first)) = &entry.granted {
+            ask::Decision::Preempt(_) => waiter.change(|slot| slot.stopped = true),
+            ask::Decision::Grant(_, upstream) => match &entry.granted {
+                Some((_, first)) => {
                     let again = *first == source;
                     let service = entry.ask.service.clone();
                     drop(state);
                     if !again {
-                        self.give_back(ticket, &source, Some(&service));
+                        self.give_back(&[service], ticket, &source);
                     }
-                    return;
                 }
-                entry.granted = Some((upstream.clone(), source.clone()));
-                waiter.lock().decision = Some((decision, source));
-            }
-            ask::Decision::Refuse(..) => {
-                let mut slot = waiter.lock();
-                if slot.decision.is_none() {
-                    slot.decision = Some((decision, source));
+                None => {
+                    entry.granted = Some((upstream.clone(), source.clone()));
+                    waiter.change(|slot| slot.decision = Some((decision, source)));
                 }
-            }
+            },
+            ask::Decision::Refuse(..) => waiter.change(|slot| {
+                slot.decision.get_or_insert((decision, source));
+            }),
         }
-        drop(state);
-        waiter.changed.notify_all();
     }
 
-    fn give_back(&self, ticket: ask::Ticket, source: &Source, service: Option<&name::Service>) {
-        let spent = ask::Spent {
-            outcome: ask::Outcome::Stopped,
-            tokens: 0,
-            first: clock::Millis::ZERO,
-            total: clock::Millis::ZERO,
-        };
-        let services: Vec<name::Service> = match service {
-            Some(service) => vec![service.clone()],
-            None => self.lock().desks.keys().cloned().collect(),
-        };
+    fn give_back(&self, services: &[name::Service], ticket: ask::Ticket, source: &waiter::Source) {
         for service in services {
-            self.ended(&service, ticket, &spent, source);
+            self.ended(service, ticket, &NOTHING, source);
         }
     }
 
@@ -551,86 +441,73 @@
         service: &name::Service,
         ticket: ask::Ticket,
         spent: &ask::Spent,
-        source: &Source,
+        source: &waiter::Source,
     ) {
-        match source {
-            Source::Own => self.done(service, ticket, spent),
-            Source::Peer(host) => {
-                let message = message::Message::Done(service.clone(), ticket, *spent);
-                self.send(host, message);
-                // The own desk may have adopted it meanwhile.
-                self.done(service, ticket, spent);
-            }
+        if let waiter::Source::Peer(host) = source {
+            let message = message::Message::Done(service.clone(), ticket, *spent);
+            self.send(host, message);
         }
+        // The own desk may have adopted a request that another host granted.
+        self.done(service, ticket, spent);
     }
 
     fn done(&self, service: &name::Service, ticket: ask::Ticket, spent: &ask::Spent) {
-        let now = self.clock.now();
-        let mut effects = Effects::default();
-        let mut state = self.lock();
-        if let Some(desk) = state.desks.get_mut(service) {
-            desk.dispatcher
-                .done(ticket, spent, now, &mut effects.decisions);
-        }
-        drop(state);
-        self.carry_out(effects);
+        let decisions = self.lock().desks.done(service, ticket, spent, self.now());
+        self.carry_out(decisions);
     }
 
     /// Teaches this host's own desk what another's grant showed.
     fn learn(&self, ask: &message::Ask, spent: &ask::Spent) {
         let Some(full) = self.expand(ask) else { return };
-        if let Some(desk) = self.lock().desks.get_mut(&ask.service) {
-            desk.dispatcher.learn(&full, spent);
-        }
+        self.lock().desks.learn(&ask.service, &full, spent);
     }
 
     /// Lets time pass at every desk.
     pub fn tick(&self) {
-        let now = self.clock.now();
-        let mut effects = Effects::default();
-        let mut state = self.lock();
-        for desk in state.desks.values_mut() {
-            desk.dispatcher.tick(now, &mut effects.decisions);
-        }
-        drop(state);
-        self.carry_out(effects);
+        let decisions = self.lock().desks.tick(self.now());
+        self.carry_out(decisions);
     }
 
     /// A message about grants came from another host.
     pub fn message(&self, host: &name::Host, message: message::Message) {
+        let is_theirs = |t: ask::Ticket| is_from(t, number(host));
         match message {
-            message::Message::Ask(ask) => self.asked(host, &ask),
+            message::Message::Ask(ask) if is_theirs(ask.ticket) => self.asked(host, &ask),
             message::Message::Queued(ticket) => self.queued(ticket),
             message::Message::Decide(decision) => {
-                self.deliver(decision, Source::Peer(host.clone()));
+                self.deliver(decision, waiter::Source::Peer(host.clone()));
             }
-            message::Message::Withdraw(service, ticket) if is_from(ticket, number(host)) => {
-                self.withdraw_own(&service, ticket);
+            message::Message::Withdraw(service, ticket) if is_theirs(ticket) => {
+                self.lock().desks.withdraw(&service, ticket);
             }
-            message::Message::Done(service, ticket, spent) if is_from(ticket, number(host)) => {
+            message::Message::Done(service, ticket, spent) if is_theirs(ticket) => {
                 self.done(&service, ticket, &spent);
             }
-            message::Message::Holding(service, digest) => {
-                self.compare(host, &service, digest);
+            message::Message::Holding(service, digest)
+                if self.lock().desks.digest(&service, is_theirs) != digest =>
+            {
+                self.send(host, message::Message::TellHolding(service));
             }
             message::Message::TellHolding(service) => {
                 let held = self.held(host, &service);
                 self.send(host, message::Message::Held(service, held));
             }
-            message::Message::Held(service, held) => self.adopt(host, &service, &held),
+            message::Message::Held(service, mut held) => {
+                held.retain(|h| is_theirs(h.ask.ticket));
+                let running = self.expand_all(&held);
+                let now = self.now();
+                let decisions = self
+                    .lock()
+                    .desks
+                    .reconcile(&service, running, is_theirs, now);
+                self.carry_out(decisions);
+            }
             _ => {}
         }
     }
 
     fn asked(&self, host: &name::Host, ask: &message::Ask) {
-        if !is_from(ask.ticket, number(host)) {
-            return;
-        }
-        let running = {
-            let state = self.lock();
-            let desk = state.desks.get(&ask.service);
-            desk.and_then(|d| d.dispatcher.runs_on(ask.ticket).cloned())
-        };
+        let running = self.upstream_of(ask);
         if let Some(upstream) = running {
             let decision = ask::Decision::Grant(ask.ticket, upstream);
             self.send(host, message::Message::Decide(decision));
@@ -638,27 +515,38 @@
         }
         self.ask_own(ask);
         // A decision that is on its way already says as much.
-        let waits = {
-            let state = self.lock();
-            let desk = state.desks.get(&ask.service);
-            desk.is_some_and(|d| d.dispatcher.waits(ask.ticket))
-        };
-        if waits {
+        if self.waits_here(ask) {
             self.send(host, message::Message::Queued(ask.ticket));
         }
     }
 
+    fn upstream_of(&self, ask: &message::Ask) -> Option<name::Upstream> {
+        let state = self.lock();
+        state
+            .desks
+            .dispatcher(&ask.service)?
+            .runs_on(ask.ticket)
+            .cloned()
+    }
+
+    fn waits_here(&self, ask: &message::Ask) -> bool {
+        let state = self.lock();
+        state
+            .desks
+            .dispatcher(&ask.service)
+            .is_some_and(|d| d.waits(ask.ticket))
+    }
+
     fn queued(&self, ticket: ask::Ticket) {
         let waiter = self.lock().entries.get(&ticket).map(|e| e.waiter.clone());
         if let Some(waiter) = waiter {
-            waiter.lock().heard = true;
-            waiter.changed.notify_all();
+            waiter.change(|slot| slot.heard = true);
         }
     }
 
     /// What this host runs of a service under grants that count at the dispatcher `host`.
     fn held(&self, host: &name::Host, service: &name::Service) -> Vec<message::Held> {
-        let own = self.directory.dispatcher(service, self.clock.now());
+        let own = self.directory.dispatcher(service, self.now());
         let mut out = Vec::new();
         for entry in self.lock().entries.values() {
             let counts_at = entry.away.as_ref().unwrap_or(&own);
@@ -678,118 +566,53 @@
 
     /// Tells each dispatcher in brief what this host runs under its grants.
     pub fn tell_holding(&self) {
-        let now = self.clock.now();
-        let mut digests: collections::HashMap<(name::Host, name::Service), message::Digest> =
-            collections::HashMap::new();
+        for ((host, service), digest) in self.holding() {
+            if &host != self.directory.host() {
+                self.send(&host, message::Message::Holding(service, digest));
+            }
+        }
+    }
+
+    fn holding(&self) -> collections::HashMap<(name::Host, name::Service), message::Digest> {
+        let now = self.now();
+        let mut out: collections::HashMap<_, message::Digest> = collections::HashMap::new();
         let mut state = self.lock();
-        for service in state.desks.keys() {
+        for service in state.desks.services() {
             let dispatcher = self.directory.dispatcher(service, now);
-            digests.entry((dispatcher, service.clone())).or_default();
+            out.entry((dispatcher, service.clone())).or_default();
         }
         // A dispatcher that was asked from afar is told of the end too.
         for place in std::mem::take(&mut state.away) {
-            digests.entry(place).or_default();
+            out.entry(place).or_default();
         }
         let mut away = collections::HashSet::new();
         for (ticket, entry) in &state.entries {
             if entry.granted.is_none() {
                 continue;
             }
-            let service = &entry.ask.service;
-            let dispatcher = match &entry.away {
-                Some(host) => host.clone(),
-                None => self.directory.dispatcher(service, now),
-            };
-            let place = (dispatcher, service.clone());
+            let service = entry.ask.service.clone();
+            let own = || self.directory.dispatcher(&service, now);
+            let dispatcher = entry.away.clone().unwrap_or_else(own);
+            let place = (dispatcher, service);
             if entry.away.is_some() {
                 away.insert(place.clone());
             }
-            digests.entry(place).or_default().add(*ticket);
+            out.entry(place).or_default().add(*ticket);
         }
         state.away = away;
-        drop(state);
-        for ((host, service), digest) in digests {
-            if &host != self.directory.host() {
-                self.send(&host, message::Message::Holding(service, digest));
-            }
-        }
-    }
-
-    fn compare(&self, host: &name::Host, service: &name::Service, theirs: message::Digest) {
-        let mut ours = message::Digest::default();
-        let number = number(host);
-        if let Some(desk) = self.lock().desks.get(service) {
-            for ticket in desk.dispatcher.tickets() {
-                if is_from(ticket, number) {
-                    ours.add(ticket);
-                }
-            }
-        }
-        if ours != theirs {
-            self.send(host, message::Message::TellHolding(service.clone()));
-        }
-    }
-
-    fn adopt(&self, host: &name::Host, service: &name::Service, held: &[message::Held]) {
-        let now = self.clock.now();
-        let number = number(host);
-        let known: collections::HashSet<_> = held.iter().map(|h| h.ask.ticket).collect();
-        let mut full = Vec::new();
-        for h in held {
-            if let Some(ask) = self.expand(&h.ask)
-                && is_from(h.ask.ticket, number)
-            {
-                full.push((ask, h.upstream.clone()));
-            }
-        }
-        let mut effects = Effects::default();
-        let mut state = self.lock();
-        if let Some(desk) = state.desks.get_mut(service) {
-            let gone = |t: ask::Ticket| is_from(t, number) && !known.contains(&t);
-            desk.dispatcher
-                .forget_running(gone, SETTLE, now, &mut effects.decisions);
-            for (ask, upstream) in full {
-                desk.dispatcher.adopt(ask, &upstream, now);
-            }
-        }
-        drop(state);
-        self.carry_out(effects);
+        out
     }
 
     /// A host is gone: its waiting and running requests leave the desks.
     pub fn forget(&self, host: &name::Host) {
-        let now = self.clock.now();
         let number = number(host);
-        let mut effects = Effects::default();
-        let mut state = self.lock();
-        for desk in state.desks.values_mut() {
-            desk.dispatcher
-                .forget(|t| is_from(t, number), now, &mut effects.decisions);
-        }
-        drop(state);
-        self.carry_out(effects);
+        let decisions = self.lock().desks.forget(|t| is_from(t, number), self.now());
+        self.carry_out(decisions);
     }
 
     /// The load of the services that this host dispatches.
     pub fn loads(&self) -> Vec<message::Load> {
-        let mut out = Vec::new();
-        for (service, desk) in &mut self.lock().desks {
-            if !desk.whole {
-                continue;
-            }
-            let waiting = desk.dispatcher.waiting() as u32;
-            let (firm, loose) = desk.dispatcher.demand();
-            let pool = desk.dispatcher.pool();
-            let free = pool.slots().saturating_sub(pool.busy());
-            out.push(message::Load {
-                service: service.clone(),
-                free,
-                waiting,
-                firm,
-                loose,
-            });
-        }
-        out
+        self.lock().desks.loads()
     }
 }
 
@@ -802,76 +625,3 @@
     let events = u64::from(ask.limit).min(EXPECTED_EVENTS);
     u64::from(ask.prompt) * BYTES_PER_PROMPT_TOKEN + events * BYTES_PER_EVENT
 }
-
-/// This host's share of each upstream.
-fn part(sites: &[pool::Site], hosts: u32, index: u32) -> Vec<pool::Site> {
-    let mut out = Vec::new();
-    for (n, site) in sites.iter().enumerate() {
-        // Rotated by the upstream's place, so that odd slots spread over the hosts.
-        let slots = share::slots(site.slots, hosts, (index + n as u32) % hosts.max(1));
-        if slots > 0 {
-            out.push(pool::Site {
-                slots,
-                ..site.clone()
-            });
-        }
-    }
-    out
-}
-
-/// A granted slot. Dropped without [`Pass::finish`], it counts as stopped.
-pub struct Pass {
-    gate: sync::Arc<Gate>,
-    ask: message::Ask,
-    waiter: sync::Arc<Waiter>,
-    /// Where the request runs.
-    pub upstream: name::Upstream,
-    started: clock::Millis,
-    ended: bool,
-}
-
-impl Pass {
-    /// Whether the request has to stop for a higher tier.
-    pub fn is_stopped(&self) -> bool {
-        self.waiter.lock().stopped
-    }
-
-    /// When the slot was granted.
-    pub fn started(&self) -> clock::Millis {
-        self.started
-    }
-
-    /// Gives the slot back.
-    pub fn finish(mut self, outcome: ask::Outcome, tokens: u32, first: clock::Millis) {
-        self.end(outcome, tokens, first);
-    }
-
-    fn end(&mut self, outcome: ask::Outcome, tokens: u32, first: clock::Millis) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        let total = self.gate.clock.now().since(self.started);
-        let spent = ask::Spent {
-            outcome,
-            tokens,
-            first,
-            total,
-        };
-        let entry = self.gate.lock().entries.remove(&self.ask.ticket);
-        let source = entry
-            .and_then(|e| e.granted)
-            .map_or(Source::Own, |(_, source)| source);
-        if outcome == ask::Outcome::Whole && source != Source::Own {
-            self.gate.learn(&self.ask, &spent);
-        }
-        self.gate
-            .ended(&self.ask.service, self.ask.ticket, &spent, &source);
-    }
-}
-
-impl Drop for Pass {
-    fn drop(&mut self) {
-        self.end(ask::Outcome::Stopped, 0, clock::Millis::ZERO);
-    }
-}
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -97,7 +97,11 @@
     Ok(context::Context {
         bars: bars::Bars::default(),
         store: sync::Arc::new(store_http::Http::new(settings.store)),
-        gate: sync::Arc::new(gate::Gate::new(clock.clone(), directory.clone())),
+        gate: sync::Arc::new(gate::Gate::new(
+            clock.clone(),
+            directory.clone(),
+            incarnation as u32,
+        )),
         ledger: ledger::Shared::new(usage::Incarnation(name)),
         metrics: metrics::Metrics::new()?,
         upstreams: upstream::Clients::new(times.stall, times.answer),
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -10,7 +10,7 @@
 use platform::hosts;
 use policy::{ask, pool, scale, spill, usage};
 
-use crate::{bars, context, follow, gate, stop};
+use crate::{bars, context, follow, gate, stop, summaries};
 
 /// How often heartbeats go out.
 const BEAT: clock::Millis = clock::Millis(400);
@@ -18,14 +18,8 @@
 const LIST: clock::Millis = clock::Millis(2_000);
 /// Hosts of each data centre that keep connections to other data centres.
 const RELAYS: usize = 2;
-/// One way between data centres of a region.
-const WITHIN_REGION: clock::Millis = clock::Millis(1);
-/// One way between regions.
-const BETWEEN_REGIONS: clock::Millis = clock::Millis(20);
 /// How often a host tells what it dispatches.
 const SUMMARY: clock::Millis = clock::Millis(1_200);
-/// What a host told of its services counts for this long.
-const FRESH: clock::Millis = clock::Millis(4_000);
 /// A host silent for this long is gone: its requests leave the desks.
 const GONE: clock::Millis = clock::Millis(5_000);
 
@@ -37,16 +31,19 @@
     platform: Box<dyn hosts::Hosts>,
     links: sync::OnceLock<link::Links>,
     gone: sync::Mutex<collections::HashMap<name::Host, clock::Millis>>,
-    summaries: sync::Mutex<collections::HashMap<name::Host, Told<message::Summary>>>,
-    retired: sync::Mutex<Option<Told<Vec<name::Upstream>>>>,
+    summaries: summaries::Summaries,
+    retired: sync::Mutex<(Vec<name::Upstream>, clock::Millis)>,
     told: sync::Mutex<usage::Numbers>,
     link: sync::Mutex<spill::Link>,
 }
 
-/// What another host told, and when.
-struct Told<T> {
-    what: T,
-    at: clock::Millis,
+/// Who a message is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Scope {
+    /// The connected hosts of this data centre.
+    Dc,
+    /// All connected hosts.
+    All,
 }
 
 impl Node {
@@ -65,6 +62,7 @@
                 state: hosts::State::Live,
             });
         }
+        let (dc, region) = (context.settings.dc.clone(), context.settings.region.clone());
         let rate = context.settings.limits.link / 1_000;
         let link = spill::Link::new(rate, context.clock.now());
         Self {
@@ -74,7 +72,7 @@
             platform,
             links: sync::OnceLock::new(),
             gone: sync::Mutex::default(),
-            summaries: sync::Mutex::default(),
+            summaries: summaries::Summaries::new(dc, region),
             retired: sync::Mutex::default(),
             told: sync::Mutex::default(),
             link: sync::Mutex::new(link),
@@ -207,31 +205,33 @@
         (index as usize) < RELAYS
     }
 
-    /// Tells all connected hosts what this one has in force.
-    pub fn beat(&self) {
+    fn broadcast(&self, scope: Scope, message: &message::Message) {
         let Some(links) = self.links.get() else {
             return;
         };
-        let beat = message::Beat {
-            revision: self.context.view().revision,
-            leaving: !self.context.phase.is_serving(),
-        };
-        for (host, _) in links.connected() {
-            links.send(&host, message::Message::Beat(beat.clone()));
+        for (host, dc) in links.connected() {
+            if scope == Scope::All || dc == self.context.settings.dc {
+                links.send(&host, message.clone());
+            }
         }
     }
 
+    fn beat_message(&self) -> message::Message {
+        let revision = self.context.view().revision;
+        let leaving = !self.context.phase.is_serving();
+        message::Message::Beat(message::Beat { revision, leaving })
+    }
+
+    /// Tells all connected hosts what this one has in force.
+    pub fn beat(&self) {
+        self.broadcast(Scope::All, &self.beat_message());
+    }
+
     /// Tells all connected hosts which keys are barred.
     fn tell_bars(&self) {
         let barred = self.context.bars.list();
-        let Some(links) = self.links.get() else {
-            return;
-        };
-        if barred.is_empty() {
-            return;
-        }
-        for (host, _) in links.connected() {
-            links.send(&host, message::Message::Barred(barred.clone()));
+        if !barred.is_empty() {
+            self.broadcast(Scope::All, &message::Message::Barred(barred));
         }
     }
 
@@ -254,7 +254,7 @@
                     cheap: u.cheap,
                 });
             }
-            self.context.gate.configure(&service.name, sites);
+            self.context.gate.configure(&service.name, &sites);
         }
     }
 
@@ -273,80 +273,34 @@
         if summary.services.is_empty() {
             return;
         }
-        for (host, _) in links.connected() {
-            links.send(&host, message::Message::Summary(summary.clone()));
-        }
-        self.keep_summary(summary, now);
-    }
-
-    fn keep_summary(&self, summary: message::Summary, now: clock::Millis) {
-        let mut summaries = self
-            .summaries
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        summaries.insert(
-            summary.host.clone(),
-            Told {
-                what: summary,
-                at: now,
-            },
-        );
-        summaries.retain(|_, told| now.since(told.at) < FRESH);
+        self.broadcast(Scope::All, &message::Message::Summary(summary.clone()));
+        self.summaries.keep(summary, now);
     }
 
     /// Slots wanted of a service in this data centre.
     pub fn demand(&self, service: &name::Service) -> scale::Demand {
-        let mut out = scale::Demand::default();
-        let now = self.context.clock.now();
-        let summaries = self
-            .summaries
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        for told in summaries.values() {
-            if told.what.dc != self.context.settings.dc || now.since(told.at) >= FRESH {
-                continue;
-            }
-            for load in &told.what.services {
-                if &load.service == service {
-                    out.firm += f64::from(load.firm);
-                    out.loose += f64::from(load.loose);
-                }
-            }
-        }
-        out
+        self.summaries.demand(service, self.context.clock.now())
     }
 
     /// Tells all hosts of this data centre which upstreams get no new work.
     pub fn retire(&self, upstreams: Vec<name::Upstream>) {
-        if let Some(links) = self.links.get() {
-            for (host, dc) in links.connected() {
-                if dc == self.context.settings.dc {
-                    links.send(&host, message::Message::Retire(upstreams.clone()));
-                }
-            }
-        }
+        self.broadcast(Scope::Dc, &message::Message::Retire(upstreams.clone()));
         self.keep_retired(upstreams);
     }
 
-    fn keep_retired(&self, upstreams: Vec<name::Upstream>) {
-        let at = self.context.clock.now();
-        let mut retired = self
-            .retired
+    fn retired(&self) -> sync::MutexGuard<'_, (Vec<name::Upstream>, clock::Millis)> {
+        self.retired
             .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        *retired = Some(Told {
-            what: upstreams,
-            at,
-        });
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn keep_retired(&self, upstreams: Vec<name::Upstream>) {
+        *self.retired() = (upstreams, self.context.clock.now());
     }
 
     fn is_retired(&self, upstream: &name::Upstream, now: clock::Millis) -> bool {
-        let retired = self
-            .retired
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        let fresh = retired.as_ref().filter(|told| now.since(told.at) < FRESH);
-        fresh.is_some_and(|told| told.what.contains(upstream))
+        let retired = self.retired();
+        now.since(retired.1) < summaries::FRESH && retired.0.contains(upstream)
     }
 
     fn forget_gone(&self, now: clock::Millis) {
@@ -378,9 +332,6 @@
 
     /// Tells the peers which records of this host stand in the store.
     pub fn tell_written(&self) {
-        let Some(links) = self.links.get() else {
-            return;
-        };
         let (incarnation, records) = self.context.ledger.standing();
         let mut told = self
             .told
@@ -391,56 +342,16 @@
         }
         told.clone_from(&records);
         drop(told);
-        for (host, _) in links.connected() {
-            let message = message::Message::Written(incarnation.clone(), records.clone());
-            links.send(&host, message);
-        }
+        self.broadcast(Scope::All, &message::Message::Written(incarnation, records));
     }
 
     /// Keeps a summary; a relay passes one from another data centre on in its own.
     fn on_summary(&self, host: &name::Host, summary: message::Summary) {
-        let own = &self.context.settings.dc;
-        let foreign = &summary.dc != own;
+        let foreign = summary.dc != self.context.settings.dc;
         if foreign && &summary.host == host {
-            self.pass_on(&summary);
+            self.broadcast(Scope::Dc, &message::Message::Summary(summary.clone()));
         }
-        self.keep_summary(summary, self.context.clock.now());
-    }
-
-    fn pass_on(&self, summary: &message::Summary) {
-        let Some(links) = self.links.get() else {
-            return;
-        };
-        for (host, dc) in links.connected() {
-            if dc == self.context.settings.dc {
-                links.send(&host, message::Message::Summary(summary.clone()));
-            }
-        }
-    }
-
-    /// The neighbour that `summary` describes, for one service.
-    fn neighbour(
-        &self,
-        told: &Told<message::Summary>,
-        service: &name::Service,
-    ) -> Option<spill::Neighbour> {
-        let summary = &told.what;
-        if summary.dc == self.context.settings.dc {
-            return None;
-        }
-        let load = summary.services.iter().find(|l| &l.service == service)?;
-        let paid = summary.region != self.context.settings.region;
-        let sent = self
-            .context
-            .gate
-            .away_since(&summary.host, service, told.at);
-        Some(spill::Neighbour {
-            free: load.free.saturating_sub(sent),
-            waiting: load.waiting,
-            distance: if paid { BETWEEN_REGIONS } else { WITHIN_REGION },
-            paid,
-            told: told.at,
-        })
+        self.summaries.keep(summary, self.context.clock.now());
     }
 
     fn on_beat(&self, host: &name::Host, beat: &message::Beat) {
@@ -508,22 +419,16 @@
     ) -> Option<name::Host> {
         let links = self.links.get()?;
         let now = self.context.clock.now();
-        let summaries = self
-            .summaries
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
         let mut best: Option<(bool, u32, name::Host)> = None;
-        for told in summaries.values() {
-            let Some(n) = self.neighbour(told, service) else {
-                continue;
-            };
-            if !spill::wins(&n, wait, slack, now) {
+        for mut e in self.summaries.elsewhere(service) {
+            let sent = self.context.gate.away_since(&e.host, service, e.told);
+            e.state.free = e.state.free.saturating_sub(sent);
+            if !spill::wins(&e.state, wait, slack, now) {
                 continue;
             }
-            let summary = &told.what;
-            links.want(&summary.host, &summary.dc, summary.address);
-            self.context.directory.place(&summary.host, &summary.dc);
-            let rank = (!n.paid, n.free - n.waiting, summary.host.clone());
+            links.want(&e.host, &e.dc, e.address);
+            self.context.directory.place(&e.host, &e.dc);
+            let rank = (!e.state.paid, e.state.free - e.state.waiting, e.host);
             if best.as_ref().is_none_or(|b| rank > *b) {
                 best = Some(rank);
             }
@@ -533,10 +438,8 @@
             .link
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
-        if !free_of_charge && !link.spend(bytes, now) {
-            return None;
-        }
-        Some(host)
+        let granted = free_of_charge || link.spend(bytes, now);
+        granted.then_some(host)
     }
 }
 
@@ -584,11 +487,7 @@
         if let Some((_, dc)) = connected.iter().find(|(name, _)| name == host) {
             self.context.directory.place(host, dc);
         }
-        let beat = message::Beat {
-            revision: self.context.view().revision,
-            leaving: !self.context.phase.is_serving(),
-        };
-        gate::Outbox::send(self, host, message::Message::Beat(beat));
+        gate::Outbox::send(self, host, self.beat_message());
     }
 
     fn closed(&self, host: &name::Host) {
