Keys are trusted while the store answers, however short the trust

Cause: a watch on a quiet store comes back after 20 s, and only its return counted as hearing the store, so a trust_ms under that refused known keys while all was well (new test, failing first: 503 stale_keys after 3 s). A watch now waits a third of the trust at most. The test goes on to the cut: keys refused after the time, as not run, open routes served, keys trusted again with the store.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -179,10 +179,12 @@
 
     fn watch(&self, context: &context::Context, after: u64) -> Result<u64, remote::Error> {
         let prefix = log::log_prefix(&context.settings.environment);
+        // A watch that comes back is what shows that the store is heard.
+        let heard = clock::Millis(context.settings.times.trust.0 / 3);
         let wait = if after == 0 {
             clock::Millis::ZERO
         } else {
-            WATCH
+            WATCH.min(heard)
         };
         let changes = context.store.watch(&prefix, after, wait)?;
         for entry in &changes.entries {
--- a/crates/host/tests/config.rs
+++ b/crates/host/tests/config.rs
@@ -251,3 +251,34 @@
     });
     assert_eq!(chat(&site, 2), 401);
 }
+
+/// A host that hears neither store nor peer goes on with the keys it knows for a time, then
+/// refuses them; open routes go on regardless.
+#[test]
+fn a_host_cut_from_everything_trusts_its_keys_for_a_time_and_serves_open_routes_for_ever() {
+    let mut site = env::Site::new(&["lalitpur"], 1);
+    site.times.push_str("\n  trust_ms: 3000");
+    site.apply(&site.document());
+    let key = site.issue("quotes");
+    site.start_all();
+    let chat = || env::chat(&site.url(0, "/v1/chat/completions"), &key, "x", 2).expect("answer");
+    let open = || {
+        env::call("GET", &site.url(0, "/s/hours/x"), &[], "")
+            .expect("answer")
+            .status
+    };
+    // The store answers: the keys are trusted for longer than that time.
+    for _ in 0..8 {
+        assert_eq!((chat().status, open()), (200, 200));
+        thread::sleep(std::time::Duration::from_millis(500));
+    }
+    site.store.fault(r#"{"down":true}"#);
+    assert_eq!(chat().status, 200);
+    env::until("the keys refused", || chat().reason() == "stale_keys");
+    assert_eq!(
+        (chat().status, chat().run().as_str(), open()),
+        (503, "not_run", 200)
+    );
+    site.store.fault("{}");
+    env::until("the keys trusted again", || chat().status == 200);
+}
