--- a/crates/host/benches/slopes.rs
+++ b/crates/host/benches/slopes.rs
@@ -225,7 +225,7 @@
             answer: 377,
         },
     };
-    let incarnation = usage::Incarnation("host-0399-0123456789abcdef".into());
+    let incarnation = u64::MAX / 3;
     let mut records = usage::Numbers::default();
     (1..1_000).for_each(|n| records.insert(n));
     let entry = log::Entry {
@@ -277,7 +277,7 @@
                 },
             ),
         ),
-        ("copy", message::Message::Copy(incarnation.clone(), record)),
+        ("copy", message::Message::Copy(incarnation, record)),
         ("copied", message::Message::Copied(1_000_000)),
         ("written", message::Message::Written(incarnation, records)),
         ("summary, 1 service", message::Message::Summary(summary)),
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -119,11 +119,11 @@
 
     /// Records usage and waits until it is safe on a peer or in the store.
     pub fn record_usage(&self, account: usage::Account, amount: usage::Amount) {
-        self.ledger.record(account, amount, |incarnation, record| {
+        self.ledger.record(account, amount, |record| {
             let Some(peer) = self.copy_holder() else {
                 return false;
             };
-            let message = message::Message::Copy(incarnation.clone(), record.clone());
+            let message = message::Message::Copy(self.incarnation, record.clone());
             self.gate.send(&peer, message)
         });
     }
--- a/crates/host/src/ledger.rs
+++ b/crates/host/src/ledger.rs
@@ -89,7 +89,7 @@
         &self,
         account: usage::Account,
         amount: usage::Amount,
-        copy: impl FnOnce(&usage::Incarnation, &usage::Record) -> bool,
+        copy: impl FnOnce(&usage::Record) -> bool,
     ) {
         let mut state = self.lock();
         let number = state.next;
@@ -100,9 +100,8 @@
             amount,
         };
         state.own.add(record.clone());
-        let incarnation = state.own.incarnation().clone();
         drop(state);
-        if copy(&incarnation, &record) && self.wait_safe(number, COPY) {
+        if copy(&record) && self.wait_safe(number, COPY) {
             return;
         }
         self.lock().wanted = true;
@@ -178,10 +177,9 @@
         false
     }
 
-    /// This incarnation, and all its records that stand in the store.
-    pub fn standing(&self) -> (usage::Incarnation, usage::Numbers) {
-        let state = self.lock();
-        (state.own.incarnation().clone(), state.own.records().clone())
+    /// The records of this host that stand in the store.
+    pub fn standing(&self) -> usage::Numbers {
+        self.lock().own.records().clone()
     }
 
     /// Keeps a copy of a record of another host.
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -90,7 +90,7 @@
 fn context(settings: settings::Settings) -> eyre::Result<context::Context> {
     let clock = clock::Clock::System;
     let incarnation: u64 = rand::random();
-    let name = format!("{}-{incarnation:016x}", settings.host);
+    let start = usage::Incarnation::new(&settings.host, incarnation);
     let directory = directory::Directory::new(settings.host.clone(), settings.dc.clone());
     let directory = sync::Arc::new(directory);
     let times = settings.times;
@@ -102,7 +102,7 @@
             directory.clone(),
             incarnation as u32,
         )),
-        ledger: ledger::Shared::new(usage::Incarnation(name)),
+        ledger: ledger::Shared::new(start),
         metrics: metrics::Metrics::new()?,
         upstreams: upstream::Clients::new(times.stall, times.answer),
         directory,
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -332,7 +332,7 @@
 
     /// Tells the peers which records of this host stand in the store.
     pub fn tell_written(&self) {
-        let (incarnation, records) = self.context.ledger.standing();
+        let records = self.context.ledger.standing();
         let mut told = self
             .told
             .lock()
@@ -342,7 +342,10 @@
         }
         told.clone_from(&records);
         drop(told);
-        self.broadcast(Scope::All, &message::Message::Written(incarnation, records));
+        self.broadcast(
+            Scope::All,
+            &message::Message::Written(self.context.incarnation, records),
+        );
     }
 
     /// Keeps a summary; a relay passes one from another data centre on in its own.
@@ -460,12 +463,14 @@
             message::Message::Segment(segment) => self.follower.segment(&self.context, segment),
             message::Message::Copy(incarnation, record) => {
                 let number = record.number;
-                self.context.ledger.keep(host, incarnation, record);
+                let start = usage::Incarnation::new(host, incarnation);
+                self.context.ledger.keep(host, start, record);
                 gate::Outbox::send(self, host, message::Message::Copied(number));
             }
             message::Message::Copied(number) => self.context.ledger.copied(number),
             message::Message::Written(incarnation, records) => {
-                self.context.ledger.drop_copies(&incarnation, &records);
+                let start = usage::Incarnation::new(host, incarnation);
+                self.context.ledger.drop_copies(&start, &records);
             }
             message::Message::Summary(summary) => self.on_summary(host, summary),
             message::Message::Barred(digests) => {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -37,12 +37,13 @@
     Entries(Vec<log::Entry>),
     /// One part of a whole configuration.
     Segment(Segment),
-    /// A copy of a usage record, to be written if its host dies.
-    Copy(usage::Incarnation, usage::Record),
+    /// A copy of a usage record of the start that drew this number, to be written if the host
+    /// dies.
+    Copy(u64, usage::Record),
     /// The copy is kept.
     Copied(u64),
-    /// These records stand in the store: they need no copies.
-    Written(usage::Incarnation, usage::Numbers),
+    /// These records of a start stand in the store: they need no copies.
+    Written(u64, usage::Numbers),
     /// Free and waiting slots of the services that a host dispatches.
     Summary(Summary),
     /// Keys that an operator barred at a host, by their digests in hexadecimal.
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -28,11 +28,12 @@
         },
     );
     let copied = any::<u64>().prop_map(message::Message::Copied);
-    let written = (name, proptest::collection::vec(0u64..1_000, 0..50)).prop_map(|(host, all)| {
-        let mut numbers = usage::Numbers::default();
-        all.into_iter().for_each(|n| numbers.insert(n));
-        message::Message::Written(usage::Incarnation(host), numbers)
-    });
+    let written =
+        (any::<u64>(), proptest::collection::vec(0u64..1_000, 0..50)).prop_map(|(start, all)| {
+            let mut numbers = usage::Numbers::default();
+            all.into_iter().for_each(|n| numbers.insert(n));
+            message::Message::Written(start, numbers)
+        });
     prop_oneof![beat, ask, copied, written]
 }
 
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -139,6 +139,13 @@
 #[serde(transparent)]
 pub struct Incarnation(pub String);
 
+impl Incarnation {
+    /// The start of `host` that drew `number`.
+    pub fn new(host: &name::Host, number: u64) -> Self {
+        Self(format!("{host}-{number:016x}"))
+    }
+}
+
 /// Records added to a book together.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
