A host is ready when it has the whole configuration, not its first entry

Cause: ready was set by the first change in force, while later log entries, here the key's, were still being read. New test with a slow store, failing first (401 right after /readyz). Ruled out: the key's issue, which stood before the host started. Now ready is set after the log's end was read, or when a peer that is itself ready tells no more; a host that still reads tells its peers no revision.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -67,7 +67,7 @@
     pub upstreams: upstream::Clients,
     /// How far this host is in its life.
     pub phase: Phase,
-    /// Whether a configuration is in force.
+    /// Whether a configuration is in force, whole.
     pub ready: atomic::AtomicBool,
     /// When the store or a peer was last heard, in milliseconds of `clock`.
     pub heard: atomic::AtomicU64,
@@ -78,7 +78,12 @@
 }
 
 impl Context {
-    /// Whether a configuration is in force.
+    /// All that a store or a peer had to tell is in force.
+    pub fn set_ready(&self) {
+        self.ready.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Whether a configuration is in force, whole.
     pub fn is_ready(&self) -> bool {
         self.ready.load(atomic::Ordering::SeqCst)
     }
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -161,9 +161,12 @@
                 stop.wait(PAUSE.duration());
                 continue;
             }
-            let read = self
-                .catch_up(context)
-                .and_then(|()| self.watch(context, after));
+            let read = self.catch_up(context).and_then(|()| {
+                if context.view().revision > 0 {
+                    context.set_ready();
+                }
+                self.watch(context, after)
+            });
             match read {
                 Ok(revision) => {
                     context.hear();
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::collections;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use base::{clock, name};
@@ -217,7 +216,13 @@
     }
 
     fn beat_message(&self) -> message::Message {
-        let revision = self.context.view().revision;
+        // A host that is still reading knows only a part.
+        let ready = self.context.is_ready();
+        let revision = if ready {
+            self.context.view().revision
+        } else {
+            0
+        };
         let leaving = !self.context.phase.is_serving();
         message::Message::Beat(message::Beat { revision, leaving })
     }
@@ -364,6 +369,9 @@
             .beat(host, beat.revision, beat.leaving, now);
         self.context.hear();
         let own = self.context.view().revision;
+        if own > 0 && own >= beat.revision {
+            self.context.set_ready();
+        }
         if beat.revision > own {
             gate::Outbox::send(self, host, message::Message::WantConfig(own + 1));
         }
@@ -373,7 +381,6 @@
 impl follow::Listener for Node {
     fn changed(&self) {
         self.configure_desks();
-        self.context.ready.store(true, atomic::Ordering::SeqCst);
         self.beat();
     }
 }
--- a/crates/host/tests/config.rs
+++ b/crates/host/tests/config.rs
@@ -282,3 +282,15 @@
     site.store.fault("{}");
     env::until("the keys trusted again", || chat().status == 200);
 }
+
+/// A host is ready only when it has all that was accepted before it started, not a part of it.
+#[test]
+fn a_ready_host_knows_all_that_was_accepted_before_it_started() {
+    let mut site = env::Site::new(&["lalitpur"], 1);
+    site.apply(&site.document());
+    let key = site.issue("quotes");
+    site.store.fault(r#"{"slow_ms":150}"#);
+    site.start(0);
+    let answer = env::chat(&site.url(0, "/v1/chat/completions"), &key, "x", 2).expect("answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
