What is turned away counts as demand: a stopped service starts when somebody asks

Cause, found by reading the agent: demand was what waits and runs, so where all upstreams are stopped every request is refused at once, nothing waits, and nothing is ever started. New test, failing first (for ever no_upstream). Requests refused at arrival now count for three seconds, and the refusal says when to come back. Ruled out: holding such requests until an upstream runs; their targets are mostly shorter than a start, and a batch class can come back.

--- a/crates/host/src/desks.rs
+++ b/crates/host/src/desks.rs
@@ -193,7 +193,7 @@
     }
 
     /// The load of the services that this host dispatches.
-    pub fn loads(&mut self) -> Vec<message::Load> {
+    pub fn loads(&mut self, now: clock::Millis) -> Vec<message::Load> {
         let mut out = Vec::new();
         for (service, desk) in &mut self.0 {
             if !desk.whole {
@@ -201,7 +201,7 @@
             }
             let service = service.clone();
             let waiting = desk.dispatcher.waiting() as u32;
-            let (firm, loose) = desk.dispatcher.demand();
+            let (firm, loose) = desk.dispatcher.demand(now);
             let pool = desk.dispatcher.pool();
             let free = pool.slots().saturating_sub(pool.busy());
             out.push(message::Load {
--- a/crates/host/src/gate.rs
+++ b/crates/host/src/gate.rs
@@ -612,7 +612,7 @@
 
     /// The load of the services that this host dispatches.
     pub fn loads(&self) -> Vec<message::Load> {
-        self.lock().desks.loads()
+        self.lock().desks.loads(self.now())
     }
 }
 
--- a/crates/host/tests/orders.rs
+++ b/crates/host/tests/orders.rs
@@ -117,3 +117,25 @@
         site.log(holder)
     );
 }
+
+/// A service whose upstreams are all stopped starts one when somebody asks for it.
+#[test]
+fn what_is_refused_for_want_of_an_upstream_starts_one() {
+    let mut site = env::Site::new(&["lalitpur"], 1);
+    let document = site.document();
+    site.apply(&document.replace("slots: 8}", "slots: 8, price: 100, ordered: true}"));
+    let key = site.issue("quotes");
+    site.start_all();
+    let url = site.url(0, "/v1/chat/completions");
+    let first = env::chat(&url, &key, "anybody there", 3).expect("refusal");
+    assert_eq!(
+        (first.status, first.reason().as_str()),
+        (503, "no_upstream")
+    );
+    assert_eq!(first.run(), "not_run");
+    assert!(first.retry_after.is_some());
+    env::until("an answer", || {
+        thread::sleep(time::Duration::from_millis(300));
+        env::chat(&url, &key, "anybody there", 3).is_ok_and(|a| a.is_whole())
+    });
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -28,6 +28,10 @@
 const DOUBT: f64 = 1.5;
 /// Prompt tokens that count as one generated token in a charge.
 const PROMPT_PER_TOKEN: u32 = 8;
+/// What was turned away counts as demand for this long.
+const REMEMBERED: clock::Millis = clock::Millis(3_000);
+/// When to come back where no upstream runs: one may be started meanwhile.
+const START_TIME: clock::Millis = clock::Millis(5_000);
 /// The most requests that may wait for one service.
 const MAX_WAITING: usize = 20_000;
 
@@ -75,6 +79,7 @@
     lengths: length::Lengths,
     running: collections::HashMap<ask::Ticket, Running>,
     classes: collections::BTreeMap<name::Class, Class>,
+    turned_away: collections::VecDeque<(clock::Millis, bool)>,
     total_ms: f64,
     first_ms: f64,
     counts: Counts,
@@ -134,27 +139,39 @@
         self.running.len()
     }
 
-    /// Slots wanted by running and waiting work: by work that must not be evicted, and by work
-    /// that may.
-    pub fn demand(&self) -> (u32, u32) {
+    /// Slots wanted by running and waiting work, and by what was turned away lately: by work that
+    /// must not be evicted, and by work that may.
+    pub fn demand(&self, now: clock::Millis) -> (u32, u32) {
         let mut firm = 0;
         let mut loose = 0;
+        let mut count = |is_loose: bool| if is_loose { loose += 1 } else { firm += 1 };
         let running = self.running.values().map(|r| &r.ask);
         for ask in running.chain(self.queue.iter().map(|w| &w.ask)) {
-            if ask.terms.evictable && ask.resumable {
-                loose += 1;
-            } else {
-                firm += 1;
+            count(is_loose(ask));
+        }
+        for (at, is_loose) in &self.turned_away {
+            if now.since(*at) < REMEMBERED {
+                count(*is_loose);
             }
         }
         (firm, loose)
     }
 
+    /// Notes a request refused for want of room.
+    fn turn_away(&mut self, ask: &ask::Ask, now: clock::Millis) {
+        let old = |(at, _): &(clock::Millis, bool)| now.since(*at) >= REMEMBERED;
+        while self.turned_away.front().is_some_and(old) || self.turned_away.len() >= MAX_WAITING {
+            self.turned_away.pop_front();
+        }
+        self.turned_away.push_back((now, is_loose(ask)));
+    }
+
     /// A request arrives, or comes back with tokens it holds.
     pub fn ask(&mut self, ask: ask::Ask, now: clock::Millis, out: &mut Vec<ask::Decision>) {
         self.note_class(&ask, now);
         if let Some(refusal) = self.refuse_early(&ask, now) {
             self.counts.refused_early += 1;
+            self.turn_away(&ask, now);
             out.push(ask::Decision::Refuse(ask.ticket, refusal));
             return;
         }
@@ -306,7 +323,8 @@
 
     fn refuse_early(&self, ask: &ask::Ask, now: clock::Millis) -> Option<refusal::Refusal> {
         if !self.pool.suits(ask) {
-            return Some(refusal::Refusal::not_run(refusal::Reason::NoUpstream));
+            let refusal = refusal::Refusal::not_run(refusal::Reason::NoUpstream);
+            return Some(refusal.retry(START_TIME));
         }
         if ask.held > 0 {
             return None;
@@ -574,6 +592,11 @@
     }
 }
 
+/// Whether a request may run where an eviction can come.
+fn is_loose(ask: &ask::Ask) -> bool {
+    ask.terms.evictable && ask.resumable
+}
+
 fn mean(value: &mut f64, sample: clock::Millis) {
     let x = sample.0 as f64;
     *value = if *value == 0.0 {
