Hosts that leave the watch to others look at the store each 5 s

Cause, found by reading: only the first two live hosts of a data centre watch the store. Cut from it but heard by their peers, they kept the others from looking, and no change came to the data centre. Weighed: telling in each heartbeat when the store was last heard (its absence is ambiguous while a watch waits) and a third watcher (the same fault, rarer).

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -12,6 +12,8 @@
 
 /// How long one watch waits.
 const WATCH: clock::Millis = clock::Millis(20_000);
+/// How often a host looks at the store that leaves the watch to others.
+const LOOK: clock::Millis = clock::Millis(5_000);
 /// Pause after a failed call.
 const PAUSE: clock::Millis = clock::Millis(300);
 /// Entries sent to a peer at a time.
@@ -157,17 +159,7 @@
     ) {
         let mut after = 0;
         while !stop.is_set() {
-            if context.view().revision > 0 && !should_watch() {
-                stop.wait(PAUSE.duration());
-                continue;
-            }
-            let read = self.catch_up(context).and_then(|()| {
-                if context.view().revision > 0 {
-                    context.set_ready();
-                }
-                self.watch(context, after)
-            });
-            match read {
+            match self.read(context, after, should_watch()) {
                 Ok(revision) => {
                     context.hear();
                     after = revision;
@@ -177,6 +169,28 @@
                     stop.wait(PAUSE.duration());
                 }
             }
+            // The watching hosts may be cut from the store while this one is not.
+            if !should_watch() {
+                stop.wait(LOOK.duration());
+            }
+        }
+    }
+
+    /// Reads what is new, and watches for more; the revision of the store to watch after.
+    fn read(
+        &self,
+        context: &context::Context,
+        after: u64,
+        watch: bool,
+    ) -> Result<u64, remote::Error> {
+        self.catch_up(context)?;
+        if context.view().revision > 0 {
+            context.set_ready();
+        }
+        if watch {
+            self.watch(context, after)
+        } else {
+            Ok(after)
         }
     }
 
--- a/crates/host/tests/config.rs
+++ b/crates/host/tests/config.rs
@@ -294,3 +294,31 @@
     let answer = env::chat(&site.url(0, "/v1/chat/completions"), &key, "x", 2).expect("answer");
     assert_eq!(answer.status, 200, "{answer:?}");
 }
+
+/// The two hosts that watch for their data centre are cut from the store: the third still finds
+/// changes and tells them.
+#[test]
+fn changes_come_through_though_both_watching_hosts_are_cut_from_the_store() {
+    let mut site = env::Site::new(&["lalitpur", "lalitpur", "lalitpur"], 1);
+    site.apply(&site.document());
+    let nowhere = env::free_port().to_string();
+    for n in 0..2 {
+        let file = site.settings(n);
+        let text = fs::read_to_string(&file).expect("settings");
+        fs::write(
+            &file,
+            text.replace(&site.store.address.to_string(), &nowhere),
+        )
+        .expect("settings");
+        site.spawn_as_written(n);
+    }
+    site.start(2);
+    site.wait_ready(0);
+    site.wait_ready(1);
+    // The third host hears the others and leaves the watch to them.
+    thread::sleep(std::time::Duration::from_secs(2));
+    site.apply(&with_class(&site, "extra"));
+    for n in 0..3 {
+        env::until("the class in force", || knows_class(&site, n, "extra"));
+    }
+}
