--- a/crates/host/src/directory.rs
+++ b/crates/host/src/directory.rs
@@ -77,9 +77,18 @@
         }
     }
 
-    /// Forgets a host that the list no longer names and that is not heard.
-    pub fn forget(&self, host: &name::Host) {
-        self.lock().remove(host);
+    /// Forgets the hosts that the list no longer names and that are not heard; gives their names.
+    pub fn forget_unlisted(&self, listed: &[name::Host], now: clock::Millis) -> Vec<name::Host> {
+        let mut out = Vec::new();
+        self.lock().retain(|host, m| {
+            let heard = m.up && now.since(m.heard) <= SILENT;
+            let keep = heard || listed.contains(host);
+            if !keep {
+                out.push(host.clone());
+            }
+            keep
+        });
+        out
     }
 
     /// The hosts of this data centre that are heard and not leaving, this one included, in order.
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -153,7 +153,15 @@
             self.list().upstreams = list.upstreams;
             return;
         }
+        let listed: Vec<_> = list.hosts.iter().map(|h| h.name.clone()).collect();
         *self.list() = list;
+        let now = self.context.clock.now();
+        for host in self.context.directory.forget_unlisted(&listed, now) {
+            tracing::info!(event = "host_unlisted", host = %host);
+            if let Some(links) = self.links.get() {
+                links.forget(&host);
+            }
+        }
     }
 
     /// Hosts to be connected with: all of this data centre; between data centres only relays. Of
