An ended answer is not continued; one that trickles moves once

The end told by the engine now counts; an end mark without it still does not.

The class's gap_ms was checked and shown, but nothing acted on it. Counted as a retry for the reason "slow".

--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -33,6 +33,10 @@
     Again(metrics::Retry, upstream::Error),
 }
 
+/// Tokens after which an answer's pace is judged.
+const PACED_TOKENS: u32 = 16;
+/// An answer this many times slower than its class's target moves to another upstream.
+const TRICKLE: u64 = 4;
 /// Failed attempts after which an answer is given up.
 const MAX_FAILED: u32 = 6;
 
@@ -50,6 +54,8 @@
     finish: Option<String>,
     fixed: bool,
     failed: u32,
+    moved: bool,
+    paced: clock::Millis,
     arrived: clock::Millis,
     first: Option<clock::Millis>,
     last: clock::Millis,
@@ -85,6 +91,8 @@
         finish: None,
         fixed: false,
         failed: 0,
+        moved: false,
+        paced: arrived,
         arrived,
         first: None,
         last: arrived,
@@ -241,6 +249,8 @@
                 Ok(upstream::Event::Done) => {
                     return Attempt::Again(metrics::Retry::Broken, upstream::Error::Broken);
                 }
+                // Only the end mark is missing.
+                Err(_) if self.finish.is_some() => return Attempt::Whole,
                 Err(e) => return Attempt::Again(metrics::Retry::Broken, e),
             };
             self.count(&chunk, before);
@@ -250,7 +260,32 @@
             if self.tokens.is_multiple_of(CHECK_EVERY) && !self.caller.still_known(self.context) {
                 return Attempt::Withdrawn;
             }
+            if self.trickles(before) && self.may_move() {
+                return Attempt::Again(metrics::Retry::Slow, upstream::Error::Broken);
+            }
+        }
+    }
+
+    /// Whether this attempt's tokens come far slower than the class wants.
+    fn trickles(&mut self, before: u32) -> bool {
+        let made = self.tokens - before;
+        if made == 1 {
+            self.paced = self.last;
         }
+        let gap = self.caller.class.gap.0;
+        let judged = gap > 0 && made > PACED_TOKENS && self.finish.is_none();
+        judged && self.last.since(self.paced).0 > gap * u64::from(made - 1) * TRICKLE
+    }
+
+    /// An answer moves for its pace once, and only if it can go on elsewhere.
+    fn may_move(&mut self) -> bool {
+        let upstreams = self.service.upstreams.iter();
+        let here = upstreams
+            .filter(|u| &u.dc == self.context.gate.dc())
+            .count();
+        let may = !self.moved && !self.fixed && self.service.idempotent && here > 1;
+        self.moved |= may;
+        may
     }
 
     fn count(&mut self, chunk: &chunk::Chunk, before: u32) {
@@ -447,7 +482,7 @@
 
 fn outcome(reason: metrics::Retry) -> ask::Outcome {
     match reason {
-        metrics::Retry::Preempted => ask::Outcome::Stopped,
+        metrics::Retry::Preempted | metrics::Retry::Slow => ask::Outcome::Stopped,
         metrics::Retry::Refused => ask::Outcome::Refused,
         metrics::Retry::Connect | metrics::Retry::Broken => ask::Outcome::Failed,
     }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -15,12 +15,20 @@
     Refused,
     /// The answer broke off, stalled or was not readable.
     Broken,
+    /// The answer came far too slowly.
+    Slow,
     /// It was stopped for a higher tier.
     Preempted,
 }
 
 impl Retry {
-    const ALL: [Self; 4] = [Self::Connect, Self::Refused, Self::Broken, Self::Preempted];
+    const ALL: [Self; 5] = [
+        Self::Connect,
+        Self::Refused,
+        Self::Broken,
+        Self::Slow,
+        Self::Preempted,
+    ];
 
     /// The counter's label.
     pub const fn as_str(self) -> &'static str {
@@ -28,6 +36,7 @@
             Self::Connect => "connect",
             Self::Refused => "refused",
             Self::Broken => "broken",
+            Self::Slow => "slow",
             Self::Preempted => "preempted",
         }
     }
--- a/crates/host/src/retry.rs
+++ b/crates/host/src/retry.rs
@@ -42,7 +42,7 @@
         match self.reason {
             metrics::Retry::Preempted => true,
             metrics::Retry::Connect | metrics::Retry::Refused => budget.spend(),
-            metrics::Retry::Broken => self.repeatable && budget.spend(),
+            metrics::Retry::Broken | metrics::Retry::Slow => self.repeatable && budget.spend(),
         }
     }
 }
--- a/crates/host/tests/faults.rs
+++ b/crates/host/tests/faults.rs
@@ -32,6 +32,10 @@
         "it ends without the end mark",
         r#"{"mode":"no_end","after":9,"count":1}"#,
     ),
+    (
+        "it cuts after the answer, before the end mark",
+        r#"{"mode":"cut_end","count":1}"#,
+    ),
     ("it stalls", r#"{"mode":"stall","after":5,"count":1}"#),
     (
         "it sends garbage",
@@ -247,10 +251,56 @@
         .lines()
         .find(|l| l.starts_with("refusals_total{reason=\"bad_key\""));
     assert!(bad_key.is_some_and(|l| l.ends_with(" 1")), "{bad_key:?}");
-    for reason in ["connect", "refused", "broken", "preempted"] {
+    for reason in ["connect", "refused", "broken", "slow", "preempted"] {
         assert!(
             text.contains(&format!("retries_total{{reason=\"{reason}\"")),
             "{reason}"
         );
     }
 }
+
+/// The engine says that the answer has ended, and the connection breaks before the end mark: the
+/// answer is whole and is not continued.
+#[test]
+fn an_answer_that_has_ended_is_not_continued() {
+    let (site, key) = site();
+    for engine in &site.engines {
+        engine.fault(r#"{"mode":"cut_end","count":1}"#);
+    }
+    let url = site.url(0, "/v1/chat/completions");
+    let bearer = format!("Bearer {key}");
+    // Without a limit of its own a continued answer would grow.
+    let body =
+        r#"{"model":"drafter-7b","stream":true,"messages":[{"role":"user","content":"short"}]}"#;
+    let headers = [("Authorization", bearer.as_str())];
+    let answer = env::call("POST", &url, &headers, body).expect("answer");
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.text(), engine::answer("short", 16));
+}
+
+/// An engine that trickles far over the class's target is left for another, once.
+#[test]
+fn an_answer_that_trickles_moves_to_a_faster_engine() {
+    let mut site = env::Site::new(&["lalitpur"], 2);
+    site.apply(
+        &site
+            .document()
+            .replace("first_ms: 10000", "first_ms: 10000, gap_ms: 3"),
+    );
+    let key = site.issue("quotes");
+    site.start_all();
+    let url = site.url(0, "/v1/chat/completions");
+    for engine in &site.engines {
+        engine.fault(r#"{"mode":"slow","count":1}"#);
+    }
+    let answer = env::chat(&url, &key, "a slow one", 200).expect("answer");
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.text(), engine::answer("a slow one", 200));
+    let text = env::call("GET", &site.url(0, "/metrics"), &[], "")
+        .expect("metrics")
+        .body;
+    let slow = text
+        .lines()
+        .find(|l| l.starts_with("retries_total{reason=\"slow\""));
+    assert!(slow.is_some_and(|l| l.ends_with(" 1")), "{slow:?}");
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -28,6 +28,8 @@
     Cut,
     /// It ends the answer after some tokens, without the end mark.
     NoEnd,
+    /// It closes the connection after the whole answer, before the end mark.
+    CutEnd,
     /// It stops sending after some tokens and keeps the connection.
     Stall,
     /// It sends bytes that are not events after some tokens.
@@ -347,6 +349,10 @@
             self.pause(&run, self.settings.gap_ms);
         }
         serve::chunk(&mut out, closing(&run).as_bytes())?;
+        if run.fault.mode == Mode::CutEnd {
+            serve::cut(peer);
+            return Ok(false);
+        }
         serve::chunk(&mut out, b"data: [DONE]\n\n")?;
         serve::chunk(&mut out, b"")?;
         Ok(true)
@@ -372,7 +378,7 @@
                 run.id = "somebody-else".to_owned();
                 Ok(true)
             }
-            Mode::None | Mode::Refuse | Mode::Slow => Ok(true),
+            Mode::None | Mode::Refuse | Mode::Slow | Mode::CutEnd => Ok(true),
         }
     }
 }
