A refusal says "not run" only if no try may have run it

Cause, found by reading: the refusal took its word from the last try alone. A request that one engine had begun (connection cut before the first token) and that no other could be reached for was told as not run; so was a plain call whose answer was lost at one upstream with the next one down, and one whose upstream had answered 502 to 504. New test, failing first (not_run where the engine had started). Now what any try may have run is kept with the request, and a plain upstream's own failure is passed on when nobody is left. Ruled out: the claims of calls under idempotency keys; they are sent once, and only a refused connection is tried elsewhere.

--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -54,6 +54,8 @@
     finish: Option<String>,
     fixed: bool,
     failed: u32,
+    /// Whether an upstream may have run some of it.
+    reached: bool,
     moved: bool,
     paced: clock::Millis,
     arrived: clock::Millis,
@@ -91,6 +93,7 @@
         finish: None,
         fixed: false,
         failed: 0,
+        reached: false,
         moved: false,
         paced: arrived,
         arrived,
@@ -201,13 +204,14 @@
             repeatable: self.service.idempotent && !self.fixed,
         };
         tracing::info!(event = "attempt_ended", request = %self.id, upstream = %failed, reason = reason.as_str());
+        self.reached |= retry::may_have_run(error);
         if let upstream::Error::Rejected(_) = error {
             self.give_up(&chat_request::bad());
             return false;
         }
         self.failed += u32::from(reason != metrics::Retry::Preempted);
         if self.failed > MAX_FAILED || !retry.is_allowed(self.context.upstreams.budget()) {
-            self.give_up(&retry::refusal(error, self.tokens > 0));
+            self.give_up(&retry::refusal(error));
             return false;
         }
         self.context.metrics.retried(reason);
@@ -233,7 +237,7 @@
             .body(self.caller.class.tier, &self.held, self.tokens);
         let mut events = match self.context.upstreams.stream(upstream, &send, &body) {
             Ok(events) => events,
-            Err(e) => return Attempt::Again(reason(e), e),
+            Err(e) => return Attempt::Again(retry::reason(e), e),
         };
         let before = self.tokens;
         loop {
@@ -435,8 +439,7 @@
     fn give_up(&mut self, refusal: &refusal::Refusal) {
         match self.sink.take() {
             Some(Sink::Waiting(reply) | Sink::Gathering(reply)) => {
-                let started = self.tokens > 0;
-                let run = if started {
+                let run = if self.reached {
                     refusal::Run::Unknown
                 } else {
                     refusal.run
@@ -472,14 +475,6 @@
     }
 }
 
-fn reason(e: upstream::Error) -> metrics::Retry {
-    match e {
-        upstream::Error::NotSent => metrics::Retry::Connect,
-        upstream::Error::Refused | upstream::Error::Rejected(_) => metrics::Retry::Refused,
-        upstream::Error::Broken | upstream::Error::Timeout => metrics::Retry::Broken,
-    }
-}
-
 fn outcome(reason: metrics::Retry) -> ask::Outcome {
     match reason {
         metrics::Retry::Preempted | metrics::Retry::Slow => ask::Outcome::Stopped,
--- a/crates/host/src/plain.rs
+++ b/crates/host/src/plain.rs
@@ -5,7 +5,7 @@
 use peer::message;
 use policy::{ask, usage};
 
-use crate::{body, caller, context, metrics, once, reply, retry, upstream};
+use crate::{body, caller, context, once, reply, retry, upstream};
 
 /// Headers of callers that are passed on. Anything else stays here, so that no key passes.
 const PASSED: [&str; 8] = [
@@ -140,6 +140,37 @@
     }
 }
 
+/// What the tries of one call have shown so far.
+struct Tries {
+    arrived: clock::Millis,
+    avoid: Vec<name::Upstream>,
+    /// Whether one of them may have run it.
+    reached: bool,
+    /// An upstream's own answer that it failed.
+    failed: Option<upstream::Answer>,
+}
+
+impl Tries {
+    fn new(arrived: clock::Millis) -> Self {
+        Self {
+            arrived,
+            avoid: Vec::new(),
+            reached: false,
+            failed: None,
+        }
+    }
+
+    /// The refusal as it may be told after these tries.
+    fn honest(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let run = if self.reached {
+            refusal::Run::Unknown
+        } else {
+            refusal.run
+        };
+        refusal::Refusal { run, ..refusal }
+    }
+}
+
 /// One call under way.
 struct Run<'a> {
     context: &'a context::Context,
@@ -167,9 +198,15 @@
         }
     }
 
-    /// A call that may run more than once: tried elsewhere under the retry budget.
+    /// A call that may run more than once: tried elsewhere under the retry budget. If nobody is
+    /// left to try, an upstream's own failure is passed on.
     fn repeatable(&self) -> Result<upstream::Answer, refusal::Refusal> {
-        self.attempts(true, &mut || Ok(()))
+        let mut tries = Tries::new(self.context.clock.now());
+        let result = self.attempts(&mut tries, true, &mut || Ok(()));
+        match (result, tries.failed) {
+            (Err(_), Some(answer)) => Ok(answer),
+            (result, _) => result,
+        }
     }
 
     /// A call that runs at most once: tried elsewhere only if no byte of it was sent. `before`
@@ -178,42 +215,33 @@
         &self,
         before: &mut dyn FnMut() -> Result<(), refusal::Refusal>,
     ) -> Result<upstream::Answer, refusal::Refusal> {
-        self.attempts(false, before)
+        let mut tries = Tries::new(self.context.clock.now());
+        self.attempts(&mut tries, false, before)
     }
 
     fn attempts(
         &self,
+        tries: &mut Tries,
         repeatable: bool,
         before: &mut dyn FnMut() -> Result<(), refusal::Refusal>,
     ) -> Result<upstream::Answer, refusal::Refusal> {
-        let mut avoid = Vec::new();
-        let arrived = self.context.clock.now();
         let mut claimed = false;
         loop {
-            let pass = self.context.gate.enter(self.ask(&avoid, arrived))?;
-            let upstream = self
-                .service
-                .upstreams
-                .iter()
-                .find(|u| u.name == pass.upstream);
-            let Some(upstream) = upstream else {
-                avoid.push(pass.upstream.clone());
+            let asked = self
+                .context
+                .gate
+                .enter(self.ask(&tries.avoid, tries.arrived));
+            let pass = asked.map_err(|refusal| tries.honest(refusal))?;
+            let all = &self.service.upstreams;
+            let Some(upstream) = all.iter().find(|u| u.name == pass.upstream) else {
+                tries.avoid.push(pass.upstream.clone());
                 continue;
             };
             if !claimed {
                 before()?;
                 claimed = true;
             }
-            let send = self.context.request_id();
-            let call = self.call;
-            let plain = upstream::Plain {
-                method: &call.method,
-                path: &call.path,
-                headers: &call.headers,
-                id: &send,
-                body: &call.body,
-            };
-            let result = self.context.upstreams.plain(upstream, &plain, MAX_ANSWER);
+            let result = self.send(upstream);
             let first = self.context.clock.now().since(pass.started());
             let error = match result {
                 Ok(answer) if !(repeatable && matches!(answer.status, 502..=504)) => {
@@ -221,32 +249,58 @@
                     self.end();
                     return Ok(answer);
                 }
-                Ok(_) => upstream::Error::Refused,
+                Ok(answer) => {
+                    tries.failed = Some(answer);
+                    upstream::Error::Broken
+                }
                 Err(e) => e,
             };
             pass.finish(ask::Outcome::Failed, 0, first);
-            let reason = match error {
-                upstream::Error::NotSent => metrics::Retry::Connect,
-                upstream::Error::Refused => metrics::Retry::Refused,
-                _ => metrics::Retry::Broken,
-            };
-            let upstream = upstream.name.as_str();
-            tracing::info!(
-                event = "attempt_ended",
-                request = self.id,
-                upstream,
-                reason = reason.as_str()
-            );
-            let retry = retry::Retry { reason, repeatable };
-            if !retry.is_allowed(self.context.upstreams.budget()) {
-                return Err(retry::refusal(error, false));
-            }
-            self.context.metrics.retried(reason);
-            avoid.push(upstream.into());
-            if avoid.len() >= self.service.upstreams.len() {
-                return Err(retry::refusal(error, false));
-            }
+            self.note(tries, upstream, error, repeatable)?;
+        }
+    }
+
+    fn send(&self, upstream: &document::Upstream) -> Result<upstream::Answer, upstream::Error> {
+        let call = self.call;
+        let plain = upstream::Plain {
+            method: &call.method,
+            path: &call.path,
+            headers: &call.headers,
+            id: &self.context.request_id(),
+            body: &call.body,
+        };
+        self.context.upstreams.plain(upstream, &plain, MAX_ANSWER)
+    }
+
+    /// Notes a failed try.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if it may not be tried again.
+    fn note(
+        &self,
+        tries: &mut Tries,
+        upstream: &document::Upstream,
+        error: upstream::Error,
+        repeatable: bool,
+    ) -> Result<(), refusal::Refusal> {
+        let reason = retry::reason(error);
+        tries.reached |= retry::may_have_run(error);
+        let name = upstream.name.as_str();
+        tracing::info!(
+            event = "attempt_ended",
+            request = self.id,
+            upstream = name,
+            reason = reason.as_str()
+        );
+        tries.avoid.push(upstream.name.clone());
+        let retry = retry::Retry { reason, repeatable };
+        let left = tries.avoid.len() < self.service.upstreams.len();
+        if !left || !retry.is_allowed(self.context.upstreams.budget()) {
+            return Err(tries.honest(retry::refusal(error)));
         }
+        self.context.metrics.retried(reason);
+        Ok(())
     }
 
     fn end(&self) {
--- a/crates/host/src/retry.rs
+++ b/crates/host/src/retry.rs
@@ -47,21 +47,31 @@
     }
 }
 
-/// The refusal of a request whose send failed for good; `started` if the caller has part of it.
-pub fn refusal(error: upstream::Error, started: bool) -> refusal::Refusal {
+/// The counter's reason for a failed send.
+pub fn reason(error: upstream::Error) -> metrics::Retry {
+    match error {
+        upstream::Error::NotSent => metrics::Retry::Connect,
+        upstream::Error::Refused | upstream::Error::Rejected(_) => metrics::Retry::Refused,
+        upstream::Error::Broken | upstream::Error::Timeout => metrics::Retry::Broken,
+    }
+}
+
+/// Whether the upstream may have run what failed.
+pub fn may_have_run(error: upstream::Error) -> bool {
+    matches!(error, upstream::Error::Broken | upstream::Error::Timeout)
+}
+
+/// The refusal of a request whose last send failed for good. An earlier send may have run all the
+/// same: the caller of this function knows.
+pub fn refusal(error: upstream::Error) -> refusal::Refusal {
     let reason = match error {
         upstream::Error::Timeout => refusal::Reason::UpstreamTimeout,
         upstream::Error::NotSent | upstream::Error::Refused => refusal::Reason::NoUpstream,
         upstream::Error::Rejected(_) => refusal::Reason::BadRequest,
         upstream::Error::Broken => refusal::Reason::UpstreamFailed,
     };
-    let run = match error {
-        upstream::Error::NotSent | upstream::Error::Refused if !started => refusal::Run::NotRun,
-        _ => refusal::Run::Unknown,
-    };
-    refusal::Refusal {
-        reason,
-        run,
-        retry: None,
+    if may_have_run(error) {
+        return refusal::Refusal::unknown(reason);
     }
+    refusal::Refusal::not_run(reason)
 }
--- a/crates/host/tests/faults.rs
+++ b/crates/host/tests/faults.rs
@@ -304,3 +304,49 @@
         .find(|l| l.starts_with("retries_total{reason=\"slow\""));
     assert!(slow.is_some_and(|l| l.ends_with(" 1")), "{slow:?}");
 }
+
+/// The first engine breaks off before its first token, the second can't be reached: the request
+/// may have run on the first, and the refusal says so.
+#[test]
+fn a_request_that_reached_one_upstream_is_never_said_not_to_have_run() {
+    let mut site = env::Site::new(&["lalitpur"], 1);
+    let dead = env::free_port();
+    let document = site.document();
+    let line = document
+        .lines()
+        .find(|l| l.contains("name: e0"))
+        .expect("engine");
+    let other = line
+        .replace("e0", "e9")
+        .replace(&site.engines[0].address.to_string(), &dead.to_string());
+    let plain = document
+        .lines()
+        .find(|l| l.contains("name: p-lalitpur"))
+        .expect("plain");
+    let second = plain
+        .replace("p-", "q-")
+        .replace(&site.plain.address.to_string(), &dead.to_string());
+    let document = document
+        .replace(line, &format!("{line}\n{other}"))
+        .replace(plain, &format!("{plain}\n{second}"));
+    site.apply(&document);
+    let key = site.issue("quotes");
+    site.start_all();
+
+    site.engines[0].fault(r#"{"mode":"cut","after":0,"count":1000}"#);
+    let url = site.url(0, "/v1/chat/completions");
+    let refused = env::chat(&url, &key, "reached one", 5).expect("refusal");
+    assert_eq!(refused.run(), "unknown", "{refused:?}");
+    assert!(site.engines[0].stats()["started"].as_u64() > Some(0));
+
+    site.plain.fault(r#"{"mode":"lose_answer","count":1000}"#);
+    let bearer = format!("Bearer {key}");
+    let headers = [("Authorization", bearer.as_str())];
+    let refused = env::call("GET", &site.url(0, "/s/ledger/x"), &headers, "").expect("refusal");
+    assert_eq!(refused.run(), "unknown", "{refused:?}");
+
+    // What an upstream answers to a call that may be repeated is passed on when nobody else is left.
+    site.plain.fault(r#"{"mode":"refuse","count":1000}"#);
+    let answer = env::call("GET", &site.url(0, "/s/ledger/x"), &headers, "").expect("answer");
+    assert_eq!((answer.status, answer.body.as_str()), (503, ""));
+}
