An answer may begin later than a stall lasts

Cause, found by reading: the HTTP client's time for one read counted for the wait for an answer's beginning too, so a plain call that took longer than stall_ms (5 s) ended as upstream_timeout, unknown, and a long prefill as a broken answer. Ruled out: a second client without that time, since the wait inside the stream then had no bound. A transport between the client and its socket now asks for the limit at each read: answer_ms until an answer begins (for a first token four times its target, no less than stall_ms), stall_ms inside it.

--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -235,7 +235,8 @@
         let body = self
             .request
             .body(self.caller.class.tier, &self.held, self.tokens);
-        let mut events = match self.context.upstreams.stream(upstream, &send, &body) {
+        let first = self.caller.class.first;
+        let mut events = match self.context.upstreams.stream(upstream, &send, &body, first) {
             Ok(events) => events,
             Err(e) => return Attempt::Again(retry::reason(e), e),
         };
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod once;
 pub mod pass;
+pub mod patience;
 pub mod plain;
 pub mod reply;
 pub mod report;
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -5,8 +5,11 @@
 
 use base::clock;
 use config::document;
+use ureq::unversioned::resolver;
+use ureq::unversioned::transport;
+use ureq::unversioned::transport::Connector as _;
 
-use crate::{chunk, retry};
+use crate::{chunk, patience, retry};
 
 /// Time to open a connection.
 const CONNECT: clock::Millis = clock::Millis(1_000);
@@ -14,6 +17,8 @@
 const BUFFER_BYTES: usize = 16 * 1024;
 /// The longest line of an answer's stream, in bytes.
 const MAX_LINE: u64 = 1 << 20;
+/// A first token is given up after this many times its target.
+const LATE: u64 = 4;
 /// Idle connections kept for each upstream.
 const IDLE: usize = 64;
 
@@ -37,6 +42,8 @@
     streams: ureq::Agent,
     single: ureq::Agent,
     budget: retry::Budget,
+    stall: clock::Millis,
+    answer: clock::Millis,
 }
 
 impl Clients {
@@ -48,7 +55,6 @@
                 .http_status_as_error(false)
                 .timeout_connect(Some(CONNECT.duration()))
                 .timeout_recv_response(Some(answer.duration()))
-                .timeout_per_read(Some(stall.duration()))
                 .max_idle_connections(idle * 8)
                 .max_idle_connections_per_host(idle)
                 .max_redirects(0)
@@ -59,12 +65,15 @@
                 .user_agent("jacinthslip")
                 .proxy(None)
                 .build();
-            config.new_agent()
+            let connector = transport::TcpConnector::default().chain(patience::Connector);
+            ureq::Agent::with_parts(config, connector, resolver::DefaultResolver::default())
         };
         Self {
             streams: build(IDLE),
             single: build(0),
             budget: retry::Budget::default(),
+            stall,
+            answer,
         }
     }
 
@@ -73,7 +82,7 @@
         &self.budget
     }
 
-    /// Opens the stream of a chat completion.
+    /// Opens the stream of a chat completion whose class wants the first token within `first`.
     ///
     /// # Errors
     ///
@@ -83,7 +92,10 @@
         upstream: &document::Upstream,
         id: &str,
         body: &[u8],
+        first: clock::Millis,
     ) -> Result<Events, Error> {
+        let late = clock::Millis(first.0 * LATE);
+        patience::set(late.max(self.stall).min(self.answer));
         let url = format!("http://{}/v1/chat/completions", upstream.address);
         let call = self
             .streams
@@ -100,10 +112,12 @@
             _ => return Err(Error::Broken),
         }
         let reader = io::BufReader::new(answer.into_body().into_reader());
+        let stall = self.stall;
         Ok(Events {
             reader,
             line: Vec::new(),
             id: id.to_owned(),
+            stall,
         })
     }
 
@@ -118,6 +132,7 @@
         call: &Plain<'_>,
         limit: usize,
     ) -> Result<Answer, Error> {
+        patience::set(self.answer);
         let url = format!("http://{}{}", upstream.address, call.path);
         let mut request = ureq::http::Request::builder().method(call.method).uri(url);
         for (name, value) in call.headers {
@@ -205,6 +220,7 @@
     reader: io::BufReader<ureq::BodyReader<'static>>,
     line: Vec<u8>,
     id: String,
+    stall: clock::Millis,
 }
 
 impl Events {
@@ -227,6 +243,7 @@
             if chunk.id != self.id {
                 return Err(Error::Broken);
             }
+            patience::set(self.stall);
             return Ok(Event::Chunk(chunk));
         }
     }
--- a/crates/host/tests/faults.rs
+++ b/crates/host/tests/faults.rs
@@ -350,3 +350,26 @@
     let answer = env::call("GET", &site.url(0, "/s/ledger/x"), &headers, "").expect("answer");
     assert_eq!((answer.status, answer.body.as_str()), (503, ""));
 }
+
+/// Silence counts as a stall only inside an answer: a call may take longer than that to begin.
+#[test]
+fn an_answer_that_begins_late_is_waited_for() {
+    let mut site = env::Site::new(&["lalitpur"], 0);
+    site.times.push_str("\n  stall_ms: 300\n  answer_ms: 10000");
+    site.engines
+        .push(env::standin_with("engine", &["8", "900", "2"]));
+    site.apply(&site.document());
+    let key = site.issue("quotes");
+    site.start_all();
+    let url = site.url(0, "/v1/chat/completions");
+    let answer = env::chat(&url, &key, "begins late", 5).expect("answer");
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.text(), engine::answer("begins late", 5));
+
+    site.plain.fault(r#"{"run_ms":900}"#);
+    let bearer = format!("Bearer {key}");
+    let headers = [("Authorization", bearer.as_str())];
+    let answer =
+        env::call("POST", &site.url(0, "/s/ledger/slow"), &headers, "one").expect("answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
