Refusals over the limit don't block the next caller

Cause, found by reading: requests over the host's limit were refused on the accepting thread, and the HTTP library reads the rest of a body when a request ends; a caller that sent 1 of 5,000 bytes held up all others for 15 s. The limit's test now has four such callers, failing first (answered 15 s late; with bodies under 1 kB, which the library reads beforehand, it passed). They get threads of their own, 128 at most; beyond that the accepting thread waits, as before.

--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -13,6 +13,8 @@
 
 /// Stack of a request's thread.
 const STACK_BYTES: usize = 256 * 1024;
+/// Requests over the limit that are refused at once, each on a thread.
+const MAX_REFUSING: usize = 128;
 /// Silence of a caller that ends its connection.
 const CALLER_SILENCE: clock::Millis = clock::Millis(15_000);
 /// How often the accepting thread looks whether it should stop.
@@ -66,22 +68,33 @@
 }
 
 /// Counts a request as active while it lives.
-struct Active(sync::Arc<context::Context>);
+struct Active {
+    context: sync::Arc<context::Context>,
+    /// Whether it is over the host's limit, only to be refused.
+    over: bool,
+}
 
 impl Active {
+    /// `None` if even those that are refused are too many.
     fn enter(context: &sync::Arc<context::Context>) -> Option<Self> {
         let before = context.active.fetch_add(1, atomic::Ordering::SeqCst);
-        let active = Self(context.clone());
-        (before < context.settings.limits.requests).then_some(active)
+        let limit = context.settings.limits.requests;
+        let active = Self {
+            context: context.clone(),
+            over: before >= limit,
+        };
+        (before < limit + MAX_REFUSING).then_some(active)
     }
 }
 
 impl Drop for Active {
     fn drop(&mut self) {
-        self.0.active.fetch_sub(1, atomic::Ordering::SeqCst);
+        self.context.active.fetch_sub(1, atomic::Ordering::SeqCst);
     }
 }
 
+/// Gives a request a thread, also to be refused: ending a request reads the rest of its body, which
+/// a slow caller can draw out.
 fn dispatch(context: &sync::Arc<context::Context>, request: tiny_http::Request) {
     let Some(active) = Active::enter(context) else {
         return refuse(context, request, refusal::Reason::HostFull);
@@ -89,10 +102,12 @@
     let thread = thread::Builder::new()
         .name("request".into())
         .stack_size(STACK_BYTES);
-    let context = context.clone();
     let run = move || {
-        answer(&context, request);
-        drop(active);
+        if active.over {
+            refuse(&active.context, request, refusal::Reason::HostFull);
+        } else {
+            answer(&active.context, request);
+        }
     };
     if let Err(e) = thread.spawn(run) {
         tracing::error!(event = "thread_not_started", error = %e);
--- a/crates/host/tests/tiers.rs
+++ b/crates/host/tests/tiers.rs
@@ -2,6 +2,8 @@
 
 mod env;
 
+use std::io::Write as _;
+use std::net;
 use std::sync::atomic;
 use std::thread;
 use std::time;
@@ -98,13 +100,23 @@
         for n in 0..3 {
             let (site, key, done) = (&site, &key, &done);
             scope.spawn(move || {
-                assert!(as_class(site, 0, key, "chat", &format!("long {n}"), 600).is_whole());
+                assert!(as_class(site, 0, key, "chat", &format!("long {n}"), 1_500).is_whole());
                 done.store(true, atomic::Ordering::SeqCst);
             });
         }
         env::until("three running answers", || {
             site.engines[0].stats()["running"] == 3
         });
+        // Callers that send their bodies slowly must not keep the next one from its refusal.
+        let mut slow = Vec::new();
+        for _ in 0..4 {
+            let mut socket = net::TcpStream::connect(site.places[0].listen).expect("connect");
+            let head =
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n{";
+            socket.write_all(head.as_bytes()).expect("send");
+            slow.push(socket);
+        }
+        thread::sleep(time::Duration::from_millis(100));
         let refused = as_class(&site, 0, &key, "chat", "one more", 2);
         assert_eq!(
             (refused.status, refused.reason().as_str()),
