Windows are sealed in time though nobody takes reports

Cause, found by reading: the next window was sealed only after the one before was reported, and books were trimmed only then. Now sealing and trimming don't wait for reports. Checked by reading against a reporter frozen before it seals: a window that is absent was never trimmed for, one made again after its removal lies before the reported number.

--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -32,9 +32,12 @@
 /// Key of the number of the last window reported.
 pub const REPORTED: &str = "usage/reported";
 
+/// Prefix of all windows' heads.
+const WINDOWS: &str = "usage/window/";
+
 /// Key of a window's head.
 pub fn window_key(number: u64) -> String {
-    format!("usage/window/{number:012}")
+    format!("{WINDOWS}{number:012}")
 }
 
 fn part_prefix(number: u64) -> String {
@@ -100,25 +103,53 @@
     leader.release();
 }
 
-/// Reports the next sealed window, or seals one if it is time.
+/// Seals a window if it is time, and reports those that are sealed and not reported, in their
+/// order.
 fn step(
     context: &context::Context,
     reports: &dyn reports::Reports,
     term: orders::Term,
 ) -> Result<(), store::Error> {
     let store = &*context.store;
-    let reported = match store.get(REPORTED)? {
-        Some(e) => Some((number(&e), e.revision)),
-        None => None,
+    let (mut reported, mut at) = match store.get(REPORTED)? {
+        Some(e) => (number(&e), store::Expect::Revision(e.revision)),
+        None => (0, store::Expect::Absent),
     };
-    let last = reported.map_or(0, |(n, _)| n);
-    let head = match store.get(&window_key(last + 1))? {
-        Some(sealed) => read_head(&sealed)?,
-        None => match seal(context, last)? {
-            Some(head) => head,
-            None => return Ok(()),
-        },
+    let mut waiting = unreported(store, reported)?;
+    let last = match (waiting.last(), store.get(&window_key(reported))?) {
+        (Some(head), _) => head.clone(),
+        (None, Some(e)) => read_head(&e)?,
+        (None, None) if reported == 0 => Head::default(),
+        (None, None) => return Err(store::Error::Unknown),
     };
+    if let Some(head) = seal(context, &last)? {
+        trim(context, &head)?;
+        waiting.push(head);
+    }
+    for head in waiting {
+        if !report(store, reports, &head, term)? {
+            return Ok(());
+        }
+        reported = head.number;
+        at = store::Expect::Revision(store.put(REPORTED, reported.to_string().as_bytes(), at)?);
+        remove_old(store, reported)?;
+    }
+    Ok(())
+}
+
+/// The heads of windows sealed after `reported`, in their order.
+fn unreported(store: &dyn store::Store, reported: u64) -> Result<Vec<Head>, store::Error> {
+    let heads = store.list(WINDOWS, &window_key(reported), PAGE)?;
+    heads.iter().map(read_head).collect()
+}
+
+/// Sends the parts of a window; tells whether all were taken.
+fn report(
+    store: &dyn store::Store,
+    reports: &dyn reports::Reports,
+    head: &Head,
+    term: orders::Term,
+) -> Result<bool, store::Error> {
     for part in 0..head.parts {
         let key = part_key(head.number, head.seal, part);
         let Some(sealed) = store.get(&key)? else {
@@ -132,12 +163,10 @@
         let sent = reports.send(number, sealed.bytes(), term);
         tracing::info!(event = "usage_reported", window = head.number, part, fence = term.epoch, result = ?sent);
         if sent.is_err() {
-            return Ok(());
+            return Ok(false);
         }
     }
-    let expect = reported.map_or(store::Expect::Absent, |(_, at)| store::Expect::Revision(at));
-    store.put(REPORTED, head.number.to_string().as_bytes(), expect)?;
-    prune(context, &head)
+    Ok(true)
 }
 
 fn number(e: &store::Entry) -> u64 {
@@ -151,15 +180,10 @@
     serde_json::from_slice(e.bytes()).map_err(|_| store::Error::Unknown)
 }
 
-/// Seals the window after `last`, if it is time and there is something in it; the head that
+/// Seals the window after `before`, if it is time and there is something in it; the head that
 /// stands in the store, whoever wrote it.
-fn seal(context: &context::Context, last: u64) -> Result<Option<Head>, store::Error> {
+fn seal(context: &context::Context, before: &Head) -> Result<Option<Head>, store::Error> {
     let store = &*context.store;
-    let before = match store.get(&window_key(last))? {
-        Some(e) => read_head(&e)?,
-        None if last == 0 => Head::default(),
-        None => return Err(store::Error::Unknown),
-    };
     let now = context.clock.unix();
     if now.since(clock::Millis(before.sealed)) < context.settings.times.window {
         return Ok(None);
@@ -167,7 +191,7 @@
     let books: Vec<_> = books(store)?.into_iter().map(|(book, _)| book).collect();
     let before = usage::Window {
         number: before.number,
-        through: before.through,
+        through: before.through.clone(),
         ..usage::Window::default()
     };
     let window = usage::seal(&before, &books, now.0);
@@ -227,21 +251,26 @@
     }
 }
 
-/// Removes old windows, trims the entries of the reported window from the books, and removes
-/// books that are long done.
-fn prune(context: &context::Context, reported: &Head) -> Result<(), store::Error> {
-    let store = &*context.store;
-    if let Some(old) = reported.number.checked_sub(KEPT_WINDOWS) {
-        store.delete(&window_key(old), store::Expect::Any)?;
-        for part in store.list(&part_prefix(old), "", PAGE)? {
-            store.delete(&part.key, store::Expect::Any)?;
-        }
+/// Removes windows that were reported a while ago.
+fn remove_old(store: &dyn store::Store, reported: u64) -> Result<(), store::Error> {
+    let Some(old) = reported.checked_sub(KEPT_WINDOWS) else {
+        return Ok(());
+    };
+    store.delete(&window_key(old), store::Expect::Any)?;
+    for part in store.list(&part_prefix(old), "", PAGE)? {
+        store.delete(&part.key, store::Expect::Any)?;
     }
+    Ok(())
+}
+
+/// Trims the entries of a sealed window from the books, and removes books that are long done.
+fn trim(context: &context::Context, sealed: &Head) -> Result<(), store::Error> {
+    let store = &*context.store;
     let now = context.clock.unix();
     for (book, revision) in books(store)? {
         let key = ledger::book_key(&book.incarnation);
         let at = store::Expect::Revision(revision);
-        let through = reported
+        let through = sealed
             .through
             .get(&book.incarnation)
             .copied()
--- a/crates/host/tests/usage.rs
+++ b/crates/host/tests/usage.rs
@@ -221,3 +221,28 @@
     let sum = settled(&site, 5);
     assert_eq!(sum, (5, 5 * TOKENS));
 }
+
+/// The platform takes no reports for a while: windows are sealed all the same, so that books stay
+/// small, and are reported in their order afterwards.
+#[test]
+fn windows_are_sealed_while_nobody_takes_reports() {
+    let (site, key) = site();
+    site.platform.fault(r#"{"down":true}"#);
+    let callers = Callers::start(&site, &key);
+    let sealed = || {
+        let list = env::get_json(&site.store.url("/list?prefix=usage/window/&after=&limit=99"));
+        list.as_array().map_or(0, Vec::len)
+    };
+    env::until("sealed windows", || sealed() >= 3);
+    let (whole, broken) = callers.finish();
+    assert_eq!(broken, 0);
+    assert!(
+        site.platform.stats()["reports"]
+            .as_array()
+            .expect("reports")
+            .is_empty()
+    );
+    site.platform.fault("{}");
+    let sum = settled(&site, whole);
+    assert_eq!(sum, (whole, whole * TOKENS));
+}
