Doubled pieces made one: a team's name, reading a file that is to be checked

Behaviour stays, but for one count: an answer ended by a withdrawn key was counted as key_withdrawn and as broken; now only as the first.

--- a/crates/base/src/finding.rs
+++ b/crates/base/src/finding.rs
@@ -2,6 +2,8 @@
 
 use std::error;
 use std::fmt;
+use std::fs;
+use std::path;
 
 /// Where in an input a finding lies.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -68,6 +70,24 @@
     }
 }
 
+/// Reads a file of text that is to be checked.
+///
+/// # Errors
+///
+/// One finding if it can't be read; `mend` is the way out.
+pub fn read_file(file: &path::Path, mend: &str) -> Result<String, Findings> {
+    fs::read_to_string(file).map_err(|e| {
+        let mut findings = Findings::default();
+        let file = file.display().to_string();
+        let place = Place {
+            file,
+            ..Place::default()
+        };
+        findings.add(place, format!("can't be read: {e}"), mend);
+        findings
+    })
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (i, finding) in self.0.iter().enumerate() {
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -1,6 +1,5 @@
 //! Commands that only show.
 
-use std::fs;
 use std::path;
 
 use base::finding;
@@ -14,24 +13,8 @@
 
 /// Reads and checks a document.
 pub(crate) fn read(file: &path::Path) -> Result<document::Document, fault::Fault> {
-    let name = file.display().to_string();
-    let text = match fs::read_to_string(file) {
-        Ok(text) => text,
-        Err(e) => {
-            let mut findings = finding::Findings::default();
-            let place = finding::Place {
-                file: name,
-                ..finding::Place::default()
-            };
-            findings.add(
-                place,
-                format!("can't be read: {e}"),
-                "give the path of a document",
-            );
-            return Err(findings.into());
-        }
-    };
-    Ok(parse::document(&name, &text)?)
+    let text = finding::read_file(file, "give the path of a document")?;
+    Ok(parse::document(&file.display().to_string(), &text)?)
 }
 
 /// Checks a document.
--- a/crates/host/src/caller.rs
+++ b/crates/host/src/caller.rs
@@ -93,6 +93,11 @@
 }
 
 impl Caller {
+    /// The team's name, empty without a key.
+    pub fn team_name(&self) -> &str {
+        self.team.as_ref().map_or("", |t| t.name.as_str())
+    }
+
     /// Who pays for what this caller uses of `service`.
     pub fn account(&self, service: &name::Service) -> usage::Account {
         usage::Account {
--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -175,12 +175,11 @@
     }
 
     fn ask(&self, avoid: &[name::Upstream]) -> message::Ask {
-        let team = self.caller.team.as_ref().map_or("", |t| t.name.as_str());
         message::Ask {
             service: self.service.name.clone(),
             class: self.caller.class.name.clone(),
             ticket: self.context.gate.ticket(),
-            team: team.into(),
+            team: self.caller.team_name().into(),
             waited: self.context.clock.now().since(self.last),
             prompt: self.request.prompt,
             limit: self.request.limit.saturating_sub(self.tokens),
@@ -449,6 +448,8 @@
             }
             Some(Sink::Streaming(stream)) => {
                 self.sink = Some(Sink::Streaming(stream));
+                let class = self.caller.class.name.as_str();
+                self.context.metrics.answered(class, "broken");
                 self.break_off(refusal.reason);
             }
             None => {}
@@ -457,9 +458,6 @@
 
     /// Ends a stream with an explicit error event and no end mark.
     fn break_off(&mut self, reason: refusal::Reason) {
-        self.context
-            .metrics
-            .answered(self.caller.class.name.as_str(), "broken");
         let refusal = refusal::Refusal::unknown(reason);
         match self.sink.take() {
             Some(Sink::Streaming(mut stream)) => {
--- a/crates/host/src/once.rs
+++ b/crates/host/src/once.rs
@@ -86,8 +86,7 @@
         &mut dyn FnMut() -> Result<(), refusal::Refusal>,
     ) -> Result<upstream::Answer, refusal::Refusal>,
 ) -> Result<upstream::Answer, refusal::Refusal> {
-    let team = caller.team.as_ref().map_or("", |t| t.name.as_str());
-    let key = claim_key(team, service, once);
+    let key = claim_key(caller.team_name(), service, once);
     let mut claim = Claim {
         request: context.request_id(),
         digest: digest(call),
--- a/crates/host/src/plain.rs
+++ b/crates/host/src/plain.rs
@@ -182,12 +182,11 @@
 
 impl Run<'_> {
     fn ask(&self, avoid: &[name::Upstream], arrived: clock::Millis) -> message::Ask {
-        let team = self.caller.team.as_ref().map_or("", |t| t.name.as_str());
         message::Ask {
             service: self.service.name.clone(),
             class: self.caller.class.name.clone(),
             ticket: self.context.gate.ticket(),
-            team: team.into(),
+            team: self.caller.team_name().into(),
             waited: self.context.clock.now().since(arrived),
             prompt: 0,
             limit: 1,
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -1,6 +1,5 @@
 //! A host's settings: read from YAML, checked, with every fault reported at once.
 
-use std::fs;
 use std::net;
 use std::path;
 
@@ -150,23 +149,8 @@
 ///
 /// All findings, each with its place.
 pub fn read(file: &path::Path) -> Result<Settings, finding::Findings> {
-    let name = file.display().to_string();
-    match fs::read_to_string(file) {
-        Ok(text) => parse(&name, &text),
-        Err(e) => {
-            let mut findings = finding::Findings::default();
-            let place = finding::Place {
-                file: name,
-                ..finding::Place::default()
-            };
-            findings.add(
-                place,
-                format!("can't be read: {e}"),
-                "give the path of a settings file",
-            );
-            Err(findings)
-        }
-    }
+    let text = finding::read_file(file, "give the path of a settings file")?;
+    parse(&file.display().to_string(), &text)
 }
 
 /// Checks the YAML `text` of `file`.
