--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -10,22 +10,22 @@
     hex(&sha2::Sha256::digest(key.as_bytes()))
 }
 
-/// Proves to a host that an operator, who holds the hosts' secret, bars the key with this digest.
-pub fn bar_proof(secret: &str, digest: &str) -> String {
-    hex(&bar_mac(secret, digest).finalize().into_bytes())
+/// Proves to a host that an operator, who holds the hosts' secret, blocked the key with this digest.
+pub fn block_proof(secret: &str, digest: &str) -> String {
+    hex(&block_mac(secret, digest).finalize().into_bytes())
 }
 
 /// Whether `proof` is that of an operator.
-pub fn is_bar_proof(secret: &str, digest: &str, proof: &str) -> bool {
-    bytes(proof).is_some_and(|p| bar_mac(secret, digest).verify_slice(&p).is_ok())
+pub fn is_block_proof(secret: &str, digest: &str, proof: &str) -> bool {
+    bytes(proof).is_some_and(|p| block_mac(secret, digest).verify_slice(&p).is_ok())
 }
 
-fn bar_mac(secret: &str, digest: &str) -> hmac::Hmac<sha2::Sha256> {
+fn block_mac(secret: &str, digest: &str) -> hmac::Hmac<sha2::Sha256> {
     let mut mac = match hmac::Hmac::<sha2::Sha256>::new_from_slice(secret.as_bytes()) {
         Ok(mac) => mac,
         Err(_) => unreachable!("HMAC takes keys of any length"),
     };
-    mac.update(b"bar ");
+    mac.update(b"block ");
     mac.update(digest.as_bytes());
     mac
 }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -67,7 +67,7 @@
         }
         /// Stop a key at once through a host, also while the store is down; the hosts withdraw it
         /// for good once they reach the store.
-        cmd bar {
+        cmd block {
             /// Any host, IP:PORT where callers connect.
             required --host host: SocketAddr
             /// A file that holds the hosts' secret.
@@ -103,7 +103,7 @@
     Status(Status),
     History(History),
     Issue(Issue),
-    Bar(Bar),
+    Block(Block),
     Withdraw(Withdraw),
 }
 
@@ -152,7 +152,7 @@
 }
 
 #[derive(Debug)]
-pub struct Bar {
+pub struct Block {
     pub host: SocketAddr,
     pub secret_file: PathBuf,
     pub key: String,
--- a/crates/ctl/src/fault.rs
+++ b/crates/ctl/src/fault.rs
@@ -85,7 +85,7 @@
             }
             Self::Host(e) => write!(
                 f,
-                "{e}; the key is not barred. Check the secret, or try another host."
+                "{e}; the key is not blocked. Check the secret, or try another host."
             ),
             Self::NoKey => write!(
                 f,
--- a/crates/ctl/src/key.rs
+++ b/crates/ctl/src/key.rs
@@ -60,17 +60,17 @@
 }
 
 /// Stops a key at a host.
-pub(crate) fn bar(args: &cli::Bar) -> Result<(), fault::Fault> {
+pub(crate) fn block(args: &cli::Block) -> Result<(), fault::Fault> {
     let secret = fs::read_to_string(&args.secret_file)
         .map_err(|e| fault::Fault::Secret(format!("{}: {e}", args.secret_file.display())))?;
     let digest = digest_of(&args.key);
-    let proof = key::bar_proof(secret.trim(), &digest);
+    let proof = key::block_proof(secret.trim(), &digest);
     let body = serde_json::json!({"digest": digest, "proof": proof}).to_string();
-    let url = format!("http://{}/operator/bar", args.host);
+    let url = format!("http://{}/operator/block", args.host);
     let answer = http::agent(CALL).post(url).send(&body);
     match answer.map(|a| a.status().as_u16()) {
         Ok(200) => {
-            println!("key barred");
+            println!("key blocked");
             Ok(())
         }
         Ok(status) => Err(fault::Fault::Host(format!("the host answered {status}"))),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,4 +1,4 @@
-//! The operators' program: `jacinthctl check|diff|apply|promote|status|history|issue|withdraw|bar`.
+//! The operators' program: `jacinthctl check|diff|apply|promote|status|history|issue|withdraw|block`.
 
 mod change;
 mod cli;
@@ -19,7 +19,7 @@
         cli::JacinthctlCmd::Status(s) => show::status(s),
         cli::JacinthctlCmd::History(h) => show::history(h),
         cli::JacinthctlCmd::Issue(i) => key::issue(i),
-        cli::JacinthctlCmd::Bar(b) => key::bar(b),
+        cli::JacinthctlCmd::Block(b) => key::block(b),
         cli::JacinthctlCmd::Withdraw(w) => key::withdraw(w),
     };
     match done {
--- a/crates/host/benches/slopes.rs
+++ b/crates/host/benches/slopes.rs
@@ -146,16 +146,16 @@
         (80, 10_000),
     ];
     for (upstreams, waiting) in sizes {
-        let mut desk = dispatch::Dispatcher::default();
+        let mut dispatcher = dispatch::Dispatcher::default();
         let mut out = Vec::new();
-        desk.configure(&sites(upstreams), clock::Millis(1), &mut out);
+        dispatcher.configure(&sites(upstreams), clock::Millis(1), &mut out);
         let busy = if waiting > 0 {
             u64::from(upstreams) * 32
         } else {
             u64::from(upstreams) * 16
         };
         for n in 0..busy + waiting {
-            desk.ask(ask_of(n), clock::Millis(1), &mut out);
+            dispatcher.ask(ask_of(n), clock::Millis(1), &mut out);
         }
         let mut running: std::collections::VecDeque<ask::Ticket> = Default::default();
         for d in out.drain(..) {
@@ -168,9 +168,9 @@
         for n in 0..ROUNDS {
             let now = clock::Millis(2 + n / 100);
             if let Some(t) = running.pop_front() {
-                desk.done(t, &spent(), now, &mut out);
+                dispatcher.done(t, &spent(), now, &mut out);
             }
-            desk.ask(ask_of(1_000_000 + n), now, &mut out);
+            dispatcher.ask(ask_of(1_000_000 + n), now, &mut out);
             for d in out.drain(..) {
                 if let ask::Decision::Grant(t, _) = d {
                     running.push_back(t);
@@ -180,7 +180,7 @@
         let each = micros(start, ROUNDS);
         let start = time::Instant::now();
         for _ in 0..200 {
-            desk.tick(clock::Millis(30), &mut out);
+            dispatcher.tick(clock::Millis(30), &mut out);
         }
         println!(
             "{upstreams:>10} {waiting:>9} {each:>14.2} {:>12.2}",
@@ -252,7 +252,7 @@
     let list = [
         (
             "beat",
-            message::Message::Beat(message::Beat {
+            message::Message::Heartbeat(message::Heartbeat {
                 revision: 1_000_000,
                 leaving: false,
             }),
@@ -291,12 +291,12 @@
     }
 }
 
-/// Usage: a book of a busy host, and a window over teams.
+/// Usage: a journal of a busy host, and a window over teams.
 fn usage_sizes() {
     println!("\nusage");
     println!("{:>8} {:>14} {:>12}", "teams", "window kB", "seal ms");
     for count in [1_000u64, 10_000, 37_000] {
-        let mut books = Vec::new();
+        let mut journals = Vec::new();
         for h in 0..40u64 {
             let incarnation = usage::Incarnation(format!("host-{h:04}-0123456789abcdef"));
             let mut ledger = usage::Ledger::new(incarnation);
@@ -315,10 +315,10 @@
                     },
                 });
             }
-            books.extend(ledger.added(0));
+            journals.extend(ledger.added(0));
         }
         let start = time::Instant::now();
-        let window = usage::seal(&usage::Window::default(), &books, 1);
+        let window = usage::seal(&usage::Window::default(), &journals, 1);
         let each = micros(start, 1) / 1_000.0;
         let bytes = serde_json::to_vec(&window).expect("window").len();
         println!("{count:>8} {:>14} {each:>12.1}", bytes / 1024);
--- a/crates/host/examples/quickstart.rs
+++ b/crates/host/examples/quickstart.rs
@@ -8,7 +8,7 @@
 use base::clock;
 use config::{document, item, key, log, parse, remote};
 use eyre::WrapErr as _;
-use jacinthslip::{life, settings, stop};
+use jacinthslip::{lifecycle, settings, stop};
 use platform::store;
 use standin::{engine, plain, platform as standin_platform, store as standin_store};
 
@@ -99,7 +99,7 @@
     configure(&*store.memory, &doc)?;
     let settings = host(&listen, store.address(), platform.address());
     let settings = settings::parse("host.yaml", &settings)?;
-    let serving = life::Starting::new(settings)
+    let serving = lifecycle::Starting::new(settings)
         .start()
         .wrap_err("give another address: cargo run -p jacinthslip --example quickstart IP:PORT")?;
 
--- a/crates/host/src/gate.rs
+++ b/crates/host/src/admission.rs
@@ -1,4 +1,4 @@
-//! Grants of slots: from this host's own desks, or from the dispatching host.
+//! Grants of slots: from this host's own dispatchers, or from the dispatching host.
 //!
 //! A request asks the host that dispatches its service. If no word comes back in time, the host
 //! grants itself its share of the slots. A grant that comes too late is given back at once, so
@@ -11,7 +11,7 @@
 use peer::message;
 use policy::{ask, pool};
 
-use crate::{desks, directory, pass, waiter};
+use crate::{directory, dispatchers, permit, waiter};
 
 /// How long a dispatcher may be silent before the host grants itself its share.
 const ANSWER: clock::Millis = clock::Millis(60);
@@ -55,7 +55,7 @@
 
 #[derive(Default)]
 struct State {
-    desks: desks::Desks,
+    dispatchers: dispatchers::Dispatchers,
     entries: collections::HashMap<ask::Ticket, Entry>,
     /// Dispatchers of other data centres that were last told what runs under their grants.
     away: collections::HashSet<(name::Host, name::Service)>,
@@ -63,7 +63,7 @@
 }
 
 /// Grants of slots for the requests of one host.
-pub struct Gate {
+pub struct Admission {
     clock: clock::Clock,
     number: u32,
     directory: sync::Arc<directory::Directory>,
@@ -90,8 +90,8 @@
     total: clock::Millis::ZERO,
 };
 
-impl Gate {
-    /// A gate that grants alone until it knows other hosts. Tickets are counted from `first`, so
+impl Admission {
+    /// A admission that grants alone until it knows other hosts. Tickets are counted from `first`, so
     /// that a restarted host does not use those of its earlier start.
     pub fn new(
         clock: clock::Clock,
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Connects the gate to other hosts and to the configuration.
+    /// Connects the admission to other hosts and to the configuration.
     pub fn connect(
         &self,
         outbox: sync::Weak<dyn Outbox>,
@@ -183,12 +183,12 @@
     pub fn configure(&self, service: &name::Service, sites: &[pool::Site]) {
         let now = self.now();
         let part = if &self.directory.dispatcher(service, now) == self.directory.host() {
-            desks::Part::Whole
+            dispatchers::Part::Whole
         } else {
             let (index, hosts) = self.directory.rank(now);
-            desks::Part::Share { index, hosts }
+            dispatchers::Part::Share { index, hosts }
         };
-        let (decisions, taken_over) = self.lock().desks.configure(service, sites, part, now);
+        let (decisions, taken_over) = self.lock().dispatchers.configure(service, sites, part, now);
         self.carry_out(decisions);
         if taken_over {
             self.adopt_own(service);
@@ -203,7 +203,7 @@
     pub fn enter(
         self: &sync::Arc<Self>,
         mut ask: message::Ask,
-    ) -> Result<pass::Pass, refusal::Refusal> {
+    ) -> Result<permit::Permit, refusal::Refusal> {
         let start = self.now();
         let waiter = self.expect(&ask, None);
         let waited = ask.waited;
@@ -218,10 +218,10 @@
                 None => {}
                 Some((ask::Decision::Grant(_, upstream), source)) => {
                     self.withdraw_elsewhere(&ask, &source);
-                    return Ok(pass::Pass::new(self.clone(), ask, waiter, upstream));
+                    return Ok(permit::Permit::new(self.clone(), ask, waiter, upstream));
                 }
                 Some((ask::Decision::Refuse(_, refusal), _)) => {
-                    self.lock().desks.withdraw(&ask.service, ask.ticket);
+                    self.lock().dispatchers.withdraw(&ask.service, ask.ticket);
                     self.leave(&ask, &NOTHING);
                     return self.spill(ask, refusal);
                 }
@@ -275,7 +275,7 @@
         self: &sync::Arc<Self>,
         mut ask: message::Ask,
         refusal: refusal::Refusal,
-    ) -> Result<pass::Pass, refusal::Refusal> {
+    ) -> Result<permit::Permit, refusal::Refusal> {
         let Some((host, slack)) = self.find_neighbour(&ask, &refusal) else {
             return Err(refusal);
         };
@@ -289,7 +289,7 @@
             .clone();
         if let Some((ask::Decision::Grant(_, upstream), _)) = decided {
             tracing::debug!(event = "spilled", host = %host, upstream = %upstream);
-            return Ok(pass::Pass::new(self.clone(), ask, waiter, upstream));
+            return Ok(permit::Permit::new(self.clone(), ask, waiter, upstream));
         }
         self.send_withdraw(&host, &ask);
         self.leave(&ask, &NOTHING);
@@ -313,7 +313,7 @@
         Some((host, slack))
     }
 
-    /// Asks the dispatching host, or this host's own desk; returns how long to wait for more.
+    /// Asks the dispatching host, or this host's own dispatcher; returns how long to wait for more.
     fn ask_dispatcher(&self, ask: &message::Ask, waiter: &waiter::Waiter) -> clock::Millis {
         let dispatcher = self.directory.dispatcher(&ask.service, self.now());
         if &dispatcher != self.directory.host() {
@@ -332,7 +332,7 @@
         ASK_AGAIN
     }
 
-    /// Counts at this host's own desk what it runs under grants of a dispatcher that is silent or
+    /// Counts at this host's own dispatcher what it runs under grants of a dispatcher that is silent or
     /// gone.
     fn adopt_own(&self, service: &name::Service) {
         let mut granted = Vec::new();
@@ -346,17 +346,17 @@
             }
         }
         let running = self.expand_all(&granted);
-        self.lock().desks.adopt(service, running, self.now());
+        self.lock().dispatchers.adopt(service, running, self.now());
     }
 
-    fn expand_all(&self, held: &[message::Held]) -> Vec<desks::Running> {
+    fn expand_all(&self, held: &[message::Held]) -> Vec<dispatchers::Running> {
         let full = |h: &message::Held| Some((self.expand(&h.ask)?, h.upstream.clone()));
         held.iter().filter_map(full).collect()
     }
 
     fn ask_own(&self, ask: &message::Ask) {
         let decisions = match self.expand(ask) {
-            Some(full) => self.lock().desks.ask(&ask.service, full, self.now()),
+            Some(full) => self.lock().dispatchers.ask(&ask.service, full, self.now()),
             None => {
                 let refusal = refusal::Refusal::not_run(refusal::Reason::UnknownClass);
                 vec![ask::Decision::Refuse(ask.ticket, refusal)]
@@ -368,7 +368,7 @@
     /// Takes a granted request out of the queue it was not granted from.
     fn withdraw_elsewhere(&self, ask: &message::Ask, source: &waiter::Source) {
         if source != &waiter::Source::Own {
-            return self.lock().desks.withdraw(&ask.service, ask.ticket);
+            return self.lock().dispatchers.withdraw(&ask.service, ask.ticket);
         }
         let dispatcher = self.directory.dispatcher(&ask.service, self.now());
         if &dispatcher != self.directory.host() {
@@ -377,7 +377,7 @@
     }
 
     /// Passes decisions to the requests waiting here, or to the hosts that asked.
-    fn carry_out(&self, decisions: desks::Decisions) {
+    fn carry_out(&self, decisions: dispatchers::Decisions) {
         for decision in decisions {
             if is_from(decision.ticket(), self.number) {
                 self.deliver(decision, waiter::Source::Own);
@@ -400,7 +400,7 @@
         let ticket = decision.ticket();
         let mut state = self.lock();
         let Some(entry) = state.entries.get_mut(&ticket) else {
-            let services: Vec<_> = state.desks.services().cloned().collect();
+            let services: Vec<_> = state.dispatchers.services().cloned().collect();
             drop(state);
             if let ask::Decision::Grant(..) = decision {
                 self.give_back(&services, ticket, &source);
@@ -447,24 +447,27 @@
             let message = message::Message::Done(service.clone(), ticket, *spent);
             self.send(host, message);
         }
-        // The own desk may have adopted a request that another host granted.
+        // The own dispatcher may have adopted a request that another host granted.
         self.done(service, ticket, spent);
     }
 
     fn done(&self, service: &name::Service, ticket: ask::Ticket, spent: &ask::Spent) {
-        let decisions = self.lock().desks.done(service, ticket, spent, self.now());
+        let decisions = self
+            .lock()
+            .dispatchers
+            .done(service, ticket, spent, self.now());
         self.carry_out(decisions);
     }
 
-    /// Teaches this host's own desk what another's grant showed.
+    /// Teaches this host's own dispatcher what another's grant showed.
     fn learn(&self, ask: &message::Ask, spent: &ask::Spent) {
         let Some(full) = self.expand(ask) else { return };
-        self.lock().desks.learn(&ask.service, &full, spent);
+        self.lock().dispatchers.learn(&ask.service, &full, spent);
     }
 
-    /// Lets time pass at every desk.
+    /// Lets time pass at every dispatcher.
     pub fn tick(&self) {
-        let decisions = self.lock().desks.tick(self.now());
+        let decisions = self.lock().dispatchers.tick(self.now());
         self.carry_out(decisions);
     }
 
@@ -478,13 +481,13 @@
                 self.deliver(decision, waiter::Source::Peer(host.clone()));
             }
             message::Message::Withdraw(service, ticket) if is_theirs(ticket) => {
-                self.lock().desks.withdraw(&service, ticket);
+                self.lock().dispatchers.withdraw(&service, ticket);
             }
             message::Message::Done(service, ticket, spent) if is_theirs(ticket) => {
                 self.done(&service, ticket, &spent);
             }
             message::Message::Holding(service, digest)
-                if self.lock().desks.digest(&service, is_theirs) != digest =>
+                if self.lock().dispatchers.digest(&service, is_theirs) != digest =>
             {
                 self.send(host, message::Message::TellHolding(service));
             }
@@ -498,7 +501,7 @@
                 let now = self.now();
                 let decisions = self
                     .lock()
-                    .desks
+                    .dispatchers
                     .reconcile(&service, running, is_theirs, now);
                 self.carry_out(decisions);
             }
@@ -523,7 +526,7 @@
     fn upstream_of(&self, ask: &message::Ask) -> Option<name::Upstream> {
         let state = self.lock();
         state
-            .desks
+            .dispatchers
             .dispatcher(&ask.service)?
             .runs_on(ask.ticket)
             .cloned()
@@ -532,7 +535,7 @@
     fn waits_here(&self, ask: &message::Ask) -> bool {
         let state = self.lock();
         state
-            .desks
+            .dispatchers
             .dispatcher(&ask.service)
             .is_some_and(|d| d.waits(ask.ticket))
     }
@@ -577,7 +580,7 @@
         let now = self.now();
         let mut out: collections::HashMap<_, message::Digest> = collections::HashMap::new();
         let mut state = self.lock();
-        for service in state.desks.services() {
+        for service in state.dispatchers.services() {
             let dispatcher = self.directory.dispatcher(service, now);
             out.entry((dispatcher, service.clone())).or_default();
         }
@@ -603,16 +606,19 @@
         out
     }
 
-    /// A host is gone: its waiting and running requests leave the desks.
+    /// A host is gone: its waiting and running requests leave the dispatchers.
     pub fn forget(&self, host: &name::Host) {
         let number = number(host);
-        let decisions = self.lock().desks.forget(|t| is_from(t, number), self.now());
+        let decisions = self
+            .lock()
+            .dispatchers
+            .forget(|t| is_from(t, number), self.now());
         self.carry_out(decisions);
     }
 
     /// The load of the services that this host dispatches.
     pub fn loads(&self) -> Vec<message::Load> {
-        self.lock().desks.loads(self.now())
+        self.lock().dispatchers.loads(self.now())
     }
 }
 
--- a/crates/host/src/agent.rs
+++ b/crates/host/src/agent.rs
@@ -19,7 +19,7 @@
 const STEP: time::Duration = time::Duration::from_millis(200);
 /// How often the demand is sampled and orders are made.
 const PLAN: clock::Millis = clock::Millis(1_000);
-/// No upstream is stopped sooner after its retirement was told: the news must reach all desks.
+/// No upstream is stopped sooner after its retirement was told: the news must reach all dispatchers.
 const TOLD: clock::Millis = clock::Millis(3_000);
 /// A retired upstream that reports no load is stopped after this at the latest.
 const MAX_RETIRED: clock::Millis = clock::Millis(120_000);
--- a/crates/host/src/bars.rs
+++ b/crates/host/src/blocked.rs
@@ -1,4 +1,4 @@
-//! Keys barred at a host: they stop at once on every host that hears of it, also while the store
+//! Keys blocked at a host: they stop at once on every host that hears of it, also while the store
 //! is down, and are withdrawn in the configuration once it answers.
 
 use std::collections;
@@ -11,47 +11,47 @@
 
 use crate::{body, context, reply, stop};
 
-/// Where operators bar a key: `POST` with its digest and the proof of [`key::bar_proof`].
-pub const PATH: &str = "/operator/bar";
+/// Where operators block a key: `POST` with its digest and the proof of [`key::block_proof`].
+pub const PATH: &str = "/operator/block";
 
-/// Keys barred at most; each is a few bytes.
-const MAX_BARRED: usize = 10_000;
-/// The largest body of a request to bar a key.
+/// Keys blocked at most; each is a few bytes.
+const MAX_BLOCKED: usize = 10_000;
+/// The largest body of a request to block a key.
 const MAX_BODY: usize = 1_024;
-/// How often a host tries to withdraw barred keys for good.
+/// How often a host tries to withdraw blocked keys for good.
 const PERSIST: time::Duration = time::Duration::from_secs(1);
 
-/// Keys barred and not yet withdrawn in the configuration.
+/// Keys blocked and not yet withdrawn in the configuration.
 #[derive(Debug, Default)]
-pub struct Bars(sync::Mutex<collections::BTreeSet<[u8; 32]>>);
+pub struct Blocked(sync::Mutex<collections::BTreeSet<[u8; 32]>>);
 
-impl Bars {
+impl Blocked {
     fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeSet<[u8; 32]>> {
         self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Whether a key is barred.
+    /// Whether a key is blocked.
     pub fn contains(&self, digest: &[u8; 32]) -> bool {
         self.lock().contains(digest)
     }
 
-    /// The barred keys' digests in hexadecimal.
+    /// The blocked keys' digests in hexadecimal.
     pub fn list(&self) -> Vec<String> {
         self.lock().iter().map(|d| key::hex(d)).collect()
     }
 }
 
-/// Bars the key with this digest, unless the configuration has it withdrawn already.
-pub fn bar(context: &context::Context, digest: &str) {
+/// Blocked the key with this digest, unless the configuration has it withdrawn already.
+pub fn block(context: &context::Context, digest: &str) {
     let Some(bytes) = key::bytes(digest) else {
         return;
     };
     if context.view().is_withdrawn(&bytes) {
         return;
     }
-    let mut bars = context.bars.lock();
-    if bars.len() < MAX_BARRED && bars.insert(bytes) {
-        tracing::info!(event = "key_barred", digest = %&digest[..12]);
+    let mut blocked = context.blocked.lock();
+    if blocked.len() < MAX_BLOCKED && blocked.insert(bytes) {
+        tracing::info!(event = "key_blocked", digest = %&digest[..12]);
     }
 }
 
@@ -61,7 +61,7 @@
     proof: String,
 }
 
-/// Serves an operator's request to bar a key.
+/// Serves an operator's request to block a key.
 pub fn serve(context: &context::Context, mut http: tiny_http::Request) {
     let read = body::read(&mut http, MAX_BODY, &context.clock);
     let reply = reply::Reply::new(http, context.request_id());
@@ -74,25 +74,25 @@
         Ok(request) => request,
         Err(refusal) => return reply.refuse(&refusal, &context.metrics),
     };
-    if !key::is_bar_proof(&context.settings.secret, &request.digest, &request.proof) {
+    if !key::is_block_proof(&context.settings.secret, &request.digest, &request.proof) {
         return reply.refuse(&refuse(refusal::Reason::BadKey), &context.metrics);
     }
-    bar(context, &request.digest);
-    let _ = reply.whole(200, &[], b"barred\n");
+    block(context, &request.digest);
+    let _ = reply.whole(200, &[], b"blocked\n");
 }
 
-/// Withdraws barred keys in the configuration until stopped. `should_write` tells whether this
+/// Withdraws blocked keys in the configuration until stopped. `should_write` tells whether this
 /// host is one of those that write for its data centre.
 pub fn run(context: &context::Context, stop: &stop::Stop, should_write: impl Fn() -> bool) {
     while !stop.wait(PERSIST) {
         let view = context.view();
-        context.bars.lock().retain(|d| !view.is_withdrawn(d));
+        context.blocked.lock().retain(|d| !view.is_withdrawn(d));
         drop(view);
-        if context.bars.lock().is_empty() || !should_write() {
+        if context.blocked.lock().is_empty() || !should_write() {
             continue;
         }
         if let Err(e) = withdraw(context) {
-            tracing::debug!(event = "bars_not_written", error = %e);
+            tracing::debug!(event = "blocked_not_written", error = %e);
         }
     }
 }
@@ -102,7 +102,7 @@
     let store = &*context.store;
     let mut state = remote::load(store, env)?;
     let mut changes = Vec::new();
-    for digest in context.bars.list() {
+    for digest in context.blocked.list() {
         let Some(item::Item::Key(k)) = state.items.get(&item::Id::Key(digest)) else {
             continue;
         };
--- a/crates/host/src/caller.rs
+++ b/crates/host/src/caller.rs
@@ -6,7 +6,7 @@
 use config::{document, key};
 use policy::usage;
 
-use crate::{bars, context};
+use crate::{blocked, context};
 
 /// What a path asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -17,7 +17,7 @@
     Models,
     /// A plain service, and the path behind its name with the query.
     Plain(&'a str, &'a str),
-    /// Health, readiness, metrics, or a key to bar.
+    /// Health, readiness, metrics, or a key to block.
     Operator(&'a str),
     /// Nothing known.
     Unknown,
@@ -29,7 +29,7 @@
     match path {
         "/v1/chat/completions" => Target::Chat,
         "/v1/models" => Target::Models,
-        "/healthz" | "/readyz" | "/metrics" | bars::PATH => Target::Operator(path),
+        "/healthz" | "/readyz" | "/metrics" | blocked::PATH => Target::Operator(path),
         _ => match url.strip_prefix("/s/") {
             Some(rest) => plain(rest),
             None => Target::Unknown,
--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -9,7 +9,7 @@
 use policy::{ask, usage};
 use serde_json::json;
 
-use crate::{body, caller, chat_request, chunk, context, metrics, pass, reply, retry, upstream};
+use crate::{body, caller, chat_request, chunk, context, metrics, permit, reply, retry, upstream};
 
 /// Looks at the key again after this many tokens.
 const CHECK_EVERY: u32 = 32;
@@ -132,40 +132,40 @@
     fn run(mut self) {
         let mut avoid: Vec<name::Upstream> = Vec::new();
         loop {
-            let pass = match self.context.gate.enter(self.ask(&avoid)) {
-                Ok(pass) => pass,
+            let permit = match self.context.admission.enter(self.ask(&avoid)) {
+                Ok(permit) => permit,
                 Err(refusal) => return self.give_up(&refusal),
             };
             let upstream = self
                 .service
                 .upstreams
                 .iter()
-                .find(|u| u.name == pass.upstream);
+                .find(|u| u.name == permit.upstream);
             let Some(upstream) = upstream.cloned() else {
-                avoid.push(pass.upstream.clone());
+                avoid.push(permit.upstream.clone());
                 continue;
             };
             let before = self.tokens;
-            let attempt = self.attempt(&pass, &upstream);
-            let first = self.first_since(pass.started());
+            let attempt = self.attempt(&permit, &upstream);
+            let first = self.first_since(permit.started());
             let made = self.tokens - before;
             match attempt {
                 Attempt::Whole => {
-                    pass.finish(ask::Outcome::Whole, made, first);
+                    permit.finish(ask::Outcome::Whole, made, first);
                     self.context.upstreams.budget().earn();
                     return self.end();
                 }
                 Attempt::CallerGone => {
-                    pass.finish(ask::Outcome::Stopped, made, first);
+                    permit.finish(ask::Outcome::Stopped, made, first);
                     return self.bill("caller_gone");
                 }
                 Attempt::Withdrawn => {
-                    pass.finish(ask::Outcome::Stopped, made, first);
+                    permit.finish(ask::Outcome::Stopped, made, first);
                     self.bill("key_withdrawn");
                     return self.break_off(refusal::Reason::BadKey);
                 }
                 Attempt::Again(reason, error) => {
-                    pass.finish(outcome(reason), made, first);
+                    permit.finish(outcome(reason), made, first);
                     if !self.may_retry(reason, error, &mut avoid, &upstream.name) {
                         return;
                     }
@@ -178,7 +178,7 @@
         message::Ask {
             service: self.service.name.clone(),
             class: self.caller.class.name.clone(),
-            ticket: self.context.gate.ticket(),
+            ticket: self.context.admission.ticket(),
             team: self.caller.team_name().into(),
             waited: self.context.clock.now().since(self.last),
             prompt: self.request.prompt,
@@ -220,7 +220,7 @@
                 .service
                 .upstreams
                 .iter()
-                .filter(|u| &u.dc == self.context.gate.dc());
+                .filter(|u| &u.dc == self.context.admission.dc());
             if others.count() <= avoid.len() {
                 avoid.clear();
             }
@@ -229,7 +229,7 @@
     }
 
     /// Sends to one upstream and passes its answer on.
-    fn attempt(&mut self, pass: &pass::Pass, upstream: &document::Upstream) -> Attempt {
+    fn attempt(&mut self, permit: &permit::Permit, upstream: &document::Upstream) -> Attempt {
         let send = self.context.request_id();
         let body = self
             .request
@@ -241,7 +241,7 @@
         };
         let before = self.tokens;
         loop {
-            if pass.is_stopped() {
+            if permit.is_stopped() {
                 return Attempt::Again(metrics::Retry::Preempted, upstream::Error::Broken);
             }
             let chunk = match events.event() {
@@ -285,7 +285,7 @@
     fn may_move(&mut self) -> bool {
         let upstreams = self.service.upstreams.iter();
         let here = upstreams
-            .filter(|u| &u.dc == self.context.gate.dc())
+            .filter(|u| &u.dc == self.context.admission.dc())
             .count();
         let may = !self.moved && !self.fixed && self.service.idempotent && here > 1;
         self.moved |= may;
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -9,7 +9,7 @@
 use platform::store;
 use policy::usage;
 
-use crate::{bars, directory, gate, ledger, metrics, settings, upstream};
+use crate::{admission, blocked, directory, ledger, metrics, settings, upstream};
 
 /// How far a host is in its life, as callers see it.
 #[derive(Debug, Default)]
@@ -51,12 +51,12 @@
     pub incarnation: u64,
     /// The configuration as requests read it.
     pub view: sync::RwLock<view::View>,
-    /// Keys barred at a host and not yet withdrawn in the configuration.
-    pub bars: bars::Bars,
+    /// Keys blocked at a host and not yet withdrawn in the configuration.
+    pub blocked: blocked::Blocked,
     /// The key-value service.
     pub store: sync::Arc<dyn store::Store>,
     /// Grants.
-    pub gate: sync::Arc<gate::Gate>,
+    pub admission: sync::Arc<admission::Admission>,
     /// Hosts known to this one.
     pub directory: sync::Arc<directory::Directory>,
     /// Usage not yet written.
@@ -110,7 +110,7 @@
 
     /// The team of a working key, by its digest.
     pub fn team_of(&self, digest: &str) -> Option<sync::Arc<document::Team>> {
-        if key::bytes(digest).is_some_and(|d| self.bars.contains(&d)) {
+        if key::bytes(digest).is_some_and(|d| self.blocked.contains(&d)) {
             return None;
         }
         self.view().team_of(digest)
@@ -129,7 +129,7 @@
                 return false;
             };
             let message = message::Message::Copy(self.incarnation, record.clone());
-            self.gate.send(&peer, message)
+            self.admission.send(&peer, message)
         });
     }
 
--- a/crates/host/src/desks.rs
+++ b/crates/host/src/dispatchers.rs
@@ -1,4 +1,4 @@
-//! The dispatchers at work on this host: whole ones for the services that it dispatches, and ones
+//! The dispatchers that run on this host: whole ones for the services that it dispatches, and ones
 //! with its share of the slots for the rest.
 
 use std::collections;
@@ -30,17 +30,17 @@
     },
 }
 
-struct Desk {
+struct Local {
     dispatcher: dispatch::Dispatcher,
     sites: Vec<pool::Site>,
     whole: bool,
 }
 
-/// The desks of one host.
+/// The dispatchers of one host.
 #[derive(Default)]
-pub struct Desks(collections::HashMap<name::Service, Desk>);
+pub struct Dispatchers(collections::HashMap<name::Service, Local>);
 
-impl Desks {
+impl Dispatchers {
     /// Sets the upstreams of a service; tells besides whether this host has just become its
     /// dispatcher.
     pub fn configure(
@@ -51,23 +51,23 @@
         now: clock::Millis,
     ) -> (Decisions, bool) {
         let mut out = Decisions::new();
-        let desk = self.0.entry(service.clone()).or_insert_with(|| Desk {
+        let local = self.0.entry(service.clone()).or_insert_with(|| Local {
             dispatcher: dispatch::Dispatcher::default(),
             sites: Vec::new(),
             whole: true,
         });
         let whole = part == Part::Whole;
-        let taken_over = whole && !desk.whole;
-        desk.whole = whole;
+        let taken_over = whole && !local.whole;
+        local.whole = whole;
         let sites = part.of(sites);
-        if sites != desk.sites {
-            desk.dispatcher.configure(&sites, now, &mut out);
-            desk.sites = sites;
+        if sites != local.sites {
+            local.dispatcher.configure(&sites, now, &mut out);
+            local.sites = sites;
         }
         (out, taken_over)
     }
 
-    /// The services that have a desk.
+    /// The services that have a dispatcher.
     pub fn services(&self) -> impl Iterator<Item = &name::Service> {
         self.0.keys()
     }
@@ -127,8 +127,8 @@
     /// Time passes.
     pub fn tick(&mut self, now: clock::Millis) -> Decisions {
         let mut out = Decisions::new();
-        for desk in self.0.values_mut() {
-            desk.dispatcher.tick(now, &mut out);
+        for local in self.0.values_mut() {
+            local.dispatcher.tick(now, &mut out);
         }
         out
     }
@@ -168,8 +168,8 @@
         now: clock::Millis,
     ) -> Decisions {
         let mut out = Decisions::new();
-        for desk in self.0.values_mut() {
-            desk.dispatcher.forget(&is_theirs, now, &mut out);
+        for local in self.0.values_mut() {
+            local.dispatcher.forget(&is_theirs, now, &mut out);
         }
         out
     }
@@ -195,14 +195,14 @@
     /// The load of the services that this host dispatches.
     pub fn loads(&mut self, now: clock::Millis) -> Vec<message::Load> {
         let mut out = Vec::new();
-        for (service, desk) in &mut self.0 {
-            if !desk.whole {
+        for (service, local) in &mut self.0 {
+            if !local.whole {
                 continue;
             }
             let service = service.clone();
-            let waiting = desk.dispatcher.waiting() as u32;
-            let (firm, loose) = desk.dispatcher.demand(now);
-            let pool = desk.dispatcher.pool();
+            let waiting = local.dispatcher.waiting() as u32;
+            let (firm, loose) = local.dispatcher.demand(now);
+            let pool = local.dispatcher.pool();
             let free = pool.slots().saturating_sub(pool.busy());
             out.push(message::Load {
                 service,
--- a/crates/host/src/ledger.rs
+++ b/crates/host/src/ledger.rs
@@ -17,15 +17,15 @@
 const COPY: clock::Millis = clock::Millis(100);
 /// Copies of a host whose connection was lost are written after this.
 const TAKE_OVER: clock::Millis = clock::Millis(5_000);
-/// Tries of one flush: another writer of the same book may come first.
+/// Tries of one flush: another writer of the same journal may come first.
 const WRITES: u32 = 5;
 
-/// Prefix of all books in the store.
-pub const BOOKS: &str = "usage/book/";
+/// Prefix of all journals in the store.
+pub const JOURNALS: &str = "usage/journal/";
 
-/// Key of a book.
-pub fn book_key(incarnation: &usage::Incarnation) -> String {
-    format!("{BOOKS}{}", incarnation.0)
+/// Key of a journal.
+pub fn journal_key(incarnation: &usage::Incarnation) -> String {
+    format!("{JOURNALS}{}", incarnation.0)
 }
 
 struct State {
@@ -160,14 +160,14 @@
         while tries > 0 {
             tries -= 1;
             let state = self.lock();
-            let (book, over) = (state.own.added(now), state.revision);
+            let (journal, over) = (state.own.added(now), state.revision);
             drop(state);
-            let Some(book) = book else { return true };
-            let Some(standing) = write(store, &book, over) else {
+            let Some(journal) = journal else { return true };
+            let Some(standing) = write(store, &journal, over) else {
                 return false;
             };
             let mut state = self.lock();
-            state.own.stands(standing.book);
+            state.own.stands(standing.journal);
             state.revision = Some(standing.revision);
             let State { own, safe, .. } = &mut *state;
             safe.retain(|n| own.is_open(*n));
@@ -237,46 +237,50 @@
     }
 }
 
-/// A book as it stands in the store.
+/// A journal as it stands in the store.
 struct Standing {
-    book: usage::Book,
+    journal: usage::Journal,
     revision: u64,
 }
 
 fn standing(entry: &store::Entry) -> Option<Standing> {
-    let book = serde_json::from_slice(entry.bytes()).ok()?;
+    let journal = serde_json::from_slice(entry.bytes()).ok()?;
     Some(Standing {
-        book,
+        journal,
         revision: entry.revision,
     })
 }
 
-/// Adds the copies of a host that is gone to its book; the records that stand then.
+/// Adds the copies of a host that is gone to its journal; the records that stand then.
 fn write_orphan(store: &dyn store::Store, mut ledger: usage::Ledger) -> Option<usage::Numbers> {
-    let key = book_key(ledger.incarnation());
+    let key = journal_key(ledger.incarnation());
     let now = clock::Clock::System.unix().0;
     let mut over = None;
     if let Some(found) = store.get(&key).ok()? {
         let found = standing(&found)?;
-        ledger.stands(found.book);
+        ledger.stands(found.journal);
         over = Some(found.revision);
     }
     for _ in 0..WRITES {
-        let Some(book) = ledger.added(now) else {
+        let Some(journal) = ledger.added(now) else {
             return Some(ledger.records().clone());
         };
-        let written = write(store, &book, over)?;
-        ledger.stands(written.book);
+        let written = write(store, &journal, over)?;
+        ledger.stands(written.journal);
         over = Some(written.revision);
     }
     None
 }
 
-/// Writes a book over the one at revision `over`; gives the book that stands then, this one or
+/// Writes a journal over the one at revision `over`; gives the journal that stands then, this one or
 /// another writer's.
-fn write(store: &dyn store::Store, book: &usage::Book, over: Option<u64>) -> Option<Standing> {
-    let key = book_key(&book.incarnation);
-    let bytes = serde_json::to_vec(book).ok()?;
+fn write(
+    store: &dyn store::Store,
+    journal: &usage::Journal,
+    over: Option<u64>,
+) -> Option<Standing> {
+    let key = journal_key(&journal.incarnation);
+    let bytes = serde_json::to_vec(journal).ok()?;
     let written = match over {
         Some(revision) => store::replace(store, &key, &bytes, revision),
         None => match store::create(store, &key, &bytes) {
@@ -287,12 +291,12 @@
     };
     match written {
         Ok(revision) => Some(Standing {
-            book: book.clone(),
+            journal: journal.clone(),
             revision,
         }),
         Err(store::Error::Conflict(Some(found))) => standing(&found),
         Err(e) => {
-            tracing::warn!(event = "usage_not_written", error = %e, entry = book.number);
+            tracing::warn!(event = "usage_not_written", error = %e, entry = journal.number);
             None
         }
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,8 @@
 //! The host of jacinthslip as a library, for the program and the quickstart.
 
+pub mod admission;
 pub mod agent;
-pub mod bars;
+pub mod blocked;
 pub mod body;
 pub mod caller;
 pub mod chat;
@@ -9,20 +10,19 @@
 pub mod chunk;
 pub mod cli;
 pub mod context;
-pub mod desks;
 pub mod directory;
+pub mod dispatchers;
 pub mod exit_codes;
 pub mod follow;
-pub mod gate;
 pub mod leader;
 pub mod ledger;
-pub mod life;
+pub mod lifecycle;
 pub mod metrics;
 pub mod node;
 pub mod once;
-pub mod pass;
-pub mod patience;
+pub mod permit;
 pub mod plain;
+pub mod read_limit;
 pub mod reply;
 pub mod report;
 pub mod retry;
--- a/crates/host/src/life.rs
+++ b/crates/host/src/lifecycle.rs
@@ -12,8 +12,8 @@
 use policy::usage;
 
 use crate::{
-    agent, bars, context, directory, exit_codes, follow, gate, ledger, metrics, node, report,
-    server, settings, stop, supervisor, upstream,
+    admission, agent, blocked, context, directory, exit_codes, follow, ledger, metrics, node,
+    report, server, settings, stop, supervisor, upstream,
 };
 
 /// How often a draining host looks whether its last request has ended.
@@ -95,9 +95,9 @@
     let directory = sync::Arc::new(directory);
     let times = settings.times;
     Ok(context::Context {
-        bars: bars::Bars::default(),
+        blocked: blocked::Blocked::default(),
         store: sync::Arc::new(store_http::Http::new(settings.store)),
-        gate: sync::Arc::new(gate::Gate::new(
+        admission: sync::Arc::new(admission::Admission::new(
             clock.clone(),
             directory.clone(),
             incarnation as u32,
@@ -130,7 +130,9 @@
     let n = node.clone();
     shared.child("node", move |stop| n.run(stop));
     let (c, n) = (context.clone(), node.clone());
-    shared.child("bars", move |stop| bars::run(&c, stop, || n.is_relay()));
+    shared.child("blocked", move |stop| {
+        blocked::run(&c, stop, || n.is_relay())
+    });
     let n = node.clone();
     shared.child("tick", move |stop| n.tick(stop));
     let mut root = supervisor::Supervisor::new("root");
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -3,7 +3,7 @@
 use std::process;
 use std::thread;
 
-use jacinthslip::{cli, exit_codes, life, settings, stop};
+use jacinthslip::{cli, exit_codes, lifecycle, settings, stop};
 
 fn main() -> process::ExitCode {
     let flags = cli::Jacinthslip::from_env_or_exit();
@@ -42,7 +42,7 @@
         Ok(signals) => signals,
         Err(e) => return fail(&eyre::eyre!("can't take signals: {e}")),
     };
-    let serving = match life::Starting::new(settings).start() {
+    let serving = match lifecycle::Starting::new(settings).start() {
         Ok(serving) => serving,
         Err(e) => return fail(&e),
     };
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -9,7 +9,7 @@
 use platform::hosts;
 use policy::{ask, pool, scale, spill, usage};
 
-use crate::{bars, context, follow, gate, stop, summaries};
+use crate::{admission, blocked, context, follow, stop, summaries};
 
 /// How often heartbeats go out.
 const BEAT: clock::Millis = clock::Millis(400);
@@ -19,7 +19,7 @@
 const RELAYS: usize = 2;
 /// How often a host tells what it dispatches.
 const SUMMARY: clock::Millis = clock::Millis(1_200);
-/// A host silent for this long is gone: its requests leave the desks.
+/// A host silent for this long is gone: its requests leave the dispatchers.
 const GONE: clock::Millis = clock::Millis(5_000);
 
 /// This host's connections and what is learnt through them.
@@ -92,12 +92,12 @@
         };
         let weak = sync::Arc::downgrade(self);
         let sink: sync::Weak<dyn link::Sink> = weak.clone();
-        let outbox: sync::Weak<dyn gate::Outbox> = weak.clone();
-        let terms: sync::Weak<dyn gate::Terms> = weak.clone();
+        let outbox: sync::Weak<dyn admission::Outbox> = weak.clone();
+        let terms: sync::Weak<dyn admission::Terms> = weak.clone();
         self.follower.listen(weak.clone());
         let links = link::Links::start(identity, settings.peer, sink)?;
         let _ = self.links.set(links);
-        self.context.gate.connect(outbox, terms, weak);
+        self.context.admission.connect(outbox, terms, weak);
         self.want_peers();
         Ok(())
     }
@@ -108,7 +108,7 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Keeps heartbeats, connections and desks up to date until stopped.
+    /// Keeps heartbeats, connections and dispatchers up to date until stopped.
     pub fn run(&self, stop: &stop::Stop) {
         let mut listed = clock::Millis::ZERO;
         let mut summarized = clock::Millis::ZERO;
@@ -119,10 +119,10 @@
                 self.read_list();
             }
             self.want_peers();
-            self.configure_desks();
+            self.configure_dispatchers();
             self.beat();
-            self.tell_bars();
-            self.context.gate.tell_holding();
+            self.tell_blocked();
+            self.context.admission.tell_holding();
             if now.since(summarized) >= SUMMARY {
                 summarized = now;
                 self.summarize(now);
@@ -132,11 +132,11 @@
         }
     }
 
-    /// Lets time pass at the desks until stopped.
+    /// Lets time pass at the dispatchers until stopped.
     pub fn tick(&self, stop: &stop::Stop) {
         const TICK: time::Duration = time::Duration::from_millis(10);
         while !stop.wait(TICK) {
-            self.context.gate.tick();
+            self.context.admission.tick();
         }
     }
 
@@ -223,7 +223,7 @@
         }
     }
 
-    fn beat_message(&self) -> message::Message {
+    fn heartbeat(&self) -> message::Message {
         // A host that is still reading knows only a part.
         let ready = self.context.is_ready();
         let revision = if ready {
@@ -232,24 +232,24 @@
             0
         };
         let leaving = !self.context.phase.is_serving();
-        message::Message::Beat(message::Beat { revision, leaving })
+        message::Message::Heartbeat(message::Heartbeat { revision, leaving })
     }
 
     /// Tells all connected hosts what this one has in force.
     pub fn beat(&self) {
-        self.broadcast(Scope::All, &self.beat_message());
+        self.broadcast(Scope::All, &self.heartbeat());
     }
 
-    /// Tells all connected hosts which keys are barred.
-    fn tell_bars(&self) {
-        let barred = self.context.bars.list();
-        if !barred.is_empty() {
-            self.broadcast(Scope::All, &message::Message::Barred(barred));
+    /// Tells all connected hosts which keys are blocked.
+    fn tell_blocked(&self) {
+        let blocked = self.context.blocked.list();
+        if !blocked.is_empty() {
+            self.broadcast(Scope::All, &message::Message::Blocked(blocked));
         }
     }
 
-    /// Sets the upstreams of every service at its desk: those of this data centre that run.
-    pub fn configure_desks(&self) {
+    /// Sets the upstreams of every service at its dispatcher: those of this data centre that run.
+    pub fn configure_dispatchers(&self) {
         let dc = &self.context.settings.dc;
         let now = self.context.clock.now();
         let list = self.list().clone();
@@ -267,7 +267,7 @@
                     cheap: u.cheap,
                 });
             }
-            self.context.gate.configure(&service.name, &sites);
+            self.context.admission.configure(&service.name, &sites);
         }
     }
 
@@ -281,7 +281,7 @@
             region: self.context.settings.region.clone(),
             host: self.context.settings.host.clone(),
             address: links.address(),
-            services: self.context.gate.loads(),
+            services: self.context.admission.loads(),
         };
         if summary.services.is_empty() {
             return;
@@ -333,7 +333,7 @@
         for host in lost {
             if !self.context.directory.is_heard(&host, now) {
                 tracing::info!(event = "host_gone", host = %host);
-                self.context.gate.forget(&host);
+                self.context.admission.forget(&host);
             }
         }
     }
@@ -370,7 +370,7 @@
         self.summaries.keep(summary, self.context.clock.now());
     }
 
-    fn on_beat(&self, host: &name::Host, beat: &message::Beat) {
+    fn on_heartbeat(&self, host: &name::Host, beat: &message::Heartbeat) {
         let now = self.context.clock.now();
         self.context
             .directory
@@ -381,14 +381,14 @@
             self.context.set_ready();
         }
         if beat.revision > own {
-            gate::Outbox::send(self, host, message::Message::WantConfig(own + 1));
+            admission::Outbox::send(self, host, message::Message::WantConfig(own + 1));
         }
     }
 }
 
 impl follow::Listener for Node {
     fn changed(&self) {
-        self.configure_desks();
+        self.configure_dispatchers();
         self.beat();
     }
 }
@@ -402,7 +402,7 @@
     }
 }
 
-impl gate::Outbox for Node {
+impl admission::Outbox for Node {
     fn send(&self, host: &name::Host, message: message::Message) -> bool {
         self.links
             .get()
@@ -410,7 +410,7 @@
     }
 }
 
-impl gate::Terms for Node {
+impl admission::Terms for Node {
     fn terms(&self, class: &name::Class, team: &name::Team) -> Option<(ask::Terms, u32)> {
         let view = self.context.view();
         let class = view.class(class.as_str())?;
@@ -427,7 +427,7 @@
     }
 }
 
-impl gate::Neighbours for Node {
+impl admission::Neighbours for Node {
     fn find(
         &self,
         service: &name::Service,
@@ -439,7 +439,7 @@
         let now = self.context.clock.now();
         let mut best: Option<(bool, u32, name::Host)> = None;
         for mut e in self.summaries.elsewhere(service) {
-            let sent = self.context.gate.away_since(&e.host, service, e.told);
+            let sent = self.context.admission.away_since(&e.host, service, e.told);
             e.state.free = e.state.free.saturating_sub(sent);
             if !spill::wins(&e.state, wait, slack, now) {
                 continue;
@@ -464,10 +464,10 @@
 impl link::Sink for Node {
     fn message(&self, host: &name::Host, message: message::Message) {
         match message {
-            message::Message::Beat(beat) => self.on_beat(host, &beat),
+            message::Message::Heartbeat(beat) => self.on_heartbeat(host, &beat),
             message::Message::WantConfig(from) => {
                 for part in self.follower.tell(&self.context, from) {
-                    gate::Outbox::send(self, host, part);
+                    admission::Outbox::send(self, host, part);
                 }
             }
             message::Message::Entries(entries) => {
@@ -480,7 +480,7 @@
                 let number = record.number;
                 let start = usage::Incarnation::new(host, incarnation);
                 self.context.ledger.keep(host, start, record);
-                gate::Outbox::send(self, host, message::Message::Copied(number));
+                admission::Outbox::send(self, host, message::Message::Copied(number));
             }
             message::Message::Copied(number) => self.context.ledger.copied(number),
             message::Message::Written(incarnation, records) => {
@@ -488,13 +488,13 @@
                 self.context.ledger.drop_copies(&start, &records);
             }
             message::Message::Summary(summary) => self.on_summary(host, summary),
-            message::Message::Barred(digests) => {
+            message::Message::Blocked(digests) => {
                 for digest in &digests {
-                    bars::bar(&self.context, digest);
+                    blocked::block(&self.context, digest);
                 }
             }
             message::Message::Retire(upstreams) => self.keep_retired(upstreams),
-            other => self.context.gate.message(host, other),
+            other => self.context.admission.message(host, other),
         }
     }
 
@@ -507,7 +507,7 @@
         if let Some((_, dc)) = connected.iter().find(|(name, _)| name == host) {
             self.context.directory.place(host, dc);
         }
-        gate::Outbox::send(self, host, self.beat_message());
+        admission::Outbox::send(self, host, self.heartbeat());
     }
 
     fn closed(&self, host: &name::Host) {
--- a/crates/host/src/pass.rs
+++ b/crates/host/src/permit.rs
@@ -6,11 +6,11 @@
 use peer::message;
 use policy::ask;
 
-use crate::{gate, waiter};
+use crate::{admission, waiter};
 
-/// A granted slot. Dropped without [`Pass::finish`], it counts as stopped.
-pub struct Pass {
-    gate: sync::Arc<gate::Gate>,
+/// A granted slot. Dropped without [`Permit::finish`], it counts as stopped.
+pub struct Permit {
+    admission: sync::Arc<admission::Admission>,
     ask: message::Ask,
     waiter: sync::Arc<waiter::Waiter>,
     /// Where the request runs.
@@ -19,17 +19,17 @@
     ended: bool,
 }
 
-impl Pass {
+impl Permit {
     /// The slot that `ask` was granted on `upstream` now.
     pub(crate) fn new(
-        gate: sync::Arc<gate::Gate>,
+        admission: sync::Arc<admission::Admission>,
         ask: message::Ask,
         waiter: sync::Arc<waiter::Waiter>,
         upstream: name::Upstream,
     ) -> Self {
-        let started = gate.now();
+        let started = admission.now();
         Self {
-            gate,
+            admission,
             ask,
             waiter,
             upstream,
@@ -58,8 +58,8 @@
             return;
         }
         self.ended = true;
-        let total = self.gate.now().since(self.started);
-        self.gate.leave(
+        let total = self.admission.now().since(self.started);
+        self.admission.leave(
             &self.ask,
             &ask::Spent {
                 outcome,
@@ -71,7 +71,7 @@
     }
 }
 
-impl Drop for Pass {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.end(ask::Outcome::Stopped, 0, clock::Millis::ZERO);
     }
--- a/crates/host/src/plain.rs
+++ b/crates/host/src/plain.rs
@@ -185,7 +185,7 @@
         message::Ask {
             service: self.service.name.clone(),
             class: self.caller.class.name.clone(),
-            ticket: self.context.gate.ticket(),
+            ticket: self.context.admission.ticket(),
             team: self.caller.team_name().into(),
             waited: self.context.clock.now().since(arrived),
             prompt: 0,
@@ -228,12 +228,12 @@
         loop {
             let asked = self
                 .context
-                .gate
+                .admission
                 .enter(self.ask(&tries.avoid, tries.arrived));
-            let pass = asked.map_err(|refusal| tries.honest(refusal))?;
+            let permit = asked.map_err(|refusal| tries.honest(refusal))?;
             let all = &self.service.upstreams;
-            let Some(upstream) = all.iter().find(|u| u.name == pass.upstream) else {
-                tries.avoid.push(pass.upstream.clone());
+            let Some(upstream) = all.iter().find(|u| u.name == permit.upstream) else {
+                tries.avoid.push(permit.upstream.clone());
                 continue;
             };
             if !claimed {
@@ -241,10 +241,10 @@
                 claimed = true;
             }
             let result = self.send(upstream);
-            let first = self.context.clock.now().since(pass.started());
+            let first = self.context.clock.now().since(permit.started());
             let error = match result {
                 Ok(answer) if !(repeatable && matches!(answer.status, 502..=504)) => {
-                    pass.finish(ask::Outcome::Whole, 1, first);
+                    permit.finish(ask::Outcome::Whole, 1, first);
                     self.end();
                     return Ok(answer);
                 }
@@ -254,7 +254,7 @@
                 }
                 Err(e) => e,
             };
-            pass.finish(ask::Outcome::Failed, 0, first);
+            permit.finish(ask::Outcome::Failed, 0, first);
             self.note(tries, upstream, error, repeatable)?;
         }
     }
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -19,14 +19,14 @@
 const STEP: time::Duration = time::Duration::from_millis(200);
 /// How often a page of claims is looked at.
 const SWEEP: clock::Millis = clock::Millis(1_000);
-/// Books read at a time.
+/// Journals read at a time.
 const PAGE: usize = 256;
 /// Reported windows kept in the store.
 const KEPT_WINDOWS: u64 = 2;
 /// Lines of a part at most: it stays well under the store's largest value.
 const PART_LINES: usize = 4_000;
-/// A book with no open entry that was not written for this long is removed.
-const BOOK_LIFE: clock::Millis = clock::Millis::secs(48 * 3600);
+/// A journal with no open entry that was not written for this long is removed.
+const JOURNAL_LIFE: clock::Millis = clock::Millis::secs(48 * 3600);
 /// Key of the lease.
 pub const LEASE: &str = "lease/report";
 /// Key of the number of the last window reported.
@@ -188,13 +188,16 @@
     if now.since(clock::Millis(before.sealed)) < context.settings.times.window {
         return Ok(None);
     }
-    let books: Vec<_> = books(store)?.into_iter().map(|(book, _)| book).collect();
+    let journals: Vec<_> = journals(store)?
+        .into_iter()
+        .map(|(journal, _)| journal)
+        .collect();
     let before = usage::Window {
         number: before.number,
         through: before.through.clone(),
         ..usage::Window::default()
     };
-    let window = usage::seal(&before, &books, now.0);
+    let window = usage::seal(&before, &journals, now.0);
     if window.lines.is_empty() {
         return Ok(None);
     }
@@ -230,23 +233,23 @@
     }
 }
 
-/// All books, each with its revision.
-fn books(store: &dyn store::Store) -> Result<Vec<(usage::Book, u64)>, store::Error> {
+/// All journals, each with its revision.
+fn journals(store: &dyn store::Store) -> Result<Vec<(usage::Journal, u64)>, store::Error> {
     let mut out = Vec::new();
     let mut after = String::new();
     loop {
-        let page = store.list(ledger::BOOKS, &after, PAGE)?;
+        let page = store.list(ledger::JOURNALS, &after, PAGE)?;
         let Some(last) = page.last() else {
             return Ok(out);
         };
         after = last.key.clone();
         for entry in &page {
-            let Ok(book) = serde_json::from_slice(entry.bytes()) else {
-                // A book left out would be taken again from its beginning later.
-                tracing::error!(event = "book_unreadable", key = %entry.key);
+            let Ok(journal) = serde_json::from_slice(entry.bytes()) else {
+                // A journal left out would be taken again from its beginning later.
+                tracing::error!(event = "journal_unreadable", key = %entry.key);
                 return Err(store::Error::Unknown);
             };
-            out.push((book, entry.revision));
+            out.push((journal, entry.revision));
         }
     }
 }
@@ -263,23 +266,25 @@
     Ok(())
 }
 
-/// Trims the entries of a sealed window from the books, and removes books that are long done.
+/// Trims the entries of a sealed window from the journals, and removes journals that are long done.
 fn trim(context: &context::Context, sealed: &Head) -> Result<(), store::Error> {
     let store = &*context.store;
     let now = context.clock.unix();
-    for (book, revision) in books(store)? {
-        let key = ledger::book_key(&book.incarnation);
+    for (journal, revision) in journals(store)? {
+        let key = ledger::journal_key(&journal.incarnation);
         let at = store::Expect::Revision(revision);
         let through = sealed
             .through
-            .get(&book.incarnation)
+            .get(&journal.incarnation)
             .copied()
             .unwrap_or_default();
         // Its host may have written first: a later window trims it then.
-        if let Some(trimmed) = book.trimmed(through) {
+        if let Some(trimmed) = journal.trimmed(through) {
             let bytes = serde_json::to_vec(&trimmed).map_err(|_| store::Error::Unknown)?;
             let _ = store.put(&key, &bytes, at);
-        } else if book.entries.is_empty() && now.since(clock::Millis(book.touched)) > BOOK_LIFE {
+        } else if journal.entries.is_empty()
+            && now.since(clock::Millis(journal.touched)) > JOURNAL_LIFE
+        {
             let _ = store.delete(&key, at);
         }
     }
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -9,7 +9,7 @@
 use base::{clock, refusal};
 use platform::accept;
 
-use crate::{bars, caller, chat, context, plain, reply, stop};
+use crate::{blocked, caller, chat, context, plain, reply, stop};
 
 /// Stack of a request's thread.
 const STACK_BYTES: usize = 256 * 1024;
@@ -123,8 +123,8 @@
 fn answer(context: &context::Context, request: tiny_http::Request) {
     let url = request.url().to_owned();
     let target = caller::target(&url);
-    if target == caller::Target::Operator(bars::PATH) {
-        return bars::serve(context, request);
+    if target == caller::Target::Operator(blocked::PATH) {
+        return blocked::serve(context, request);
     }
     if let caller::Target::Operator(path) = target {
         return reply::operator(request, context, path);
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -9,7 +9,7 @@
 use ureq::unversioned::transport;
 use ureq::unversioned::transport::Connector as _;
 
-use crate::{chunk, patience, retry};
+use crate::{chunk, read_limit, retry};
 
 /// Time to open a connection.
 const CONNECT: clock::Millis = clock::Millis(1_000);
@@ -65,7 +65,7 @@
                 .user_agent("jacinthslip")
                 .proxy(None)
                 .build();
-            let connector = transport::TcpConnector::default().chain(patience::Connector);
+            let connector = transport::TcpConnector::default().chain(read_limit::Connector);
             ureq::Agent::with_parts(config, connector, resolver::DefaultResolver::default())
         };
         Self {
@@ -95,7 +95,7 @@
         first: clock::Millis,
     ) -> Result<Events, Error> {
         let late = clock::Millis(first.0 * LATE);
-        patience::set(late.max(self.stall).min(self.answer));
+        read_limit::set(late.max(self.stall).min(self.answer));
         let url = format!("http://{}/v1/chat/completions", upstream.address);
         let call = self
             .streams
@@ -132,7 +132,7 @@
         call: &Plain<'_>,
         limit: usize,
     ) -> Result<Answer, Error> {
-        patience::set(self.answer);
+        read_limit::set(self.answer);
         let url = format!("http://{}{}", upstream.address, call.path);
         let mut request = ureq::http::Request::builder().method(call.method).uri(url);
         for (name, value) in call.headers {
@@ -243,7 +243,7 @@
             if chunk.id != self.id {
                 return Err(Error::Broken);
             }
-            patience::set(self.stall);
+            read_limit::set(self.stall);
             return Ok(Event::Chunk(chunk));
         }
     }
--- a/crates/host/src/waiter.rs
+++ b/crates/host/src/waiter.rs
@@ -9,7 +9,7 @@
 /// Where a request was granted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Source {
-    /// At this host's own desk.
+    /// At this host's own dispatcher.
     Own,
     /// By another host.
     Peer(name::Host),
--- a/crates/host/tests/config.rs
+++ b/crates/host/tests/config.rs
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn a_key_barred_while_the_store_is_down_stops_everywhere_and_is_withdrawn_later() {
+fn a_key_blocked_while_the_store_is_down_stops_everywhere_and_is_withdrawn_later() {
     let (mut site, key) = env::Site::ready(&["lalitpur", "lalitpur", "lekhnath"], 3);
     let chat = |site: &env::Site, n: usize| {
         env::chat(&site.url(n, "/v1/chat/completions"), &key, "x", 2)
@@ -215,10 +215,10 @@
     });
     site.store.fault(r#"{"down":true}"#);
     let secret = site.dir.join("secret");
-    let bar = |site: &env::Site| {
+    let block = |site: &env::Site| {
         let host = site.places[1].listen.to_string();
         env::ctl(&[
-            "bar",
+            "block",
             "--host",
             &host,
             "--secret-file",
@@ -228,18 +228,18 @@
         ])
     };
     fs::write(&secret, "not the hosts' secret").expect("secret");
-    assert_eq!(bar(&site).0, 1);
+    assert_eq!(block(&site).0, 1);
     assert_eq!(chat(&site, 1), 200);
     fs::write(&secret, env::SECRET).expect("secret");
-    let (code, _, err) = bar(&site);
+    let (code, _, err) = block(&site);
     assert_eq!(code, 0, "{err}");
     for n in 0..3 {
-        env::until("the key barred", || chat(&site, n) == 401);
+        env::until("the key blocked", || chat(&site, n) == 401);
     }
     // A host that starts meanwhile hears of it from its peers.
     site.host_mut(0).kill();
     site.start(0);
-    env::until("the key barred at the new host", || chat(&site, 0) == 401);
+    env::until("the key blocked at the new host", || chat(&site, 0) == 401);
     site.store.fault("{}");
     let store = site.store.address.to_string();
     env::until("the key withdrawn", || {
--- a/crates/host/tests/spill.rs
+++ b/crates/host/tests/spill.rs
@@ -45,7 +45,7 @@
     let key = site.issue("quotes");
     site.start_all();
     let url = site.url(0, "/v1/chat/completions");
-    // The desks learn how long an answer takes, and the summaries come.
+    // The dispatchers learn how long an answer takes, and the summaries come.
     for n in 0..4 {
         assert!(
             env::chat(&url, &key, &format!("first {n}"), 300)
--- a/crates/host/tests/tiers.rs
+++ b/crates/host/tests/tiers.rs
@@ -43,7 +43,7 @@
     site.start_all();
     env::until("the peers", || site.log(0).contains("event=peer_opened"));
     thread::sleep(time::Duration::from_secs(1));
-    // The desk learns how long an answer takes.
+    // The dispatcher learns how long an answer takes.
     assert!(as_class(&site, 0, &key, "batch", "first", 900).is_whole());
     thread::scope(|scope| {
         let mut low = Vec::new();
--- a/crates/host/tests/usage.rs
+++ b/crates/host/tests/usage.rs
@@ -222,7 +222,7 @@
     assert_eq!(sum, (5, 5 * TOKENS));
 }
 
-/// The platform takes no reports for a while: windows are sealed all the same, so that books stay
+/// The platform takes no reports for a while: windows are sealed all the same, so that journals stay
 /// small, and are reported in their order afterwards.
 #[test]
 fn windows_are_sealed_while_nobody_takes_reports() {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// A heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// A request asks its dispatcher for a slot; repeated while it waits.
     Ask(Ask),
     /// The dispatcher has the request in its queue.
@@ -46,15 +46,15 @@
     Written(u64, usage::Numbers),
     /// Free and waiting slots of the services that a host dispatches.
     Summary(Summary),
-    /// Keys that an operator barred at a host, by their digests in hexadecimal.
-    Barred(Vec<String>),
+    /// Keys that an operator blocked at a host, by their digests in hexadecimal.
+    Blocked(Vec<String>),
     /// Upstreams that are about to be stopped by order: no new work.
     Retire(Vec<name::Upstream>),
 }
 
 /// A heartbeat.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// The configuration in force.
     pub revision: u64,
     /// Whether the host is about to stop.
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -8,7 +8,7 @@
 fn messages() -> impl Strategy<Value = message::Message> {
     let name = "[a-z0-9-]{1,20}";
     let beat = (any::<u64>(), any::<bool>()).prop_map(|(revision, leaving)| {
-        message::Message::Beat(message::Beat { revision, leaving })
+        message::Message::Heartbeat(message::Heartbeat { revision, leaving })
     });
     let ask = (name, name, any::<u64>(), any::<u32>(), any::<bool>()).prop_map(
         |(service, team, ticket, prompt, resumable)| {
--- a/crates/policy/benches/decisions/ways.rs
+++ b/crates/policy/benches/decisions/ways.rs
@@ -57,11 +57,11 @@
     }
 }
 
-/// Our dispatchers: desk 0 sees all slots; desks 1 to `HOSTS` have a host's share each.
+/// Our dispatchers: dispatcher 0 sees all slots; dispatchers 1 to `HOSTS` have a host's share each.
 pub(crate) struct Ours {
-    desks: Vec<dispatch::Dispatcher>,
+    dispatchers: Vec<dispatch::Dispatcher>,
     sites: Vec<Vec<pool::Site>>,
-    /// Desk and time of the grant, by request.
+    /// Local and time of the grant, by request.
     grants: HashMap<u64, (usize, u64)>,
     waiting: BTreeMap<u64, usize>,
     alone: bool,
@@ -71,10 +71,10 @@
 impl Ours {
     pub(crate) fn new(load: &Load, alone: bool, loses: bool) -> Self {
         let mut sites = vec![Vec::new(); HOSTS + 1];
-        for (desk, list) in sites.iter_mut().enumerate() {
+        for (dispatcher, list) in sites.iter_mut().enumerate() {
             for n in 0..load.2 {
-                let part = share::slots(load.3, HOSTS as u32, ((desk + n) % HOSTS) as u32);
-                let slots = if desk == 0 { load.3 } else { part };
+                let part = share::slots(load.3, HOSTS as u32, ((dispatcher + n) % HOSTS) as u32);
+                let slots = if dispatcher == 0 { load.3 } else { part };
                 let cheap = n == 2 && load.6;
                 list.push(pool::Site {
                     name: upstream(n),
@@ -85,13 +85,13 @@
             }
             list.retain(|s| s.slots > 0);
         }
-        let desks = sites
+        let dispatchers = sites
             .iter()
             .map(|_| dispatch::Dispatcher::default())
             .collect();
         let grants = HashMap::new();
         Self {
-            desks,
+            dispatchers,
             sites,
             grants,
             waiting: BTreeMap::new(),
@@ -104,7 +104,7 @@
         self.loses && LOST.iter().any(|t| (*t..t + LOST_FOR).contains(&now))
     }
 
-    fn desk(&self, id: u64, now: u64) -> usize {
+    fn dispatcher(&self, id: u64, now: u64) -> usize {
         if self.alone || self.is_lost(now) {
             id as usize % HOSTS + 1
         } else {
@@ -113,14 +113,20 @@
     }
 
     fn put(&mut self, id: u64, ask: ask::Ask, w: &World, out: &mut Vec<Act>) {
-        let desk = self.desk(id, w.now);
-        self.waiting.insert(id, desk);
+        let dispatcher = self.dispatcher(id, w.now);
+        self.waiting.insert(id, dispatcher);
         let mut decisions = Vec::new();
-        self.desks[desk].ask(ask, Millis(w.now), &mut decisions);
-        self.carry(desk, decisions, w, out);
+        self.dispatchers[dispatcher].ask(ask, Millis(w.now), &mut decisions);
+        self.carry(dispatcher, decisions, w, out);
     }
 
-    fn carry(&mut self, desk: usize, list: Vec<ask::Decision>, w: &World, out: &mut Vec<Act>) {
+    fn carry(
+        &mut self,
+        dispatcher: usize,
+        list: Vec<ask::Decision>,
+        w: &World,
+        out: &mut Vec<Act>,
+    ) {
         for d in list {
             let id = d.ticket().0 >> 8;
             if !matches!(d, ask::Decision::Preempt(_)) {
@@ -128,7 +134,7 @@
             }
             out.push(match d {
                 ask::Decision::Grant(_, u) => {
-                    self.grants.insert(id, (desk, w.now));
+                    self.grants.insert(id, (dispatcher, w.now));
                     Act::Send(id, engine_of(&u))
                 }
                 ask::Decision::Refuse(..) => Act::Refuse(id),
@@ -143,23 +149,23 @@
         let now = Millis(w.now);
         let lost = self.is_lost(w.now);
         let waiting = std::mem::take(&mut self.waiting);
-        for (id, desk) in &waiting {
-            self.desks[*desk].withdraw(make_ask(&w.requests[id], w).ticket);
+        for (id, dispatcher) in &waiting {
+            self.dispatchers[*dispatcher].withdraw(make_ask(&w.requests[id], w).ticket);
         }
         if !lost {
-            // The next dispatcher is a host whose desk has learnt from others' grants.
-            self.desks.swap(0, 1);
-            self.desks[1] = dispatch::Dispatcher::default();
-            self.desks[0].configure(&self.sites[0], now, &mut Vec::new());
+            // The next dispatcher is a host whose dispatcher has learnt from others' grants.
+            self.dispatchers.swap(0, 1);
+            self.dispatchers[1] = dispatch::Dispatcher::default();
+            self.dispatchers[0].configure(&self.sites[0], now, &mut Vec::new());
         }
         for (n, e) in w.engines.iter().enumerate() {
             for s in e.running.iter().chain(e.inside.values()) {
                 let mut r = w.requests[&s.id].clone();
                 r.sent -= 1;
                 // Each host counts what it runs against its own share.
-                let desk = if lost { s.id as usize % HOSTS + 1 } else { 0 };
-                self.desks[desk].adopt(make_ask(&r, w), &upstream(n), now);
-                self.grants.entry(s.id).and_modify(|g| g.0 = desk);
+                let dispatcher = if lost { s.id as usize % HOSTS + 1 } else { 0 };
+                self.dispatchers[dispatcher].adopt(make_ask(&r, w), &upstream(n), now);
+                self.grants.entry(s.id).and_modify(|g| g.0 = dispatcher);
             }
         }
         for id in waiting.into_keys() {
@@ -174,7 +180,7 @@
     }
 
     fn ended(&mut self, r: &Request, outcome: ask::Outcome, w: &World, out: &mut Vec<Act>) {
-        let Some((desk, started)) = self.grants.remove(&r.id) else {
+        let Some((dispatcher, started)) = self.grants.remove(&r.id) else {
             return;
         };
         let first = Millis(r.first.map_or(0, |f| f.saturating_sub(started)));
@@ -187,11 +193,11 @@
         };
         let ticket = ask::Ticket(r.id << 8 | (r.sent - 1));
         let mut decisions = Vec::new();
-        self.desks[desk].done(ticket, &spent, Millis(w.now), &mut decisions);
-        self.carry(desk, decisions, w, out);
-        // The hosts' own desks learn from what the dispatcher granted.
-        if desk == 0 && outcome == ask::Outcome::Whole {
-            self.desks[1 + r.id as usize % HOSTS].learn(&make_ask(r, w), &spent);
+        self.dispatchers[dispatcher].done(ticket, &spent, Millis(w.now), &mut decisions);
+        self.carry(dispatcher, decisions, w, out);
+        // The hosts' own dispatchers learn from what the dispatcher granted.
+        if dispatcher == 0 && outcome == ask::Outcome::Whole {
+            self.dispatchers[1 + r.id as usize % HOSTS].learn(&make_ask(r, w), &spent);
         }
     }
 
@@ -199,14 +205,14 @@
         if self.loses && LOST.iter().any(|t| *t == w.now || t + LOST_FOR == w.now) {
             self.change_over(w, out);
         }
-        for n in 0..self.desks.len() {
+        for n in 0..self.dispatchers.len() {
             let mut decisions = Vec::new();
             if w.now.is_multiple_of(500) {
                 let mut sites = self.sites[n].clone();
                 sites.retain(|s| !w.engines[engine_of(&s.name)].leaving);
-                self.desks[n].configure(&sites, Millis(w.now), &mut decisions);
+                self.dispatchers[n].configure(&sites, Millis(w.now), &mut decisions);
             }
-            self.desks[n].tick(Millis(w.now), &mut decisions);
+            self.dispatchers[n].tick(Millis(w.now), &mut decisions);
             self.carry(n, decisions, w, out);
         }
     }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -28,7 +28,7 @@
 const DOUBT: f64 = 1.5;
 /// Prompt tokens that count as one generated token in a charge.
 const PROMPT_PER_TOKEN: u32 = 8;
-/// What was turned away counts as demand for this long.
+/// What was rejected counts as demand for this long.
 const REMEMBERED: clock::Millis = clock::Millis(3_000);
 /// When to come back where no upstream runs: one may be started meanwhile.
 const START_TIME: clock::Millis = clock::Millis(5_000);
@@ -79,7 +79,7 @@
     lengths: length::Lengths,
     running: collections::HashMap<ask::Ticket, Running>,
     classes: collections::BTreeMap<name::Class, Class>,
-    turned_away: collections::VecDeque<(clock::Millis, bool)>,
+    rejected: collections::VecDeque<(clock::Millis, bool)>,
     total_ms: f64,
     first_ms: f64,
     counts: Counts,
@@ -139,7 +139,7 @@
         self.running.len()
     }
 
-    /// Slots wanted by running and waiting work, and by what was turned away lately: by work that
+    /// Slots wanted by running and waiting work, and by what was rejected lately: by work that
     /// must not be evicted, and by work that may.
     pub fn demand(&self, now: clock::Millis) -> (u32, u32) {
         let mut firm = 0;
@@ -149,7 +149,7 @@
         for ask in running.chain(self.queue.iter().map(|w| &w.ask)) {
             count(is_loose(ask));
         }
-        for (at, is_loose) in &self.turned_away {
+        for (at, is_loose) in &self.rejected {
             if now.since(*at) < REMEMBERED {
                 count(*is_loose);
             }
@@ -158,12 +158,12 @@
     }
 
     /// Notes a request refused for want of room.
-    fn turn_away(&mut self, ask: &ask::Ask, now: clock::Millis) {
+    fn note_rejected(&mut self, ask: &ask::Ask, now: clock::Millis) {
         let old = |(at, _): &(clock::Millis, bool)| now.since(*at) >= REMEMBERED;
-        while self.turned_away.front().is_some_and(old) || self.turned_away.len() >= MAX_WAITING {
-            self.turned_away.pop_front();
+        while self.rejected.front().is_some_and(old) || self.rejected.len() >= MAX_WAITING {
+            self.rejected.pop_front();
         }
-        self.turned_away.push_back((now, is_loose(ask)));
+        self.rejected.push_back((now, is_loose(ask)));
     }
 
     /// A request arrives, or comes back with tokens it holds.
@@ -171,7 +171,7 @@
         self.note_class(&ask, now);
         if let Some(refusal) = self.refuse_early(&ask, now) {
             self.counts.refused_early += 1;
-            self.turn_away(&ask, now);
+            self.note_rejected(&ask, now);
             out.push(ask::Decision::Refuse(ask.ticket, refusal));
             return;
         }
@@ -535,12 +535,12 @@
 
     /// Stops lower-tier work for requests that would otherwise miss their target.
     fn preempt(&mut self, now: clock::Millis, out: &mut Vec<ask::Decision>) {
-        let patience = ENDS_AWAITED * self.end_every();
-        let patience = clock::Millis(patience as u64) + STOP_TIME;
+        let read_limit = ENDS_AWAITED * self.end_every();
+        let read_limit = clock::Millis(read_limit as u64) + STOP_TIME;
         let mut urgent: Vec<(u8, bool)> = Vec::new();
         for w in self.queue.iter() {
             let slack = self.slack(&w.ask.terms, now.since(w.since));
-            if w.ask.held == 0 && slack < patience {
+            if w.ask.held == 0 && slack < read_limit {
                 urgent.push((w.ask.terms.tier, w.ask.resumable));
             }
         }
@@ -582,7 +582,7 @@
         found.is_some_and(|m| !m.site.cheap && !m.leaving)
     }
 
-    /// Learns from a whole answer; also from one that another dispatcher granted, so that a desk
+    /// Learns from a whole answer; also from one that another dispatcher granted, so that a dispatcher
     /// that has to take over knows what to expect.
     pub fn learn(&mut self, ask: &ask::Ask, spent: &ask::Spent) {
         let whole = ask.held + spent.tokens;
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -1,9 +1,9 @@
-//! Usage counted once: records in the book of their host, books in sealed windows.
+//! Usage counted once: records in the journal of their host, journals in sealed windows.
 //!
-//! A host numbers its records and adds them, some at a time, to its book: one value in the store,
-//! changed only by compare-and-swap. The book names all records ever added, so whoever writes it,
+//! A host numbers its records and adds them, some at a time, to its journal: one value in the store,
+//! changed only by compare-and-swap. The journal names all records ever added, so whoever writes it,
 //! the host or a peer that holds copies, adds each record once. A sealed window takes the entries
-//! that the window before it had not taken; entries taken are trimmed from the book, their
+//! that the window before it had not taken; entries taken are trimmed from the journal, their
 //! records stay named.
 
 use std::collections;
@@ -146,7 +146,7 @@
     }
 }
 
-/// Records added to a book together.
+/// Records added to a journal together.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its number, from 1.
@@ -157,7 +157,7 @@
 
 /// The usage of one incarnation as it stands in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Book {
+pub struct Journal {
     /// Whose records.
     pub incarnation: Incarnation,
     /// The number of the last entry ever added; 0 for none.
@@ -170,8 +170,8 @@
     pub touched: u64,
 }
 
-impl Book {
-    /// A book with nothing in it.
+impl Journal {
+    /// A journal with nothing in it.
     pub fn new(incarnation: Incarnation) -> Self {
         Self {
             incarnation,
@@ -182,7 +182,7 @@
         }
     }
 
-    /// The book without the entries up to `through`; `None` if it holds none of them.
+    /// The journal without the entries up to `through`; `None` if it holds none of them.
     pub fn trimmed(&self, through: u64) -> Option<Self> {
         if self.entries.iter().all(|e| e.number > through) {
             return None;
@@ -193,15 +193,15 @@
     }
 }
 
-/// The records of one incarnation that are not yet in its book: kept by the host itself, and as
+/// The records of one incarnation that are not yet in its journal: kept by the host itself, and as
 /// copies by its peers.
 #[derive(Clone, Debug)]
 pub struct Ledger {
     open: collections::BTreeMap<u64, Record>,
-    book: Book,
+    journal: Journal,
 }
 
-/// Records added to a book at a time, at most.
+/// Records added to a journal at a time, at most.
 const MAX_ADDED: usize = 50_000;
 
 impl Ledger {
@@ -209,66 +209,66 @@
     pub fn new(incarnation: Incarnation) -> Self {
         Self {
             open: collections::BTreeMap::new(),
-            book: Book::new(incarnation),
+            journal: Journal::new(incarnation),
         }
     }
 
     /// Whose records these are.
     pub fn incarnation(&self) -> &Incarnation {
-        &self.book.incarnation
+        &self.journal.incarnation
     }
 
     /// Keeps a record, once.
     pub fn add(&mut self, record: Record) {
-        if self.book.records.contains(record.number) {
+        if self.journal.records.contains(record.number) {
             return;
         }
         self.open.insert(record.number, record);
     }
 
-    /// All records in the book.
+    /// All records in the journal.
     pub fn records(&self) -> &Numbers {
-        &self.book.records
+        &self.journal.records
     }
 
-    /// How many records are not in the book.
+    /// How many records are not in the journal.
     pub fn open(&self) -> usize {
         self.open.len()
     }
 
-    /// Whether a record is not in the book.
+    /// Whether a record is not in the journal.
     pub fn is_open(&self, number: u64) -> bool {
         self.open.contains_key(&number)
     }
 
-    /// The book with the open records added at `at`, to be written over the one that stands;
+    /// The journal with the open records added at `at`, to be written over the one that stands;
     /// `None` if none is open.
-    pub fn added(&self, at: u64) -> Option<Book> {
+    pub fn added(&self, at: u64) -> Option<Journal> {
         if self.open.is_empty() {
             return None;
         }
-        let mut book = self.book.clone();
+        let mut journal = self.journal.clone();
         let mut figures = Figures::default();
         for record in self.open.values().take(MAX_ADDED) {
-            book.records.insert(record.number);
+            journal.records.insert(record.number);
             figures.add(&record.account, &record.amount);
         }
-        book.number += 1;
-        book.touched = at;
-        book.entries.push(Entry {
-            number: book.number,
+        journal.number += 1;
+        journal.touched = at;
+        journal.entries.push(Entry {
+            number: journal.number,
             lines: figures.lines(),
         });
-        Some(book)
+        Some(journal)
     }
 
-    /// This book stands in the store, whoever wrote it.
-    pub fn stands(&mut self, book: Book) {
-        self.settle(&book.records);
-        self.book = book;
+    /// This journal stands in the store, whoever wrote it.
+    pub fn stands(&mut self, journal: Journal) {
+        self.settle(&journal.records);
+        self.journal = journal;
     }
 
-    /// These records are in the book that stands.
+    /// These records are in the journal that stands.
     pub fn settle(&mut self, records: &Numbers) {
         self.open.retain(|n, _| !records.contains(*n));
     }
@@ -283,22 +283,22 @@
     pub sealed: u64,
     /// The figures.
     pub lines: Vec<Line>,
-    /// For each book, the last entry taken by this or an earlier window.
+    /// For each journal, the last entry taken by this or an earlier window.
     pub through: collections::BTreeMap<Incarnation, u64>,
 }
 
-/// The window after `last`: all entries of `books` that no window has taken. Books that are gone
+/// The window after `last`: all entries of `journals` that no window has taken. Journals that are gone
 /// are no longer listed.
-pub fn seal(last: &Window, books: &[Book], at: u64) -> Window {
+pub fn seal(last: &Window, journals: &[Journal], at: u64) -> Window {
     let mut through = collections::BTreeMap::new();
     let mut figures = Figures::default();
-    for book in books {
+    for journal in journals {
         let mut taken = last
             .through
-            .get(&book.incarnation)
+            .get(&journal.incarnation)
             .copied()
             .unwrap_or_default();
-        for entry in &book.entries {
+        for entry in &journal.entries {
             if entry.number <= taken {
                 continue;
             }
@@ -307,7 +307,7 @@
                 figures.add(&line.account, &line.amount);
             }
         }
-        through.insert(book.incarnation.clone(), taken);
+        through.insert(journal.incarnation.clone(), taken);
     }
     Window {
         number: last.number + 1,
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -80,7 +80,7 @@
 /// Plays arrivals against a dispatcher and checks every decision.
 struct World {
     now: u64,
-    desk: dispatch::Dispatcher,
+    dispatcher: dispatch::Dispatcher,
     cheap: collections::HashSet<name::Upstream>,
     sites: u32,
     waiting: collections::BTreeMap<ask::Ticket, Request>,
@@ -93,8 +93,8 @@
 
 impl World {
     fn new(sites: &[pool::Site]) -> Self {
-        let mut desk = dispatch::Dispatcher::default();
-        desk.configure(sites, clock::Millis(1_000), &mut Vec::new());
+        let mut dispatcher = dispatch::Dispatcher::default();
+        dispatcher.configure(sites, clock::Millis(1_000), &mut Vec::new());
         let cheap = sites
             .iter()
             .filter(|s| s.cheap)
@@ -102,7 +102,7 @@
             .collect();
         Self {
             now: 1_000,
-            desk,
+            dispatcher,
             cheap,
             sites: sites.len() as u32,
             waiting: collections::BTreeMap::new(),
@@ -149,8 +149,8 @@
         let ask = request.ask.clone();
         self.asks.insert(ask.ticket, request.clone());
         self.waiting.insert(ask.ticket, request);
-        let before = self.desk.counts();
-        self.desk.ask(ask, self.clock(), &mut out);
+        let before = self.dispatcher.counts();
+        self.dispatcher.ask(ask, self.clock(), &mut out);
         self.check(&out, before)
     }
 
@@ -159,7 +159,7 @@
         out: &[ask::Decision],
         before: dispatch::Counts,
     ) -> Result<(), TestCaseError> {
-        let by_floor = self.desk.counts().by_floor - before.by_floor;
+        let by_floor = self.dispatcher.counts().by_floor - before.by_floor;
         let mut passed = 0;
         for decision in out {
             self.decided += 1;
@@ -266,12 +266,12 @@
             for ticket in ended {
                 self.end(ticket)?;
             }
-            let before = self.desk.counts();
+            let before = self.dispatcher.counts();
             let mut out = Vec::new();
-            self.desk.tick(self.clock(), &mut out);
+            self.dispatcher.tick(self.clock(), &mut out);
             self.check(&out, before)?;
-            prop_assert_eq!(self.desk.running(), self.running.len());
-            prop_assert_eq!(self.desk.waiting(), self.waiting.len());
+            prop_assert_eq!(self.dispatcher.running(), self.running.len());
+            prop_assert_eq!(self.dispatcher.waiting(), self.waiting.len());
         }
         Ok(())
     }
@@ -295,9 +295,9 @@
             first: clock::Millis(50),
             total: clock::Millis(done),
         };
-        let before = self.desk.counts();
+        let before = self.dispatcher.counts();
         let mut out = Vec::new();
-        self.desk.done(ticket, &spent, self.clock(), &mut out);
+        self.dispatcher.done(ticket, &spent, self.clock(), &mut out);
         self.check(&out, before)?;
         let mut again = None;
         if let (true, Some(old)) = (stopped, self.asks.get(&ticket)) {
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -29,7 +29,7 @@
     Tell,
     /// A window is sealed and reported.
     Seal,
-    /// Entries of reported windows are trimmed from the book.
+    /// Entries of reported windows are trimmed from the journal.
     Trim,
 }
 
@@ -45,26 +45,26 @@
     ]
 }
 
-/// The book in the store, with its revision.
+/// The journal in the store, with its revision.
 #[derive(Default)]
 struct Store {
-    book: Option<(usage::Book, u64)>,
+    journal: Option<(usage::Journal, u64)>,
     revision: u64,
 }
 
 impl Store {
-    /// Writes over the book at `over`; tells whether it stood there.
-    fn write(&mut self, book: &usage::Book, over: Option<u64>) -> bool {
-        if self.book.as_ref().map(|(_, r)| *r) != over {
+    /// Writes over the journal at `over`; tells whether it stood there.
+    fn write(&mut self, journal: &usage::Journal, over: Option<u64>) -> bool {
+        if self.journal.as_ref().map(|(_, r)| *r) != over {
             return false;
         }
         self.revision += 1;
-        self.book = Some((book.clone(), self.revision));
+        self.journal = Some((journal.clone(), self.revision));
         true
     }
 }
 
-/// A ledger with the revision of the book it knows.
+/// A ledger with the revision of the journal it knows.
 struct Writer {
     ledger: usage::Ledger,
     over: Option<u64>,
@@ -80,11 +80,11 @@
 
     /// Writes what is open; learns what stands if the answer comes.
     fn write(&mut self, store: &mut Store, effect: bool, answer: bool) {
-        let Some(book) = self.ledger.added(0) else {
+        let Some(journal) = self.ledger.added(0) else {
             return;
         };
         if effect {
-            store.write(&book, self.over);
+            store.write(&journal, self.over);
         }
         if answer {
             self.read(store);
@@ -92,8 +92,8 @@
     }
 
     fn read(&mut self, store: &Store) {
-        if let Some((book, revision)) = &store.book {
-            self.ledger.stands(book.clone());
+        if let Some((journal, revision)) = &store.journal {
+            self.ledger.stands(journal.clone());
             self.over = Some(*revision);
         }
     }
@@ -145,9 +145,9 @@
     }
 
     fn seal(&mut self) {
-        let books: Vec<_> = self.store.book.iter().map(|(b, _)| b.clone()).collect();
+        let journals: Vec<_> = self.store.journal.iter().map(|(b, _)| b.clone()).collect();
         let last = &self.windows[self.windows.len() - 1];
-        let next = usage::seal(last, &books, 0);
+        let next = usage::seal(last, &journals, 0);
         self.windows.push(next);
     }
 
@@ -158,10 +158,10 @@
             .get(&incarnation())
             .copied()
             .unwrap_or_default();
-        let Some((book, revision)) = self.store.book.clone() else {
+        let Some((journal, revision)) = self.store.journal.clone() else {
             return;
         };
-        if let Some(trimmed) = book.trimmed(through) {
+        if let Some(trimmed) = journal.trimmed(through) {
             self.store.write(&trimmed, Some(revision));
         }
     }
@@ -177,8 +177,8 @@
             Op::HostWrites { effect, answer } => self.host.write(&mut self.store, effect, answer),
             Op::PeerWrites { effect, answer } => self.peer_writes(effect, answer),
             Op::Tell => {
-                if let Some((book, _)) = &self.store.book {
-                    self.peer.ledger.settle(&book.records);
+                if let Some((journal, _)) = &self.store.journal {
+                    self.peer.ledger.settle(&journal.records);
                 }
             }
             Op::Seal => self.seal(),
