Usage is billed to the team whose key came: a test of its own

Two teams on one host, headers that name another team, a class that only the other may use: billed by key, refused by class.

--- a/crates/host/tests/usage.rs
+++ b/crates/host/tests/usage.rs
@@ -246,3 +246,63 @@
     let sum = settled(&site, whole);
     assert_eq!(sum, (whole, whole * TOKENS));
 }
+
+/// Requests run and are billed for the team whose key came with them, whatever else they say.
+#[test]
+fn usage_is_billed_to_the_team_whose_key_came() {
+    let (site, quotes) = site();
+    let crews = site.issue("crews");
+    let url = site.url(0, "/v1/chat/completions");
+    env::until("the key in force", || {
+        env::chat(&url, &crews, "x", 1).is_ok_and(|a| a.is_whole())
+    });
+    for (key, count) in [(&quotes, 3), (&crews, 4)] {
+        for _ in 0..count {
+            let bearer = format!("Bearer {key}");
+            let headers = [
+                ("Authorization", bearer.as_str()),
+                ("X-Team", "quotes"),
+                ("Team", "quotes"),
+            ];
+            let body = env::chat_body("whose", TOKENS, true);
+            assert!(
+                env::call("POST", &url, &headers, &body)
+                    .expect("answer")
+                    .is_whole()
+            );
+        }
+    }
+    // A class of another team is refused.
+    let bearer = format!("Bearer {crews}");
+    let headers = [
+        ("Authorization", bearer.as_str()),
+        ("X-Request-Class", "chat"),
+    ];
+    let refused =
+        env::call("POST", &url, &headers, &env::chat_body("x", 1, true)).expect("refusal");
+    assert_eq!(
+        (refused.status, refused.reason().as_str()),
+        (403, "forbidden")
+    );
+    settled(&site, 8);
+    let mut billed: collections::BTreeMap<String, u64> = collections::BTreeMap::new();
+    for report in site.platform.stats()["reports"]
+        .as_array()
+        .expect("reports")
+    {
+        let body: serde_json::Value =
+            serde_json::from_str(report["body"].as_str().expect("body")).expect("window");
+        for line in body["lines"].as_array().expect("lines") {
+            let team = line["account"]["team"].as_str().expect("team").to_owned();
+            *billed.entry(team).or_default() += line["amount"]["answer"].as_u64().expect("tokens");
+        }
+    }
+    assert_eq!(
+        billed,
+        [
+            ("crews".to_owned(), 4 * TOKENS + 1),
+            ("quotes".to_owned(), 3 * TOKENS)
+        ]
+        .into()
+    );
+}
