Remove the dispatcher's progress reports: nothing sent them

Dispatcher::progress had no caller, so a running request's token count was always 0 where it was read. Behaviour stays.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -40,7 +40,6 @@
     ask: ask::Ask,
     upstream: name::Upstream,
     started: clock::Millis,
-    tokens: u32,
     charged: i64,
     stopping: bool,
 }
@@ -203,21 +202,6 @@
         }
     }
 
-    /// A running request has generated `tokens` so far.
-    pub fn progress(&mut self, ticket: ask::Ticket, tokens: u32) {
-        let Some(run) = self.running.get_mut(&ticket) else {
-            return;
-        };
-        run.tokens = run.tokens.max(tokens);
-        let extra = i64::from(run.tokens) - run.charged;
-        if extra <= 0 {
-            return;
-        }
-        run.charged += extra;
-        self.queue
-            .charge(run.ask.terms.tier, &run.ask.team, run.ask.weight, extra);
-    }
-
     /// A granted request ended.
     pub fn done(
         &mut self,
@@ -283,10 +267,9 @@
             if !is_gone(ticket) {
                 continue;
             }
-            let tokens = self.running.get(&ticket).map_or(0, |r| r.tokens);
             let spent = ask::Spent {
                 outcome: ask::Outcome::Stopped,
-                tokens,
+                tokens: 0,
                 first: zero,
                 total: zero,
             };
@@ -474,7 +457,6 @@
             ask,
             upstream,
             started: now,
-            tokens: 0,
             charged,
             stopping: false,
         };
