--- a/crates/config/src/remote.rs
+++ b/crates/config/src/remote.rs
@@ -3,7 +3,7 @@
 use std::error;
 use std::fmt;
 
-use platform::store;
+use ports::store;
 
 use crate::{item, log};
 
--- a/crates/config/tests/log.rs
+++ b/crates/config/tests/log.rs
@@ -2,8 +2,8 @@
 
 use base::clock;
 use config::{document, item, key, log, parse, remote, view};
-use platform::memory;
-use platform::store::{Expect, Store as _};
+use ports::memory;
+use ports::store::{Expect, Store as _};
 use proptest::prelude::*;
 
 fn class(name: &str, tier: u8) -> document::Class {
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -2,7 +2,7 @@
 
 use base::clock;
 use config::{item, remote};
-use platform::store_http;
+use ports::store_http;
 
 use crate::{cli, fault, show};
 
--- a/crates/ctl/src/key.rs
+++ b/crates/ctl/src/key.rs
@@ -4,7 +4,7 @@
 
 use base::clock;
 use config::{item, key, remote};
-use platform::{http, store_http};
+use ports::{http, store_http};
 
 use crate::{change, cli, fault};
 
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -4,7 +4,7 @@
 
 use base::finding;
 use config::{document, item, log, parse, remote};
-use platform::{store, store_http};
+use ports::{store, store_http};
 
 use crate::{change, cli, fault};
 
--- a/crates/host/examples/quickstart.rs
+++ b/crates/host/examples/quickstart.rs
@@ -9,7 +9,7 @@
 use config::{document, item, key, log, parse, remote};
 use eyre::WrapErr as _;
 use jacinthslip::{lifecycle, settings, stop};
-use platform::store;
+use ports::store;
 use standin::{engine, plain, platform as standin_platform, store as standin_store};
 
 const DEFAULT_LISTEN: &str = "127.0.0.1:8080";
--- a/crates/host/src/agent.rs
+++ b/crates/host/src/agent.rs
@@ -8,8 +8,8 @@
 
 use base::{clock, name};
 use config::document;
-use platform::{hosts, orders};
 use policy::scale;
+use ports::{hosts, orders};
 
 use crate::{context, leader, node, stop};
 
@@ -55,7 +55,7 @@
     );
     let mut plan = Plan::default();
     let mut planned = clock::Millis::ZERO;
-    let agent = platform::http::agent(REPORT);
+    let agent = ports::http::agent(REPORT);
     while !stop.wait(STEP) {
         let (index, _) = context.directory.rank(context.clock.now());
         if index >= CANDIDATES && !leader.is_holding() {
--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -12,12 +12,20 @@
     /// EXAMPLES:
     ///     jacinthslip check --settings host.yaml
     ///     jacinthslip serve --settings host.yaml
+    ///     JACINTHSLIP_CONFIG=local.yaml jacinthslip platform
     cmd jacinthslip {
         /// Serve callers until SIGTERM, then drain and stop.
         cmd serve {
             /// The host's settings, a YAML file.
             required --settings file: PathBuf
         }
+        /// Serve on the users' platform, under the settings that it writes.
+        cmd platform {
+            /// The settings file; by default the one that JACINTHSLIP_CONFIG names.
+            optional --settings file: PathBuf
+            /// Check the settings file, report its faults and exit.
+            optional --check
+        }
         /// Check a settings file, report all its faults and exit.
         cmd check {
             /// The host's settings, a YAML file.
@@ -38,6 +46,7 @@
 #[derive(Debug)]
 pub enum JacinthslipCmd {
     Serve(Serve),
+    Platform(Platform),
     Check(Check),
     Version(Version),
 }
@@ -47,6 +56,12 @@
     pub settings: PathBuf,
 }
 
+#[derive(Debug)]
+pub struct Platform {
+    pub settings: Option<PathBuf>,
+    pub check: bool,
+}
+
 #[derive(Debug)]
 pub struct Check {
     pub settings: PathBuf,
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -6,8 +6,8 @@
 use base::{clock, name};
 use config::{document, key, view};
 use peer::message;
-use platform::store;
 use policy::usage;
+use ports::store;
 
 use crate::{admission, blocked, directory, ledger, metrics, settings, upstream};
 
--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -3,8 +3,8 @@
 use std::sync;
 
 use base::{clock, name};
-use platform::{orders, store};
 use policy::lease;
+use ports::{orders, store};
 
 /// A lease as one host sees it.
 pub struct Leader {
--- a/crates/host/src/ledger.rs
+++ b/crates/host/src/ledger.rs
@@ -8,8 +8,8 @@
 use std::time;
 
 use base::{clock, name};
-use platform::store;
 use policy::usage;
+use ports::store;
 
 /// How long the end of an answer waits for its usage to be safe elsewhere.
 const SAFE: clock::Millis = clock::Millis(1_000);
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -8,8 +8,8 @@
 
 use base::clock;
 use eyre::WrapErr as _;
-use platform::{accept, hosts, orders, reports, store_http};
 use policy::usage;
+use ports::{accept, hosts, orders, reports, store_http};
 
 use crate::{
     admission, agent, blocked, context, directory, exit_codes, follow, ledger, metrics, node,
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -3,7 +3,7 @@
 use std::process;
 use std::thread;
 
-use jacinthslip::{cli, exit_codes, lifecycle, settings, stop};
+use jacinthslip::{cli, exit_codes, lifecycle, logs, platform, settings, stop};
 
 fn main() -> process::ExitCode {
     let flags = cli::Jacinthslip::from_env_or_exit();
@@ -12,6 +12,7 @@
             println!("jacinthslip {}", env!("CARGO_PKG_VERSION"));
             exit_codes::ExitCode::Success.into()
         }
+        cli::JacinthslipCmd::Platform(flags) => platform::run(&flags).into(),
         cli::JacinthslipCmd::Check(check) => match settings::read(&check.settings) {
             Ok(_) => {
                 println!("{}: no fault found", check.settings.display());
@@ -33,7 +34,7 @@
 }
 
 fn run(settings: settings::Settings) -> exit_codes::ExitCode {
-    start_logs();
+    let _logs = logs::start();
     let signals = signal_hook::iterator::Signals::new([
         signal_hook::consts::SIGTERM,
         signal_hook::consts::SIGINT,
@@ -64,18 +65,3 @@
     );
     exit_codes::ExitCode::Failure
 }
-
-fn start_logs() {
-    use tracing_subscriber::layer::SubscriberExt as _;
-    use tracing_subscriber::util::SubscriberInitExt as _;
-    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    let layer = tracing_logfmt::builder()
-        .with_target(false)
-        .with_span_name(false)
-        .layer();
-    tracing_subscriber::registry()
-        .with(filter)
-        .with(layer)
-        .init();
-}
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -6,8 +6,8 @@
 
 use base::{clock, name};
 use peer::{link, message};
-use platform::hosts;
 use policy::{ask, pool, scale, spill, usage};
+use ports::hosts;
 
 use crate::{admission, blocked, context, follow, stop, summaries};
 
--- a/crates/host/src/once.rs
+++ b/crates/host/src/once.rs
@@ -5,7 +5,7 @@
 
 use base::{clock, name, refusal};
 use config::key;
-use platform::store;
+use ports::store;
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 
--- /dev/null
+++ b/crates/host/src/platform.rs
@@ -0,0 +1,86 @@
+//! The command that serves on the users' platform: settings, ports and runtime are put together.
+
+use std::cell;
+use std::collections;
+use std::env;
+use std::path;
+use std::rc;
+
+use adapter::{dialect, duties, settings, store};
+use base::clock;
+use router::{fleet, host, lifecycle, metrics, roster, windows, wire};
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::{cli, exit_codes, logs};
+
+/// Serves until SIGTERM.
+pub fn run(flags: &cli::Platform) -> exit_codes::ExitCode {
+    let named = env::var_os(settings::VARIABLE).map(path::PathBuf::from);
+    let Some(file) = flags.settings.clone().or(named) else {
+        eprintln!(
+            "jacinthslip: no settings file. Give --settings FILE or set {}.",
+            settings::VARIABLE
+        );
+        return exit_codes::ExitCode::Usage;
+    };
+    let settings = match settings::read(&file) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return exit_codes::ExitCode::Usage;
+        }
+    };
+    if flags.check {
+        println!("{}: no fault found", file.display());
+        return exit_codes::ExitCode::Success;
+    }
+    let _logs = logs::start();
+    match serve(settings, &file) {
+        Ok(()) => exit_codes::ExitCode::Success,
+        Err(e) => {
+            tracing::error!(event = "start_failed", error = %e);
+            eprintln!("jacinthslip: {e:#}. Correct the settings, then start again.");
+            exit_codes::ExitCode::Failure
+        }
+    }
+}
+
+fn serve(settings: settings::Settings, file: &path::Path) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let fresh = settings.fresh;
+    let host = rc::Rc::new(build(settings)?);
+    let reload = || match settings::read(file) {
+        Ok(_) => tracing::info!(event = "reload", outcome = "kept_until_restart"),
+        Err(findings) => tracing::error!(event = "reload", outcome = "unreadable", %findings),
+    };
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, lifecycle::run(host, fresh, reload))?;
+    Ok(())
+}
+
+fn build(settings: settings::Settings) -> eyre::Result<host::Host> {
+    let name = settings.host.host.clone();
+    let place = settings.host.place.clone();
+    Ok(host::Host {
+        settings: settings.host,
+        dialect: Box::new(dialect::Dialect),
+        store: Box::new(store::Store::new(settings.store)),
+        orders: Box::new(duties::Duties::new(settings.duties, name.as_str())),
+        clock: clock::Clock::System,
+        boot: rand::random(),
+        config: cell::RefCell::new(None),
+        fleet: cell::RefCell::new(fleet::Fleet::new(place)),
+        listed: cell::Cell::new(false),
+        pool: wire::Pool::default(),
+        budgets: cell::RefCell::new(collections::HashMap::new()),
+        windows: cell::RefCell::new(windows::Counter::default()),
+        demand: cell::RefCell::new(collections::HashMap::new()),
+        roster: cell::RefCell::new(roster::Roster::default()),
+        metrics: metrics::Metrics::new()?,
+        phase: watch::Sender::new(host::Phase::Serving),
+        serving: cell::Cell::new(0),
+    })
+}
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -7,8 +7,8 @@
 use std::time;
 
 use base::clock;
-use platform::{orders, reports, store};
 use policy::usage;
+use ports::{orders, reports, store};
 use serde::{Deserialize, Serialize};
 
 use crate::{context, leader, ledger, stop, sweep};
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -7,7 +7,7 @@
 use std::thread;
 
 use base::{clock, refusal};
-use platform::accept;
+use ports::accept;
 
 use crate::{blocked, caller, chat, context, plain, reply, stop};
 
--- a/crates/host/src/sweep.rs
+++ b/crates/host/src/sweep.rs
@@ -1,7 +1,7 @@
 //! Removes old claims of calls under idempotency keys, a page at a time.
 
 use base::clock;
-use platform::store;
+use ports::store;
 
 use crate::once;
 
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -150,7 +150,7 @@
 }
 
 fn failed(e: &ureq::Error) -> Error {
-    if platform::http::never_sent(e) {
+    if ports::http::never_sent(e) {
         return Error::NotSent;
     }
     match e {
--- a/crates/host/tests/sweep.rs
+++ b/crates/host/tests/sweep.rs
@@ -2,8 +2,8 @@
 
 use base::clock;
 use jacinthslip::{once, sweep};
-use platform::memory;
-use platform::store::{Expect, Store as _};
+use ports::memory;
+use ports::store::{Expect, Store as _};
 
 fn claim(at: u64) -> Vec<u8> {
     let claim = serde_json::json!({"request": "r", "digest": "d", "at": at, "answer": null});
--- a/crates/platform/examples/orderer.rs
+++ b/crates/ports/examples/orderer.rs
@@ -5,8 +5,8 @@
 use std::net;
 
 use base::clock;
-use platform::orders::Orders as _;
-use platform::{http, orders};
+use ports::orders::Orders as _;
+use ports::{http, orders};
 
 fn freeze() {
     // SAFETY: `raise` has no preconditions; the parent wakes this process.
--- a/crates/platform/tests/orders.rs
+++ b/crates/ports/tests/orders.rs
@@ -8,8 +8,8 @@
 use std::time;
 
 use base::clock;
-use platform::orders::Orders as _;
-use platform::{hosts, orders};
+use ports::orders::Orders as _;
+use ports::{hosts, orders};
 use standin::platform as standin_platform;
 
 const TTL_MS: u64 = 150;
--- a/crates/platform/tests/platform.rs
+++ b/crates/ports/tests/platform.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use base::clock;
-use platform::{hosts, memory, orders, reports};
+use ports::{hosts, memory, orders, reports};
 use standin::{faults, platform as standin_platform};
 
 /// An adapter of each port and what stands behind it.
--- a/crates/platform/tests/store.rs
+++ b/crates/ports/tests/store.rs
@@ -7,8 +7,8 @@
 
 use assert_matches::assert_matches;
 use base::clock;
-use platform::store::Store as _;
-use platform::{memory, store, store_http};
+use ports::store::Store as _;
+use ports::{memory, store, store_http};
 use standin::{faults, store as standin_store};
 
 type Case = (&'static str, fn(&dyn store::Store));
--- /dev/null
+++ b/crates/router/src/budget.rs
@@ -0,0 +1,53 @@
+//! Repeats under a budget that all hosts share: each spends its part of it in sliding windows.
+
+use std::collections;
+
+use base::clock;
+
+/// The bound on repeats of one service over all hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, in a window.
+    pub extra: f64,
+    /// Length of a window.
+    pub window: clock::Millis,
+}
+
+/// Part of the bound that is spent, so that requests counted late break nothing.
+const USED: f64 = 0.8;
+
+/// Requests and repeats of one service at one host, in the last window.
+#[derive(Debug, Default)]
+pub struct Budget {
+    requests: collections::VecDeque<clock::Millis>,
+    repeats: collections::VecDeque<clock::Millis>,
+}
+
+impl Budget {
+    /// Notes a caller's request.
+    pub fn request(&mut self, now: clock::Millis, bound: &Bound) {
+        trim(&mut self.requests, now, bound.window);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat if this host's part of the budget, one of `hosts`, holds it.
+    pub fn spend(&mut self, now: clock::Millis, bound: &Bound, hosts: u32) -> bool {
+        trim(&mut self.requests, now, bound.window);
+        trim(&mut self.repeats, now, bound.window);
+        let extra = bound.extra / f64::from(hosts.max(1));
+        let allowed = USED * (bound.ratio * self.requests.len() as f64 + extra);
+        if self.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+}
+
+fn trim(times: &mut collections::VecDeque<clock::Millis>, now: clock::Millis, w: clock::Millis) {
+    while times.front().is_some_and(|t| now.since(*t) > w) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/router/src/duty.rs
@@ -0,0 +1,161 @@
+//! The duties that one host at a time holds, under a lease in the store.
+//!
+//! The fencing token is the store's revision at which the holder's key was created. The holder
+//! counts its time from before it sent the renewal and sends nothing after it; the next one
+//! waits until the key is gone and calls in flight have ended.
+
+use std::cell;
+use std::rc;
+
+use base::clock;
+use tokio::time;
+
+use crate::{host, ports, scale, usage};
+
+/// The key of the holder.
+pub const KEY: &str = "jacinthslip/duty";
+/// The longest life of a call in flight: the next holder waits it out.
+pub const FLIGHT: clock::Millis = clock::Millis(1_000);
+/// How often the lease is renewed.
+const RENEW_EVERY: clock::Millis = clock::Millis(900);
+/// How long others wait for the key to go, in one watch.
+const WATCH: clock::Millis = clock::Millis(8_000);
+/// Pause after a failed call.
+const PAUSE: clock::Millis = clock::Millis(400);
+/// How long before its end a lease is no longer used.
+const MARGIN: clock::Millis = clock::Millis(100);
+
+/// The lease while it is held.
+#[derive(Debug)]
+pub struct Tenure {
+    /// The fencing token.
+    pub token: u64,
+    lease: u64,
+    deadline: cell::Cell<clock::Millis>,
+}
+
+impl Tenure {
+    /// The right to act as it stands.
+    pub fn term(&self) -> ports::Term {
+        ports::Term {
+            token: self.token,
+            deadline: self.deadline.get(),
+        }
+    }
+
+    fn renewed(&self, sent: clock::Millis, ttl: clock::Millis) {
+        self.deadline.set(deadline(sent, ttl));
+    }
+}
+
+fn deadline(sent: clock::Millis, ttl: clock::Millis) -> clock::Millis {
+    clock::Millis((sent + ttl).since(MARGIN).0)
+}
+
+/// Takes the duties whenever nobody holds them, and does them while they are held.
+pub async fn run(host: rc::Rc<host::Host>, fresh: bool) {
+    if !fresh {
+        // An earlier start of this host may have acted just now, and another one since.
+        time::sleep(host.settings.times.lease.duration()).await;
+    }
+    let mut phase = host.phase.subscribe();
+    loop {
+        let tenure = tokio::select! {
+            tenure = acquire(&host) => tenure,
+            _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
+        };
+        let token = tenure.token;
+        tracing::info!(event = "duties_taken", token);
+        let why = tokio::select! {
+            why = hold(&host, &tenure) => why,
+            () = usage::run(&host, &tenure) => "usage_ended",
+            () = scale::run(&host, &tenure) => "scaling_ended",
+            _ = phase.wait_for(|p| *p != host::Phase::Serving) => "stopping",
+        };
+        tracing::info!(event = "duties_left", token, why);
+        let released = host.store.release(tenure.lease).await;
+        if let Err(e) = released {
+            tracing::warn!(event = "lease_not_released", token, error = e.as_str());
+        }
+        if why == "stopping" {
+            return;
+        }
+        // Whoever acts next may be done before another lease has passed.
+        time::sleep((host.settings.times.lease + FLIGHT).duration()).await;
+    }
+}
+
+/// Renews the lease until it is lost; returns why.
+async fn hold(host: &host::Host, tenure: &Tenure) -> &'static str {
+    let ttl = host.settings.times.lease;
+    loop {
+        time::sleep(RENEW_EVERY.duration()).await;
+        let sent = host.now();
+        if sent >= tenure.deadline.get() {
+            return "lapsed";
+        }
+        match host.store.keep(tenure.lease).await {
+            Ok(()) => tenure.renewed(sent, ttl),
+            Err(ports::StoreError::NoLease) => return "lease_gone",
+            Err(_) => {}
+        }
+    }
+}
+
+/// Waits until nobody holds the duties, and takes them.
+async fn acquire(host: &host::Host) -> Tenure {
+    loop {
+        match host.store.get(KEY).await {
+            Ok((Some(_), at)) => {
+                // An error shows as a key that is still there.
+                let _ = host.store.watch(KEY, at, WATCH).await;
+            }
+            Ok((None, _)) => {
+                time::sleep(FLIGHT.duration()).await;
+                if let Some(tenure) = claim(host).await {
+                    return tenure;
+                }
+                time::sleep(PAUSE.duration()).await;
+            }
+            Err(_) => time::sleep(PAUSE.duration()).await,
+        }
+    }
+}
+
+async fn claim(host: &host::Host) -> Option<Tenure> {
+    let ttl = host.settings.times.lease;
+    let sent = host.now();
+    let lease = host.store.grant(ttl).await.ok()?;
+    let value = format!("{}/{:016x}/{lease}", host.settings.host, host.boot);
+    let t = ports::Transaction {
+        expected: vec![(KEY.to_owned(), 0)],
+        writes: vec![ports::Write {
+            key: KEY.to_owned(),
+            value: value.clone().into_bytes(),
+            lease,
+        }],
+        removes: Vec::new(),
+    };
+    let token = match host.store.commit(&t).await {
+        Ok(revision) => Some(revision),
+        Err(ports::StoreError::Unknown) => read_back(host, value.as_bytes()).await,
+        Err(_) => None,
+    };
+    let Some(token) = token else {
+        // A claim that is done late must not hold the duties for nobody.
+        if let Err(e) = host.store.release(lease).await {
+            tracing::debug!(event = "lease_not_released", error = e.as_str());
+        }
+        return None;
+    };
+    Some(Tenure {
+        token,
+        lease,
+        deadline: cell::Cell::new(deadline(sent, ttl)),
+    })
+}
+
+async fn read_back(host: &host::Host, value: &[u8]) -> Option<u64> {
+    let (item, _) = host.store.get(KEY).await.ok()?;
+    item.filter(|i| i.value == value).map(|i| i.created)
+}
--- /dev/null
+++ b/crates/router/src/host.rs
@@ -0,0 +1,125 @@
+//! What a host's tasks share: settings, ports, and what is known and counted.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+
+use base::{clock, name};
+use tokio::sync::watch;
+
+use crate::{budget, fleet, metrics, model, ports, roster, windows, wire};
+
+/// Settings of a host, checked.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name.
+    pub host: name::Host,
+    /// Where it stands.
+    pub place: fleet::Place,
+    /// Where callers connect.
+    pub front: net::SocketAddr,
+    /// Where the balancer asks whether it takes callers.
+    pub ready: net::SocketAddr,
+    /// Where other hosts connect.
+    pub peer: net::SocketAddr,
+    /// Where metrics are served.
+    pub metrics: net::SocketAddr,
+    /// The bound on repeats.
+    pub budget: budget::Bound,
+    /// Times.
+    pub times: Times,
+}
+
+/// Times of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Times {
+    /// From the stop signal until the process is killed.
+    pub grace: clock::Millis,
+    /// How long a lease of the duties lasts.
+    pub lease: clock::Millis,
+    /// Length of a usage window.
+    pub window: clock::Millis,
+    /// How long after its end the usage of a window may be reported.
+    pub late: clock::Millis,
+}
+
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// Not stopping.
+    Serving,
+    /// Not ready any more; answers tell callers to close.
+    Leaving,
+    /// Idle connections are closed.
+    Closing,
+}
+
+/// One host.
+pub struct Host {
+    /// Its settings.
+    pub settings: Settings,
+    /// How heads and entries are read.
+    pub dialect: Box<dyn ports::Dialect>,
+    /// The store.
+    pub store: Box<dyn ports::Store>,
+    /// Orders and reports.
+    pub orders: Box<dyn ports::Orders>,
+    /// Time.
+    pub clock: clock::Clock,
+    /// A number drawn at this start.
+    pub boot: u64,
+    /// The configuration in force.
+    pub config: cell::RefCell<Option<rc::Rc<model::Config>>>,
+    /// Upstreams.
+    pub fleet: cell::RefCell<fleet::Fleet>,
+    /// Whether the list of upstreams was read.
+    pub listed: cell::Cell<bool>,
+    /// Connections to upstreams.
+    pub pool: wire::Pool,
+    /// Repeats.
+    pub budgets: cell::RefCell<collections::HashMap<name::Service, budget::Budget>>,
+    /// Requests that began, by window.
+    pub windows: cell::RefCell<windows::Counter>,
+    /// What callers ask for.
+    pub demand: cell::RefCell<collections::HashMap<name::Service, roster::Demand>>,
+    /// The other hosts.
+    pub roster: cell::RefCell<roster::Roster>,
+    /// Counters and histograms.
+    pub metrics: metrics::Metrics,
+    /// How far a stop has come.
+    pub phase: watch::Sender<Phase>,
+    /// Requests in hand.
+    pub serving: cell::Cell<u32>,
+}
+
+impl Host {
+    /// Now.
+    pub fn now(&self) -> clock::Millis {
+        self.clock.now()
+    }
+
+    /// Whether a stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        *self.phase.borrow() != Phase::Serving
+    }
+
+    /// Whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.config.borrow().is_some() && self.listed.get()
+    }
+
+    /// The configuration in force.
+    pub fn current(&self) -> Option<rc::Rc<model::Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Takes one repeat from the service's budget.
+    pub fn spend(&self, service: &name::Service) -> bool {
+        let hosts = self.roster.borrow().live();
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.spend(now, &self.settings.budget, hosts)
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,24 @@
+//! The path of a request through a host, and what hosts share, on one thread.
+//!
+//! [`ports`] says what is needed of the platform; the rest knows only [`model`]'s terms.
+
+pub mod attempt;
+pub mod budget;
+pub mod duty;
+pub mod events;
+pub mod fleet;
+pub mod follow;
+pub mod front;
+pub mod host;
+pub mod lifecycle;
+pub mod metrics;
+pub mod model;
+pub mod ports;
+pub mod reply;
+pub mod roster;
+pub mod scale;
+pub mod serve;
+pub mod stream;
+pub mod usage;
+pub mod windows;
+pub mod wire;
--- /dev/null
+++ b/crates/router/src/model.rs
@@ -0,0 +1,234 @@
+//! What operators configure and which upstreams there are, in the router's terms.
+
+use std::collections;
+use std::net;
+use std::rc;
+
+use base::{clock, name};
+use smallvec::SmallVec;
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// May run any number of times.
+    Idempotent,
+    /// Runs at most once.
+    Once,
+    /// Answered by a stream of events; repeated only where it may be resumed.
+    Stream,
+}
+
+/// A part of a route's traffic.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// Where it goes.
+    pub service: name::Service,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host header that it takes.
+    pub host: String,
+    /// The beginning of the paths that it takes; ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Whether a stream may go on at another upstream.
+    pub resumable: bool,
+    /// Time to the answer or the first event.
+    pub target: clock::Millis,
+    /// The longest pause between events that is on time.
+    pub gap: Option<clock::Millis>,
+    /// The longest time that a request may be kept.
+    pub timeout: clock::Millis,
+    /// Its tier: 0 is the most urgent.
+    pub tier: u8,
+    /// Upstreams that one request may run on.
+    pub attempts: u32,
+    /// Whether it is open to callers without a key.
+    pub public: bool,
+    /// Where its requests go; not empty.
+    pub shares: SmallVec<[Share; 2]>,
+}
+
+impl Route {
+    /// Whether a request of it may run again after it may have run.
+    pub fn repeats(&self) -> bool {
+        match self.kind {
+            Kind::Idempotent => true,
+            Kind::Once => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+
+    /// The service for a request: `draw` chooses among the shares by weight.
+    pub fn service(&self, draw: u32) -> &name::Service {
+        let total: u32 = self.shares.iter().map(|s| s.weight).sum();
+        let mut at = if total == 0 { 0 } else { draw % total };
+        for share in &self.shares {
+            if at < share.weight {
+                return &share.service;
+            }
+            at -= share.weight;
+        }
+        &self.shares[0].service
+    }
+}
+
+/// The model engine behind a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    pub memory: u64,
+}
+
+/// How upstreams of a service may be ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scaling {
+    /// The fewest in a data centre.
+    pub min: u32,
+    /// The most in a data centre.
+    pub max: u32,
+    /// From the order until they serve.
+    pub boot: clock::Millis,
+    /// Price of an upstream that may be reclaimed, as a share of a firm one's; `None` if there
+    /// are none of that kind.
+    pub cheap: Option<f64>,
+    /// Price of a firm upstream for each data centre.
+    pub prices: collections::BTreeMap<name::Dc, f64>,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: name::Service,
+    /// Connections that an upstream takes from all hosts together.
+    pub connections: u32,
+    /// Its engine, if it serves a model.
+    pub engine: Option<Engine>,
+    /// How it may be scaled, if it may.
+    pub scaling: Option<Scaling>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Time for a request's head.
+    pub receive: clock::Millis,
+    /// How long a connection may stay open between requests.
+    pub idle: clock::Millis,
+}
+
+/// A team as its keys name it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Team {
+    /// Its name.
+    pub name: name::Team,
+    /// Its tier, which goes before the route's.
+    pub tier: Option<u8>,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Grows with each change.
+    pub version: u64,
+    /// Services by name.
+    pub services: collections::HashMap<name::Service, rc::Rc<Service>>,
+    /// Bounds.
+    pub limits: Limits,
+    /// Whether callers need keys.
+    pub keyed: bool,
+    routes: collections::HashMap<String, Vec<rc::Rc<Route>>>,
+    keys: collections::HashMap<String, rc::Rc<Team>>,
+}
+
+impl Config {
+    /// A configuration with these parts.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        limits: Limits,
+        keys: Option<collections::HashMap<String, rc::Rc<Team>>>,
+    ) -> Self {
+        let mut by_host: collections::HashMap<String, Vec<rc::Rc<Route>>> =
+            collections::HashMap::new();
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(rc::Rc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        let services = services
+            .into_iter()
+            .map(|s| (s.name.clone(), rc::Rc::new(s)));
+        Self {
+            version,
+            services: services.collect(),
+            limits,
+            keyed: keys.is_some(),
+            routes: by_host,
+            keys: keys.unwrap_or_default(),
+        }
+    }
+
+    /// The route with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&rc::Rc<Route>> {
+        let routes = match self.routes.get(host) {
+            Some(routes) => routes,
+            None => self.routes.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// The team that holds `key`.
+    pub fn team(&self, key: &str) -> Option<&rc::Rc<Team>> {
+        self.keys.get(key)
+    }
+}
+
+/// What an upstream says of its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// Takes work.
+    Ready,
+    /// Takes no new work.
+    Leaving,
+}
+
+/// One upstream as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upstream {
+    /// Its name.
+    pub name: name::Upstream,
+    /// What it serves.
+    pub service: name::Service,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Its data centre.
+    pub dc: name::Dc,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// How much longer it is slow after its start.
+    pub cold: clock::Millis,
+    /// Whether it may be reclaimed.
+    pub cheap: bool,
+    /// When it started, in Unix milliseconds: another number is another process.
+    pub born: u64,
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,410 @@
+//! A request's way through the host: receive, authenticate, route, try, reply.
+
+use std::rc;
+
+use base::{clock, name, refusal};
+use http_body_util::BodyExt as _;
+use hyper::body;
+use smallvec::SmallVec;
+use tokio::time;
+
+use crate::{attempt, fleet, host, model, reply, stream};
+
+/// Tries that upstreams may refuse besides those that may run.
+const SPARE_TRIES: u32 = 2;
+/// When a caller may come back after a refusal for lack of an upstream.
+const COME_BACK: clock::Millis = clock::Millis(400);
+/// When a caller may come back to a host that has no configuration yet.
+const COME_BACK_LATER: clock::Millis = clock::Millis(1_000);
+/// Part of its target that a plain request waits at one upstream before it goes to another.
+const PLAIN_PATIENCE: f64 = 0.6;
+/// Part of its target that a stream waits for its first event before it goes to another upstream.
+const STREAM_PATIENCE: f64 = 1.5;
+/// How long a caller that states no deadline is taken to wait.
+const DEFAULT_DEADLINE: clock::Millis = clock::Millis(60_000);
+/// How long before its deadline a request gets its end, for the way back to the caller.
+const WAY_BACK: clock::Millis = clock::Millis(30);
+
+/// Tries so far.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Requests sent to upstreams.
+    pub sends: u32,
+    /// Of these, those that may have run.
+    pub runs: u32,
+    /// Where it has been.
+    pub avoid: SmallVec<[name::Upstream; 4]>,
+    /// The last failure.
+    pub last: Option<attempt::Failure>,
+}
+
+/// Serves one request.
+pub async fn serve(
+    host: rc::Rc<host::Host>,
+    request: http::Request<body::Incoming>,
+) -> reply::Answer {
+    let arrived = host.now();
+    let call = match receive(&host, request, arrived).await {
+        Ok(call) => rc::Rc::new(call),
+        Err(refused) => return refused.answer(&host),
+    };
+    note_arrival(&host, &call);
+    match call.route.kind {
+        model::Kind::Stream => stream::serve(&host, &call).await,
+        model::Kind::Idempotent | model::Kind::Once => plain(&host, &call).await,
+    }
+}
+
+/// A request refused before it was routed.
+struct Refused {
+    id: String,
+    refusal: refusal::Refusal,
+}
+
+impl Refused {
+    fn answer(&self, host: &host::Host) -> reply::Answer {
+        let version = host.current().map(|c| c.version);
+        tracing::info!(
+            event = "refused",
+            id = self.id,
+            reason = self.refusal.reason.as_str(),
+            config = version,
+            run = self.refusal.run.as_str(),
+        );
+        host.metrics.refused(self.refusal.reason);
+        reply::refuse(&self.refusal)
+    }
+}
+
+/// Reads, authenticates and routes a request.
+async fn receive(
+    host: &host::Host,
+    request: http::Request<body::Incoming>,
+    arrived: clock::Millis,
+) -> Result<attempt::Call, Refused> {
+    let (parts, body) = request.into_parts();
+    let refuse = |id: &str, reason| Refused {
+        id: id.to_owned(),
+        refusal: refusal::Refusal::not_run(reason),
+    };
+    if is_doubly_framed(&parts.headers) {
+        return Err(refuse("", refusal::Reason::BadRequest));
+    }
+    let ask = match host.dialect.ask(&parts.headers) {
+        Ok(ask) => ask,
+        Err(_) => return Err(refuse("", refusal::Reason::BadRequest)),
+    };
+    let Some(config) = host.current() else {
+        let mut refused = refuse(&ask.id, refusal::Reason::NotReady);
+        refused.refusal = refused.refusal.retry(COME_BACK_LATER);
+        return Err(refused);
+    };
+    let route = find_route(&config, &parts).ok_or_else(|| refuse(&ask.id, refusal::Reason::NotFound))?;
+    let team = match &ask.key {
+        Some(key) if config.keyed => config.team(key).cloned(),
+        _ => None,
+    };
+    if config.keyed && !route.public && team.is_none() {
+        return Err(refuse(&ask.id, refusal::Reason::BadKey));
+    }
+    let body = read_body(body, &config.limits)
+        .await
+        .map_err(|reason| refuse(&ask.id, reason))?;
+    let deadline = arrived + ask.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let until = (arrived + route.timeout).min(clock::Millis(deadline.since(WAY_BACK).0));
+    let tier = team.as_ref().and_then(|t| t.tier).unwrap_or(route.tier);
+    let service = route.service(rand::random()).clone();
+    Ok(attempt::Call {
+        ask,
+        method: parts.method,
+        uri: origin_form(&parts.uri),
+        headers: end_to_end(parts.headers),
+        body,
+        route,
+        service,
+        team,
+        tier,
+        arrived,
+        deadline,
+        until,
+    })
+}
+
+/// Both a length and a transfer coding: the two ends could disagree on where it ends.
+fn is_doubly_framed(head: &http::HeaderMap) -> bool {
+    head.contains_key(http::header::CONTENT_LENGTH)
+        && head.contains_key(http::header::TRANSFER_ENCODING)
+}
+
+fn find_route(
+    config: &model::Config,
+    parts: &http::request::Parts,
+) -> Option<rc::Rc<model::Route>> {
+    let named = parts.headers.get(http::header::HOST)?;
+    let host = named.to_str().ok()?;
+    config.route(host, parts.uri.path()).cloned()
+}
+
+async fn read_body(
+    body: body::Incoming,
+    limits: &model::Limits,
+) -> Result<bytes::Bytes, refusal::Reason> {
+    let limited = http_body_util::Limited::new(body, limits.body);
+    match time::timeout(limits.idle.duration(), limited.collect()).await {
+        Err(_) => Err(refusal::Reason::SlowCaller),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(refusal::Reason::TooLarge),
+        Ok(Err(_)) => Err(refusal::Reason::BadRequest),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+    }
+}
+
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    match uri.path_and_query() {
+        Some(path) => http::Uri::from(path.clone()),
+        None => http::Uri::from_static("/"),
+    }
+}
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [http::HeaderName; 7] = [
+    http::header::CONNECTION,
+    http::header::PROXY_AUTHENTICATE,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+    http::header::EXPECT,
+];
+
+/// The headers without those of the connection.
+pub fn end_to_end(mut head: http::HeaderMap) -> http::HeaderMap {
+    let named: Vec<String> = head
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(|n| n.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        // Callers can't have the length or the host dropped.
+        if name != "host" && name != "content-length" {
+            head.remove(name.as_str());
+        }
+    }
+    for name in &HOP_BY_HOP {
+        head.remove(name);
+    }
+    head.remove("keep-alive");
+    head.remove("proxy-connection");
+    head
+}
+
+fn note_arrival(host: &host::Host, call: &attempt::Call) {
+    let now = host.now();
+    let bound = host.settings.budget;
+    let mut budgets = host.budgets.borrow_mut();
+    let budget = budgets.entry(call.service.clone()).or_default();
+    budget.request(now, &bound);
+}
+
+/// Counts a request that began at an upstream at `at`.
+pub fn count_begun(host: &host::Host, call: &attempt::Call, at: clock::Millis) {
+    let Some(team) = &call.team else { return };
+    let mut windows = host.windows.borrow_mut();
+    let wall = windows.wall(host.clock.now(), host.clock.unix());
+    let began = clock::Millis(wall.since(host.now().since(at)).0);
+    let window = began.0 / host.settings.times.window.0;
+    windows.counts.count(window, &team.name);
+}
+
+/// Chooses the next upstream, within the attempts and the budget.
+pub fn next_pick(
+    host: &host::Host,
+    call: &attempt::Call,
+    tries: &mut Tries,
+) -> Result<fleet::Pick, refusal::Reason> {
+    let attempts = call.route.attempts.max(1);
+    if tries.runs >= attempts || tries.sends >= attempts + SPARE_TRIES {
+        return Err(refusal::Reason::UpstreamFailed);
+    }
+    let wish = fleet::Wish {
+        service: &call.service,
+        parts: &call.ask.parts,
+        prompt: call.ask.prompt,
+        avoid: &tries.avoid,
+    };
+    let pick = host.fleet.borrow().choose(&wish, host.now());
+    let Some(pick) = pick else {
+        return Err(refusal::Reason::NoUpstream);
+    };
+    if tries.sends > 0 {
+        if !host.spend(&call.service) {
+            return Err(refusal::Reason::UpstreamFailed);
+        }
+        let reason = tries.last.map_or("unknown", attempt::Failure::as_str);
+        host.metrics.retried(reason);
+    }
+    let mut demand = host.demand.borrow_mut();
+    let demand = demand.entry(call.service.clone()).or_default();
+    demand.request(pick.unread);
+    tries.sends += 1;
+    tries.avoid.push(pick.name.clone());
+    Ok(pick)
+}
+
+/// Notes a failed try.
+pub fn note_failure(
+    host: &host::Host,
+    call: &attempt::Call,
+    tries: &mut Tries,
+    failure: attempt::Failure,
+    ran: bool,
+) {
+    let now = host.now();
+    tries.last = Some(failure);
+    if ran {
+        tries.runs += 1;
+    }
+    let upstream = tries.avoid.last();
+    if let Some(name) = upstream
+        && failure != attempt::Failure::Refused
+    {
+        host.fleet.borrow_mut().fail(name, now);
+    }
+    tracing::info!(
+        event = "try_failed",
+        id = call.ask.id,
+        upstream = upstream.map_or("", name::Upstream::as_str),
+        reason = failure.as_str(),
+        may_have_run = ran,
+        sends = tries.sends,
+        after_ms = now.since(call.arrived).0,
+    );
+}
+
+/// The refusal after the last try.
+pub fn give_up(
+    host: &host::Host,
+    call: &attempt::Call,
+    tries: &Tries,
+    reason: refusal::Reason,
+) -> reply::Answer {
+    let now = host.now();
+    let refusal = if tries.runs == 0 {
+        let reason = match reason {
+            refusal::Reason::UpstreamFailed => refusal::Reason::NoUpstream,
+            other => other,
+        };
+        refusal::Refusal::not_run(reason).retry(COME_BACK)
+    } else if now >= call.until {
+        refusal::Refusal::unknown(refusal::Reason::UpstreamTimeout)
+    } else {
+        refusal::Refusal::unknown(refusal::Reason::UpstreamFailed)
+    };
+    host.metrics.refused(refusal.reason);
+    log_end(host, call, tries, refusal.reason.as_str(), refusal.reason.status(), None);
+    reply::refuse(&refusal)
+}
+
+/// The line of a request's end.
+pub fn log_end(
+    host: &host::Host,
+    call: &attempt::Call,
+    tries: &Tries,
+    end: &'static str,
+    status: u16,
+    first: Option<clock::Millis>,
+) {
+    let now = host.now();
+    let total = now.since(call.arrived).0;
+    tracing::info!(
+        event = "request",
+        id = call.ask.id,
+        route = call.route.name,
+        team = call.team.as_ref().map_or("", |t| t.name.as_str()),
+        tier = call.tier,
+        upstream = tries.avoid.last().map_or("", name::Upstream::as_str),
+        sends = tries.sends,
+        end,
+        status,
+        first_ms = first.map(|f| f.0),
+        total_ms = total,
+        left_ms = call.deadline.since(now).0,
+    );
+    let first = first.map(|f| f.0 as f64);
+    host.metrics
+        .answered(&call.route.name, end, first, total as f64);
+}
+
+/// How long a try may take: all the time left, or less if another upstream can be tried.
+pub fn patience(host: &host::Host, call: &attempt::Call, tries: &Tries) -> clock::Millis {
+    let left = call.until.since(host.now());
+    let again = call.route.repeats() && tries.runs + 1 < call.route.attempts;
+    if !again {
+        return left;
+    }
+    let part = match call.route.kind {
+        model::Kind::Stream => STREAM_PATIENCE,
+        _ => PLAIN_PATIENCE,
+    };
+    left.min(clock::Millis((call.route.target.0 as f64 * part) as u64))
+}
+
+/// Serves a request whose answer is passed on whole.
+async fn plain(host: &rc::Rc<host::Host>, call: &rc::Rc<attempt::Call>) -> reply::Answer {
+    let mut tries = Tries::default();
+    let mut failed: Option<reply::Answer> = None;
+    let reason = loop {
+        let pick = match next_pick(host, call, &mut tries) {
+            Ok(pick) => pick,
+            Err(reason) => break reason,
+        };
+        let sent = host.now();
+        let limit = patience(host, call, &tries);
+        let (failure, ran) = match attempt::send(host, call, pick, call.ask.resume, limit).await {
+            attempt::Outcome::NotRun(failure) => (failure, false),
+            attempt::Outcome::MayHaveRun(failure) => {
+                count_begun(host, call, sent);
+                (failure, true)
+            }
+            attempt::Outcome::Head(head) => {
+                count_begun(host, call, sent);
+                let left = clock::Millis(limit.since(host.now().since(sent)).0);
+                match head.whole(left).await {
+                    Err(failure) => (failure, true),
+                    Ok((parts, bytes, flight)) => {
+                        let status = parts.status;
+                        let name = flight.pick.name.clone();
+                        drop(flight);
+                        let answer = reply::whole(clean(parts), bytes);
+                        if !status.is_server_error() {
+                            host.fleet.borrow_mut().succeed(&name, 1.0);
+                            let first = host.now().since(call.arrived);
+                            log_end(host, call, &tries, "whole", status.as_u16(), Some(first));
+                            return answer;
+                        }
+                        failed = Some(answer);
+                        (attempt::Failure::Failed, true)
+                    }
+                }
+            }
+        };
+        note_failure(host, call, &mut tries, failure, ran);
+        if ran && !call.route.repeats() || host.now() >= call.until {
+            break refusal::Reason::UpstreamFailed;
+        }
+    };
+    if let Some(answer) = failed {
+        let status = answer.status().as_u16();
+        log_end(host, call, &tries, "failed", status, None);
+        return answer;
+    }
+    give_up(host, call, &tries, reason)
+}
+
+/// An upstream's head without the headers of its connection.
+pub fn clean(mut parts: http::response::Parts) -> http::response::Parts {
+    parts.headers = end_to_end(std::mem::take(&mut parts.headers));
+    parts.headers.remove(http::header::CONTENT_LENGTH);
+    parts
+}
--- /dev/null
+++ b/crates/router/src/usage.rs
@@ -0,0 +1,159 @@
+//! Usage of each window, sealed in the store before it is first sent.
+//!
+//! A sealed window has one set of figures: the compare-and-swap that seals it names the revision
+//! it was made from, and only what stands in the store is sent, and sent again.
+
+use std::collections;
+
+use base::clock;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::{duty, host, ports, roster};
+
+/// The key of the sealed windows.
+pub const KEY: &str = "jacinthslip/usage";
+/// How often windows are looked at.
+const LOOK_EVERY: clock::Millis = clock::Millis(400);
+/// Part of the time for a report after which a window is sealed: by then hosts have told what
+/// they counted, and time is left to send it.
+const SEAL_AFTER: f64 = 0.4;
+/// How long after its last write the entry of a host that is gone is kept.
+const KEPT: clock::Millis = clock::Millis(60_000);
+/// Pause after a failed call.
+const PAUSE: clock::Millis = clock::Millis(300);
+
+/// What stands in the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The first window that is not sealed.
+    pub next: u64,
+    /// Sealed windows that may not have been taken yet.
+    pub sealed: collections::BTreeMap<u64, ports::Counts>,
+}
+
+impl Record {
+    /// Whether the next window may be sealed at this wall time.
+    pub fn is_due(&self, wall: clock::Millis, times: &host::Times) -> bool {
+        let end = (self.next + 1) * times.window.0;
+        wall.0 >= end + (times.late.0 as f64 * SEAL_AFTER) as u64
+    }
+
+    /// Seals the next window with these counts.
+    pub fn seal(&mut self, counts: ports::Counts) {
+        self.sealed.insert(self.next, counts);
+        self.next += 1;
+    }
+}
+
+/// Seals and reports windows while the duties are held.
+pub async fn run(host: &host::Host, tenure: &duty::Tenure) {
+    loop {
+        let Some((mut record, mut revision)) = load(host).await else {
+            time::sleep(PAUSE.duration()).await;
+            continue;
+        };
+        loop {
+            let wall = wall(host);
+            if record.is_due(wall, &host.settings.times) {
+                match seal(host, &mut record, revision).await {
+                    Some(at) => revision = at,
+                    None => break,
+                }
+            }
+            report(host, tenure, &mut record).await;
+            time::sleep(LOOK_EVERY.duration()).await;
+        }
+        time::sleep(PAUSE.duration()).await;
+    }
+}
+
+fn wall(host: &host::Host) -> clock::Millis {
+    let mut windows = host.windows.borrow_mut();
+    windows.wall(host.clock.now(), host.clock.unix())
+}
+
+/// The record as it stands; a new one begins with the window of now.
+async fn load(host: &host::Host) -> Option<(Record, u64)> {
+    let (item, _) = host.store.get(KEY).await.ok()?;
+    let Some(item) = item else {
+        let next = wall(host).0 / host.settings.times.window.0;
+        let record = Record {
+            next,
+            ..Record::default()
+        };
+        return Some((record, 0));
+    };
+    match serde_json::from_slice(&item.value) {
+        Ok(record) => Some((record, item.revision)),
+        Err(e) => {
+            tracing::error!(event = "usage_unreadable", error = %e);
+            None
+        }
+    }
+}
+
+/// Seals the next window and writes it; `None` if it is not known to stand.
+async fn seal(host: &host::Host, record: &mut Record, revision: u64) -> Option<u64> {
+    let (items, _) = host.store.list(roster::PREFIX, false).await.ok()?;
+    let now = host.now();
+    let mut counts = ports::Counts::new();
+    let stale = {
+        let mut roster = host.roster.borrow_mut();
+        roster.read(items, now);
+        for entry in roster.all() {
+            entry.windows.add_to(record.next, &mut counts);
+        }
+        roster.stale(now, KEPT)
+    };
+    let mut sealed = record.clone();
+    sealed.seal(counts);
+    let value = serde_json::to_vec(&sealed).ok()?;
+    let t = ports::Transaction {
+        expected: vec![(KEY.to_owned(), revision)],
+        writes: vec![ports::Write {
+            key: KEY.to_owned(),
+            value,
+            lease: 0,
+        }],
+        removes: stale.into_iter().take(8).collect(),
+    };
+    match host.store.commit(&t).await {
+        Ok(at) => {
+            let counts = sealed.sealed.get(&record.next);
+            let requests: u64 = counts.into_iter().flatten().map(|(_, n)| n).sum();
+            tracing::info!(event = "window_sealed", window = record.next, requests);
+            *record = sealed;
+            Some(at)
+        }
+        Err(e) => {
+            let window = record.next;
+            tracing::warn!(event = "window_not_sealed", window, error = e.as_str());
+            None
+        }
+    }
+}
+
+/// Sends what is sealed and not known to be taken.
+async fn report(host: &host::Host, tenure: &duty::Tenure, record: &mut Record) {
+    let windows: Vec<u64> = record.sealed.keys().copied().collect();
+    for window in windows {
+        let Some(counts) = record.sealed.get(&window) else {
+            continue;
+        };
+        match host.orders.report(tenure.term(), window, counts).await {
+            Ok(()) => {
+                tracing::info!(event = "usage_reported", window, token = tenure.token);
+                record.sealed.remove(&window);
+            }
+            Err(ports::OrderError::Rejected(status)) => {
+                tracing::error!(event = "usage_rejected", window, status);
+                record.sealed.remove(&window);
+            }
+            Err(e) => {
+                tracing::warn!(event = "usage_not_reported", window, error = ?e);
+                return;
+            }
+        }
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::sync;
 
-use platform::{hosts, memory};
+use ports::{hosts, memory};
 
 use crate::{faults, serve};
 
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic;
 use std::thread;
 
-use platform::accept;
+use ports::accept;
 
 /// Answers one request.
 pub type Handler = dyn Fn(tiny_http::Request) + Send + Sync;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -6,7 +6,7 @@
 use std::thread;
 
 use base::clock;
-use platform::{memory, store};
+use ports::{memory, store};
 
 use crate::{faults, serve};
 
