Engines divided between short pauses and long prompts; cheap upstreams kept running

Cause: chat streams on engines that read 17,000-token prompts had pauses over their 250 ms (a step with a chunk takes 50 ms, an event five steps), and upstreams were stopped before traffic came. Ruled out: time to the first token (p50 124 ms). LOST remains on a stopping host.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -42,6 +42,8 @@
     pub team: Option<rc::Rc<model::Team>>,
     /// Its tier.
     pub tier: u8,
+    /// Whether its pauses are too short for an engine that reads long prompts meanwhile.
+    pub quick: bool,
     /// When its head was read.
     pub arrived: clock::Millis,
     /// When its caller stops waiting.
@@ -67,6 +69,8 @@
     Unsigned,
     /// No answer in time.
     Slow,
+    /// Nothing at all came from the upstream.
+    Silent,
     /// The answer broke off.
     Broken,
     /// The upstream answered with a failure of its own.
@@ -84,6 +88,7 @@
             Self::Foreign => "foreign",
             Self::Unsigned => "unsigned",
             Self::Slow => "slow",
+            Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Failed => "failed",
         }
@@ -193,6 +198,24 @@
         }
     }
 
+    /// Bytes of its answer came.
+    pub fn heard(&self) {
+        let now = self.host.now();
+        self.host.fleet.borrow_mut().hear(&self.pick.name, now);
+    }
+
+    /// Waits until the upstream has given no byte of any answer for `limit` since this was sent.
+    async fn silent(&self, limit: clock::Millis) {
+        loop {
+            time::sleep(limit.duration()).await;
+            let fleet = self.host.fleet.borrow();
+            if !fleet.is_heard_since(&self.pick.name, self.sent) {
+                return;
+            }
+            drop(fleet);
+        }
+    }
+
     fn keep(&self, conn: wire::Conn, reply: &ports::Reply) {
         let now = self.host.now();
         let pool = &self.host.pool;
@@ -207,24 +230,30 @@
     }
 }
 
-/// Sends `call` to `pick` and waits `limit` for the head of the answer.
+/// Sends `call` to `pick` and waits `limit` for the head of the answer, or `silence` if the
+/// upstream gives no byte of any answer meanwhile.
 pub async fn send(
     host: &rc::Rc<host::Host>,
     call: &Call,
     pick: fleet::Pick,
     resume: Option<u64>,
     limit: clock::Millis,
+    silence: clock::Millis,
 ) -> Outcome {
     let flight = Flight::new(host, call, pick);
     let Some(request) = request(host, call, &flight.pick, resume) else {
         return Outcome::NotRun(Failure::Connect);
     };
-    let exchange = time::timeout(limit.duration(), exchange(host, call, &flight, request));
-    let (answer, conn) = match exchange.await {
-        Err(_) => return Outcome::MayHaveRun(Failure::Slow),
-        Ok(Err(outcome)) => return outcome,
-        Ok(Ok(answer)) => answer,
+    let exchanged = tokio::select! {
+        exchanged = exchange(host, call, &flight, request) => exchanged,
+        () = time::sleep(limit.duration()) => Err(Outcome::MayHaveRun(Failure::Slow)),
+        () = flight.silent(silence) => Err(Outcome::MayHaveRun(Failure::Silent)),
+    };
+    let (answer, conn) = match exchanged {
+        Err(outcome) => return outcome,
+        Ok(answer) => answer,
     };
+    flight.heard();
     judge(host, call, flight, answer, conn).await
 }
 
@@ -294,9 +323,7 @@
     let reply = host.dialect.reply(&parts.headers);
     if let Some(load) = reply.load {
         let now = host.now();
-        host.fleet
-            .borrow_mut()
-            .report(&flight.pick.name, load, now);
+        host.fleet.borrow_mut().report(&flight.pick.name, load, now);
     }
     let misdirected = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
     let own = match &reply.id {
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -32,17 +32,22 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat if this host's part of the budget, one of `hosts`, holds it.
-    pub fn spend(&mut self, now: clock::Millis, bound: &Bound, hosts: u32) -> bool {
+    /// Whether this host's part of the budget, one of `hosts`, holds a repeat.
+    pub fn holds(&mut self, now: clock::Millis, bound: &Bound, hosts: u32) -> bool {
         trim(&mut self.requests, now, bound.window);
         trim(&mut self.repeats, now, bound.window);
         let extra = bound.extra / f64::from(hosts.max(1));
         let allowed = USED * (bound.ratio * self.requests.len() as f64 + extra);
-        if self.repeats.len() as f64 + 1.0 > allowed {
-            return false;
+        self.repeats.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Takes one repeat if this host's part holds it.
+    pub fn spend(&mut self, now: clock::Millis, bound: &Bound, hosts: u32) -> bool {
+        let holds = self.holds(now, bound, hosts);
+        if holds {
+            self.repeats.push_back(now);
         }
-        self.repeats.push_back(now);
-        true
+        holds
     }
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -32,6 +32,16 @@
 const FIRST_PAUSE: clock::Millis = clock::Millis(400);
 /// Longest time for which a failing upstream is set aside.
 const MAX_PAUSE: clock::Millis = clock::Millis(3_000);
+/// Part of a service's engines that streams with short pauses have first claim on.
+const QUICK_SHARE: f64 = 0.3;
+/// The fewest engines that are divided.
+const MIN_DIVIDED: usize = 3;
+/// Cost of a stream with short pauses beside prompts that are read, in milliseconds.
+const DISTURBED_MS: f64 = 150.0;
+/// Cost of a long prompt beside streams with short pauses, in milliseconds.
+const DISTURBING_MS: f64 = 300.0;
+/// Time of an engine's step while it reads a prompt, in milliseconds.
+const READING_STEP_MS: u64 = 60;
 /// Weight of the newest delay, as one part in this many.
 const SMOOTHING: f64 = 6.0;
 /// Weight of the newest outcome in the rate of failures, as one part in this many.
@@ -55,6 +65,8 @@
     until: clock::Millis,
     delay: f64,
     missing: u64,
+    quick: bool,
+    heard: clock::Millis,
 }
 
 impl Member {
@@ -70,6 +82,8 @@
             until: clock::Millis::ZERO,
             delay: 1.0,
             missing: 0,
+            quick: false,
+            heard: clock::Millis::ZERO,
         }
     }
 
@@ -91,6 +105,8 @@
     pub parts: &'a [ports::Part],
     /// Tokens of its prompt.
     pub prompt: u32,
+    /// Whether its pauses are too short for an engine that reads long prompts meanwhile.
+    pub quick: bool,
     /// Upstreams that it has been at.
     pub avoid: &'a [name::Upstream],
 }
@@ -104,6 +120,11 @@
     }
 }
 
+/// Whether pauses of `gap` are too short for events of `stride` tokens while prompts are read.
+pub fn is_quick(gap: Option<clock::Millis>, stride: u32) -> bool {
+    gap.is_some_and(|g| g.0 <= u64::from(stride) * READING_STEP_MS)
+}
+
 /// The choice.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Pick {
@@ -167,15 +188,21 @@
                 && m.upstream.service == upstream.service;
             if same {
                 let changed = m.upstream.state != upstream.state;
+                let service = upstream.service.clone();
                 m.upstream = upstream;
                 m.missing = 0;
+                if changed {
+                    self.divide(&service);
+                }
                 return changed;
             }
             self.remove(&name);
         }
         let list = self.services.entry(upstream.service.clone()).or_default();
         list.push(name.clone());
+        let service = upstream.service.clone();
         self.members.insert(name, Member::new(upstream));
+        self.divide(&service);
         true
     }
 
@@ -185,9 +212,39 @@
         if let Some(list) = self.services.get_mut(&member.upstream.service) {
             list.retain(|n| n != name);
         }
+        self.divide(&member.upstream.service);
         Some(member.upstream.address)
     }
 
+    /// Marks the engines that streams with short pauses have first claim on: the same at every
+    /// host, some in each data centre.
+    fn divide(&mut self, service: &name::Service) {
+        let mut ranked: Vec<(u64, name::Dc, name::Upstream)> = self
+            .of(service)
+            .filter(|m| m.upstream.state == model::State::Ready)
+            .map(|m| (name_hash(m), m.upstream.dc.clone(), m.upstream.name.clone()))
+            .collect();
+        ranked.sort_unstable();
+        let mut seen: collections::HashMap<name::Dc, u32> = collections::HashMap::new();
+        let mut order: Vec<(u32, name::Upstream)> = Vec::with_capacity(ranked.len());
+        for (_, dc, name) in ranked {
+            let rank = seen.entry(dc).or_default();
+            order.push((*rank, name));
+            *rank += 1;
+        }
+        order.sort_by_key(|(rank, _)| *rank);
+        let quick = if order.len() < MIN_DIVIDED {
+            0
+        } else {
+            (order.len() as f64 * QUICK_SHARE).ceil() as usize
+        };
+        for (i, (_, name)) in order.iter().enumerate() {
+            if let Some(m) = self.members.get_mut(name) {
+                m.quick = i < quick;
+            }
+        }
+    }
+
     /// Notes that an upstream's entry is gone; returns the number of this miss.
     pub fn miss(&mut self, name: &name::Upstream) -> u64 {
         self.misses += 1;
@@ -224,7 +281,7 @@
             m.upstream.state == model::State::Ready && !wish.avoid.contains(&m.upstream.name)
         };
         let shared = wish.shared();
-        let home = shared.and_then(|(id, _)| self.home(wish.service, id));
+        let home = shared.and_then(|(id, _)| self.home(wish, id));
         let mut best: Option<(f64, &Member, u64)> = None;
         for m in self.of(wish.service).filter(usable) {
             let unread = self.unread(wish, m, shared, home, now);
@@ -245,15 +302,15 @@
     }
 
     /// The upstream that keeps a shared part, if all hosts see the same ones.
-    fn home(&self, service: &name::Service, part: u64) -> Option<&name::Upstream> {
-        let ready = self
-            .of(service)
-            .filter(|m| m.upstream.state == model::State::Ready);
-        let weight = |m: &&Member| {
-            let name = hash::stable(m.upstream.name.as_str().as_bytes());
-            hash::stable(&(part ^ name.rotate_left(17)).to_le_bytes())
+    fn home(&self, wish: &Wish<'_>, part: u64) -> Option<&name::Upstream> {
+        let ready = || {
+            self.of(wish.service)
+                .filter(|m| m.upstream.state == model::State::Ready)
         };
-        ready.max_by_key(weight).map(|m| &m.upstream.name)
+        let weight = |m: &&Member| hash::stable(&(part ^ name_hash(m)).to_le_bytes());
+        let own = ready().filter(|m| m.quick == wish.quick).max_by_key(weight);
+        own.or_else(|| ready().max_by_key(weight))
+            .map(|m| &m.upstream.name)
     }
 
     fn unread(
@@ -286,7 +343,12 @@
             (unread + m.unread) as f64 / READ_TOKENS_PER_MS + m.running(now) * RUNNING_MS
         };
         let far = self.place.distance(&m.upstream.dc);
-        queue * m.delay + far + m.failing * FAILING_MS
+        let unlike = match (wish.parts.is_empty(), wish.quick, m.quick) {
+            (false, true, false) => DISTURBED_MS,
+            (false, false, true) => DISTURBING_MS,
+            _ => 0.0,
+        };
+        queue * m.delay + far + unlike + m.failing * FAILING_MS
     }
 
     /// Notes a request sent.
@@ -318,6 +380,18 @@
         }
     }
 
+    /// Notes that bytes of an answer came.
+    pub fn hear(&mut self, name: &name::Upstream, now: clock::Millis) {
+        if let Some(m) = self.members.get_mut(name) {
+            m.heard = now;
+        }
+    }
+
+    /// Whether bytes of any answer came since.
+    pub fn is_heard_since(&self, name: &name::Upstream, since: clock::Millis) -> bool {
+        self.members.get(name).is_some_and(|m| m.heard > since)
+    }
+
     /// Notes a request ended.
     pub fn end(&mut self, name: &name::Upstream) {
         if let Some(m) = self.members.get_mut(name) {
@@ -359,6 +433,10 @@
     }
 }
 
+fn name_hash(m: &Member) -> u64 {
+    hash::stable(m.upstream.name.as_str().as_bytes())
+}
+
 /// One start of an upstream: a new start keeps nothing.
 fn mark(upstream: &model::Upstream) -> u64 {
     hash::stable(upstream.name.as_str().as_bytes()) ^ upstream.born
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -103,7 +103,12 @@
     if old.is_some_and(|v| v >= config.version) {
         return;
     }
-    tracing::info!(event = "config_in_force", from, version = config.version, old);
+    tracing::info!(
+        event = "config_in_force",
+        from,
+        version = config.version,
+        old
+    );
     *host.config.borrow_mut() = Some(rc::Rc::new(config));
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -299,7 +299,10 @@
 }
 
 /// Answers each request in the same way.
-async fn answer_all(listener: tokio_net::TcpListener, answer: impl Fn() -> reply::Answer + 'static) {
+async fn answer_all(
+    listener: tokio_net::TcpListener,
+    answer: impl Fn() -> reply::Answer + 'static,
+) {
     let answer = rc::Rc::new(answer);
     loop {
         let stream = match listener.accept().await {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -114,6 +114,15 @@
         self.config.borrow().clone()
     }
 
+    /// Whether the service's budget holds a repeat.
+    pub fn can_spend(&self, service: &name::Service) -> bool {
+        let hosts = self.roster.borrow().live();
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.holds(now, &self.settings.budget, hosts)
+    }
+
     /// Takes one repeat from the service's budget.
     pub fn spend(&self, service: &name::Service) -> bool {
         let hosts = self.roster.borrow().live();
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -87,6 +87,8 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory: u64,
+    /// Tokens in one event of a stream.
+    pub stride: u32,
 }
 
 /// How upstreams of a service may be ordered.
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -80,7 +80,9 @@
     *answer.status_mut() = http::StatusCode::from_u16(refusal.reason.status())
         .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let json = http::HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    answer
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
     if let Some(after) = refusal.retry {
         answer
             .headers_mut()
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -19,6 +19,9 @@
 const BUSY: f64 = 24.0;
 /// Engines wanted besides, for bursts that come faster than engines start.
 const SPARE: f64 = 1.0;
+/// Upstreams kept in each data centre where cheap ones are to be had: they cost little and
+/// bursts come faster than engines start.
+const CHEAP_EACH: u32 = 4;
 /// How long a smaller number must have been enough before upstreams are stopped.
 const SETTLE: clock::Millis = clock::Millis(8_000);
 
@@ -77,7 +80,12 @@
         let dcs: Vec<&name::Dc> = scaling.prices.keys().collect();
         let wanted = self.settle(Self::need(demand), now);
         let each = wanted.div_ceil(dcs.len().max(1) as u32);
-        let each = each.clamp(scaling.min.max(1), scaling.max);
+        let least = if scaling.cheap.is_some() {
+            CHEAP_EACH
+        } else {
+            1
+        };
+        let each = each.max(least).clamp(scaling.min.max(1), scaling.max);
         let mut orders = Vec::new();
         for dc in dcs {
             let there = running.get(dc).copied().unwrap_or_default();
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -18,8 +18,10 @@
 const COME_BACK_LATER: clock::Millis = clock::Millis(1_000);
 /// Part of its target that a plain request waits at one upstream before it goes to another.
 const PLAIN_PATIENCE: f64 = 0.6;
-/// Part of its target that a stream waits for its first event before it goes to another upstream.
-const STREAM_PATIENCE: f64 = 1.5;
+/// Targets that a stream waits for its first event before it goes to another upstream.
+const STREAM_PATIENCE: f64 = 3.0;
+/// Part of its target that a request waits at an upstream that gives no byte of any answer.
+const SILENT_PART: f64 = 0.6;
 /// How long a caller that states no deadline is taken to wait.
 const DEFAULT_DEADLINE: clock::Millis = clock::Millis(60_000);
 /// How long before its deadline a request gets its end, for the way back to the caller.
@@ -99,7 +101,8 @@
         refused.refusal = refused.refusal.retry(COME_BACK_LATER);
         return Err(refused);
     };
-    let route = find_route(&config, &parts).ok_or_else(|| refuse(&ask.id, refusal::Reason::NotFound))?;
+    let route =
+        find_route(&config, &parts).ok_or_else(|| refuse(&ask.id, refusal::Reason::NotFound))?;
     let team = match &ask.key {
         Some(key) if config.keyed => config.team(key).cloned(),
         _ => None,
@@ -114,6 +117,11 @@
     let until = (arrived + route.timeout).min(clock::Millis(deadline.since(WAY_BACK).0));
     let tier = team.as_ref().and_then(|t| t.tier).unwrap_or(route.tier);
     let service = route.service(rand::random()).clone();
+    let engine = config
+        .services
+        .get(&service)
+        .and_then(|s| s.engine.as_ref());
+    let quick = engine.is_some_and(|e| fleet::is_quick(route.gap, e.stride));
     Ok(attempt::Call {
         ask,
         method: parts.method,
@@ -124,6 +132,7 @@
         service,
         team,
         tier,
+        quick,
         arrived,
         deadline,
         until,
@@ -231,6 +240,7 @@
         service: &call.service,
         parts: &call.ask.parts,
         prompt: call.ask.prompt,
+        quick: call.quick,
         avoid: &tries.avoid,
     };
     let pick = host.fleet.borrow().choose(&wish, host.now());
@@ -302,7 +312,14 @@
         refusal::Refusal::unknown(refusal::Reason::UpstreamFailed)
     };
     host.metrics.refused(refusal.reason);
-    log_end(host, call, tries, refusal.reason.as_str(), refusal.reason.status(), None);
+    log_end(
+        host,
+        call,
+        tries,
+        refusal.reason.as_str(),
+        refusal.reason.status(),
+        None,
+    );
     reply::refuse(&refusal)
 }
 
@@ -336,11 +353,16 @@
         .answered(&call.route.name, end, first, total as f64);
 }
 
+/// Whether the request could run at another upstream after the one that it is at.
+pub fn may_repeat(host: &host::Host, call: &attempt::Call, tries: &Tries) -> bool {
+    let attempts = call.route.repeats() && tries.runs + 1 < call.route.attempts;
+    attempts && host.can_spend(&call.service)
+}
+
 /// How long a try may take: all the time left, or less if another upstream can be tried.
 pub fn patience(host: &host::Host, call: &attempt::Call, tries: &Tries) -> clock::Millis {
     let left = call.until.since(host.now());
-    let again = call.route.repeats() && tries.runs + 1 < call.route.attempts;
-    if !again {
+    if !may_repeat(host, call, tries) {
         return left;
     }
     let part = match call.route.kind {
@@ -350,6 +372,14 @@
     left.min(clock::Millis((call.route.target.0 as f64 * part) as u64))
 }
 
+/// How long the upstream may give no byte of any answer before the request goes elsewhere.
+pub fn silence(host: &host::Host, call: &attempt::Call, tries: &Tries) -> clock::Millis {
+    if !may_repeat(host, call, tries) {
+        return call.route.timeout;
+    }
+    clock::Millis((call.route.target.0 as f64 * SILENT_PART) as u64)
+}
+
 /// Serves a request whose answer is passed on whole.
 async fn plain(host: &rc::Rc<host::Host>, call: &rc::Rc<attempt::Call>) -> reply::Answer {
     let mut tries = Tries::default();
@@ -361,7 +391,9 @@
         };
         let sent = host.now();
         let limit = patience(host, call, &tries);
-        let (failure, ran) = match attempt::send(host, call, pick, call.ask.resume, limit).await {
+        let silence = silence(host, call, &tries);
+        let sending = attempt::send(host, call, pick, call.ask.resume, limit, silence);
+        let (failure, ran) = match sending.await {
             attempt::Outcome::NotRun(failure) => (failure, false),
             attempt::Outcome::MayHaveRun(failure) => {
                 count_begun(host, call, sent);
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -52,6 +52,7 @@
             }
             match self.running.body.frame().await {
                 Some(Ok(frame)) => {
+                    self.running.flight.heard();
                     if let Some(data) = frame.data_ref() {
                         self.cutter.push(data);
                     }
@@ -131,7 +132,8 @@
     let unread = pick.unread;
     let sent = host.now();
     let limit = serve::patience(host, call, tries);
-    let head = match attempt::send(host, call, pick, resume, limit).await {
+    let silence = serve::silence(host, call, tries);
+    let head = match attempt::send(host, call, pick, resume, limit, silence).await {
         attempt::Outcome::Head(head) => head,
         attempt::Outcome::NotRun(failure) => {
             serve::note_failure(host, call, tries, failure, false);
