--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -201,14 +201,14 @@
     );
     let mut phase = host.phase.subscribe();
     // One that comes while others are closed is served once.
-    let mut closing = *phase.borrow() == host::Phase::Closing;
+    let mut closing = *phase.borrow() >= host::Phase::Closing;
     loop {
         let receive = limits.map_or(DEFAULT_RECEIVE, |l| l.receive);
         let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle);
         tokio::select! {
             // Errors are the caller's doing; the requests on it have lines of their own.
             _ = connection.as_mut() => return,
-            _ = phase.wait_for(|p| *p == host::Phase::Closing), if !closing => {
+            _ = phase.wait_for(|p| *p >= host::Phase::Closing), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -53,6 +53,8 @@
     Leaving,
     /// Idle connections are closed.
     Closing,
+    /// New requests are refused: one that began now might be cut at the end.
+    Refusing,
 }
 
 /// One host.
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -11,6 +11,8 @@
 
 /// How long after the stop signal callers may still come: until the balancer has asked twice.
 const LINGER: clock::Millis = clock::Millis(2_600);
+/// How long after that new requests are still taken.
+const TAKING: clock::Millis = clock::Millis(500);
 /// How long before it is killed the process ends by itself.
 const MARGIN: clock::Millis = clock::Millis(500);
 /// How often a stopping host looks whether it is done.
@@ -61,7 +63,8 @@
     Ok(())
 }
 
-/// Leaves without cutting a request: first unready, then no kept connections, then the end.
+/// Leaves without cutting a request: first unready, then no kept connections, then no new
+/// requests, then the end.
 async fn stop(host: &host::Host, writer: &roster::Writer) {
     let begun = host.now();
     let open = host.serving.get();
@@ -72,6 +75,8 @@
     let last = begun + clock::Millis(host.settings.times.grace.since(MARGIN).0);
     let written = host.now();
     writer.write(host).await;
+    time::sleep(TAKING.duration()).await;
+    host.phase.send_replace(host::Phase::Refusing);
     while host.serving.get() > 0 && host.now() < last {
         time::sleep(LOOK_EVERY.duration()).await;
     }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -96,6 +96,11 @@
         Ok(ask) => ask,
         Err(_) => return Err(refuse("", refusal::Reason::BadRequest)),
     };
+    if *host.phase.borrow() == host::Phase::Refusing {
+        let mut refused = refuse(&ask.id, refusal::Reason::Stopping);
+        refused.refusal = refused.refusal.retry(COME_BACK);
+        return Err(refused);
+    }
     let Some(config) = host.current() else {
         let mut refused = refuse(&ask.id, refusal::Reason::NotReady);
         refused.refusal = refused.refusal.retry(COME_BACK_LATER);
