--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -14,16 +14,22 @@
 /// How long cheap upstreams are not asked for after none were to be had.
 const DRY: clock::Millis = clock::Millis(3_000);
 /// Tokens of prompts that one engine reads a second beside its other work.
-const READ_PER_S: f64 = 40_000.0;
+const READ_PER_S: f64 = 25_000.0;
 /// Requests that one engine runs at once without delaying their tokens.
-const BUSY: f64 = 24.0;
-/// Engines wanted besides, for bursts that come faster than engines start.
-const SPARE: f64 = 1.0;
-/// Upstreams kept in each data centre where cheap ones are to be had: they cost little and
-/// bursts come faster than engines start.
-const CHEAP_EACH: u32 = 4;
+const BUSY: f64 = 10.0;
+/// Engines kept for each one needed: bursts come faster than engines start, and cheap ones of a
+/// data centre go all at once.
+const HEADROOM: f64 = 1.5;
+/// The most that firm engines may add to those needed while cheap ones are not to be had.
+const FIRM_HEADROOM: f64 = 1.1;
 /// How long a smaller number must have been enough before upstreams are stopped.
 const SETTLE: clock::Millis = clock::Millis(8_000);
+/// How long fewer firm engines must have been enough before some are stopped.
+const SETTLE_FIRM: clock::Millis = clock::Millis(2_500);
+/// How long a new holder of the duties looks before its first order.
+const LOOK_FIRST: clock::Millis = clock::Millis(2_500);
+/// How long after an order cheap upstreams count that do not run yet.
+const STARTING: clock::Millis = clock::Millis(6_000);
 
 /// The upstreams of a service in one data centre.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -45,69 +51,136 @@
 #[derive(Debug, Default)]
 pub struct Scaler {
     sites: collections::BTreeMap<name::Dc, Site>,
-    wanted: u32,
+    provided: f64,
+    wanted: f64,
     enough_since: clock::Millis,
+    begun: Option<clock::Millis>,
+    firm: u32,
+    firm_since: clock::Millis,
 }
 
 impl Scaler {
     /// Engines that a demand needs.
     pub fn need(demand: &roster::Demand) -> f64 {
-        let load = (demand.read / READ_PER_S).max(demand.busy / BUSY);
-        load + SPARE
+        (demand.read / READ_PER_S).max(demand.busy / BUSY)
     }
 
-    /// Engines wanted: more at once, fewer only after a while.
-    fn settle(&mut self, need: f64, now: clock::Millis) -> u32 {
-        let need = need.ceil() as u32;
+    /// Looks at what the operators provided, for the demand that they expect; returns whether
+    /// it has looked for long enough.
+    fn look(&mut self, running: f64, now: clock::Millis) -> bool {
+        let begun = *self.begun.get_or_insert(now);
+        if now.since(begun) >= LOOK_FIRST {
+            return true;
+        }
+        self.provided = self.provided.max(running);
+        false
+    }
+
+    /// Engines needed: more at once, fewer only after a while, and never fewer than provided.
+    fn settle(&mut self, need: f64, now: clock::Millis) -> f64 {
+        let need = need.max(self.provided);
         if need >= self.wanted {
             self.wanted = need;
             self.enough_since = now;
         } else if now.since(self.enough_since) >= SETTLE {
-            self.wanted -= 1;
+            self.wanted = (self.wanted - 1.0).max(need);
         }
         self.wanted
     }
 
-    /// The orders to send now.
-    pub fn plan(
+    /// Engines needed now; `None` while it still looks.
+    pub fn needed(
+        &mut self,
+        running: &collections::BTreeMap<name::Dc, Running>,
+        demand: &roster::Demand,
+        now: clock::Millis,
+    ) -> Option<f64> {
+        let all: u32 = running.values().map(|r| r.firm + r.cheap).sum();
+        if !self.look(f64::from(all), now) {
+            return None;
+        }
+        Some(self.settle(Self::need(demand), now))
+    }
+
+    /// The orders for cheap engines: as many as are needed, and headroom, spread evenly.
+    pub fn plan_cheap(
+        &mut self,
+        service: &name::Service,
+        scaling: &model::Scaling,
+        need: f64,
+        now: clock::Millis,
+    ) -> Vec<ports::Order> {
+        let mut orders = Vec::new();
+        if scaling.cheap.is_none() {
+            return orders;
+        }
+        let dcs = by_price(scaling);
+        let each = (need * HEADROOM / dcs.len().max(1) as f64).ceil() as u32;
+        let each = each.clamp(scaling.min.max(1), scaling.max);
+        for (i, dc) in dcs.iter().enumerate() {
+            let count = each - floor(i).min(each);
+            let site = self.sites.entry((*dc).clone()).or_default();
+            if now < site.dry || !site.is_due(true, count, now) {
+                continue;
+            }
+            orders.push(ports::Order {
+                service: service.clone(),
+                dc: (*dc).clone(),
+                count,
+                cheap: true,
+            });
+        }
+        orders
+    }
+
+    /// The orders for firm engines: what cheap ones leave open, where it costs least.
+    pub fn plan_firm(
         &mut self,
         service: &name::Service,
         scaling: &model::Scaling,
         running: &collections::BTreeMap<name::Dc, Running>,
-        demand: &roster::Demand,
+        need: f64,
         now: clock::Millis,
     ) -> Vec<ports::Order> {
-        let dcs: Vec<&name::Dc> = scaling.prices.keys().collect();
-        let wanted = self.settle(Self::need(demand), now);
-        let each = wanted.div_ceil(dcs.len().max(1) as u32);
-        let least = if scaling.cheap.is_some() {
-            CHEAP_EACH
-        } else {
-            1
-        };
-        let each = each.max(least).clamp(scaling.min.max(1), scaling.max);
+        let dcs = by_price(scaling);
+        let cheap = |dc: &name::Dc| running.get(dc).map_or(0, |r| r.cheap);
+        let mut have = 0;
+        for dc in &dcs {
+            let starting = self.sites.get(*dc).map_or(0, |s| s.starting(now));
+            have += cheap(dc).max(starting);
+        }
+        let short = ((need * FIRM_HEADROOM).ceil() as u32).saturating_sub(have);
+        let mut firm = self.settle_firm(short.max(floor(0)), now);
         let mut orders = Vec::new();
-        for dc in dcs {
-            let there = running.get(dc).copied().unwrap_or_default();
-            let site = self.sites.entry(dc.clone()).or_default();
-            let floor = scaling.min.max(1).min(each);
-            let to_be_had = scaling.cheap.is_some() && now >= site.dry;
-            let cheap = if to_be_had { each - floor } else { 0 };
-            let firm = each.saturating_sub(there.cheap).max(floor);
-            for (kind, count) in [(true, cheap), (false, firm)] {
-                if site.is_due(kind, count, now) {
-                    orders.push(ports::Order {
-                        service: service.clone(),
-                        dc: dc.clone(),
-                        count,
-                        cheap: kind,
-                    });
-                }
+        for (i, dc) in dcs.iter().enumerate() {
+            let room = scaling.max.saturating_sub(cheap(dc)).max(floor(i));
+            let even = firm.div_ceil((dcs.len() - i) as u32);
+            let count = even.min(room);
+            firm -= count;
+            let site = self.sites.entry((*dc).clone()).or_default();
+            if site.is_due(false, count, now) {
+                orders.push(ports::Order {
+                    service: service.clone(),
+                    dc: (*dc).clone(),
+                    count,
+                    cheap: false,
+                });
             }
         }
         orders
     }
 
+    /// Firm engines: more at once, fewer after a while.
+    fn settle_firm(&mut self, short: u32, now: clock::Millis) -> u32 {
+        if short >= self.firm {
+            self.firm = short;
+            self.firm_since = now;
+        } else if now.since(self.firm_since) >= SETTLE_FIRM {
+            self.firm = short;
+        }
+        self.firm
+    }
+
     /// Notes what came of an order.
     pub fn done(
         &mut self,
@@ -132,14 +205,34 @@
 }
 
 impl Site {
+    /// Cheap engines that were ordered just now.
+    fn starting(&self, now: clock::Millis) -> u32 {
+        match self.ordered.get(&true) {
+            Some((count, at)) if now.since(*at) < STARTING => *count,
+            _ => 0,
+        }
+    }
+
     fn is_due(&self, cheap: bool, count: u32, now: clock::Millis) -> bool {
         match self.ordered.get(&cheap) {
             Some((ordered, at)) => *ordered != count || now.since(*at) >= REPEAT_AFTER,
-            None => count > 0,
+            None => true,
         }
     }
 }
 
+/// Firm engines that stay whatever runs, in the data centre that is the `i`th by price: for when
+/// all cheap ones are reclaimed.
+fn floor(i: usize) -> u32 {
+    u32::from(i == 0)
+}
+
+fn by_price(scaling: &model::Scaling) -> Vec<&name::Dc> {
+    let mut dcs: Vec<(&name::Dc, f64)> = scaling.prices.iter().map(|(d, p)| (d, *p)).collect();
+    dcs.sort_by(|a, b| a.1.total_cmp(&b.1));
+    dcs.into_iter().map(|(dc, _)| dc).collect()
+}
+
 /// Orders upstreams while the duties are held.
 pub async fn run(host: &host::Host, tenure: &duty::Tenure) {
     let mut scalers: collections::HashMap<name::Service, Scaler> = collections::HashMap::new();
@@ -148,7 +241,7 @@
         let Some(config) = host.current() else {
             continue;
         };
-        if let Ok((items, _)) = host.store.list(roster::PREFIX, true).await {
+        if let Ok((items, _)) = host.store.list(roster::PREFIX, false).await {
             let now = host.now();
             host.roster.borrow_mut().read(items, now);
         }
@@ -159,16 +252,31 @@
             let scaler = scalers.entry(service.name.clone()).or_default();
             let demand = demand(host, &service.name);
             let running = running(host, &service.name);
-            let orders = scaler.plan(&service.name, scaling, &running, &demand, host.now());
-            for order in orders {
-                let result = host.orders.scale(tenure.term(), &order).await;
-                log(&order, &demand, tenure.token, result);
-                scaler.done(&order, result, host.now());
-            }
+            let Some(need) = scaler.needed(&running, &demand, host.now()) else {
+                continue;
+            };
+            let orders = scaler.plan_cheap(&service.name, scaling, need, host.now());
+            send(host, tenure, scaler, &orders, &demand).await;
+            let orders = scaler.plan_firm(&service.name, scaling, &running, need, host.now());
+            send(host, tenure, scaler, &orders, &demand).await;
         }
     }
 }
 
+async fn send(
+    host: &host::Host,
+    tenure: &duty::Tenure,
+    scaler: &mut Scaler,
+    orders: &[ports::Order],
+    demand: &roster::Demand,
+) {
+    for order in orders {
+        let result = host.orders.scale(tenure.term(), order).await;
+        log(order, demand, tenure.token, result);
+        scaler.done(order, result, host.now());
+    }
+}
+
 fn log(
     order: &ports::Order,
     demand: &roster::Demand,
