--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -15,9 +15,11 @@
 /// The key of the holder.
 pub const KEY: &str = "jacinthslip/duty";
 /// The longest life of a call in flight: the next holder waits it out.
-pub const FLIGHT: clock::Millis = clock::Millis(1_000);
+pub const FLIGHT: clock::Millis = clock::Millis(700);
+/// Length of the lease: short, so that a lost holder is soon followed by another.
+const TTL: clock::Millis = clock::Millis(2_000);
 /// How often the lease is renewed.
-const RENEW_EVERY: clock::Millis = clock::Millis(900);
+const RENEW_EVERY: clock::Millis = clock::Millis(600);
 /// How long others wait for the key to go, in one watch.
 const WATCH: clock::Millis = clock::Millis(8_000);
 /// Pause after a failed call.
@@ -43,25 +45,23 @@
         }
     }
 
-    fn renewed(&self, sent: clock::Millis, ttl: clock::Millis) {
-        self.deadline.set(deadline(sent, ttl));
+    fn renewed(&self, sent: clock::Millis) {
+        self.deadline.set(deadline(sent));
     }
 }
 
-fn deadline(sent: clock::Millis, ttl: clock::Millis) -> clock::Millis {
-    clock::Millis((sent + ttl).since(MARGIN).0)
+fn deadline(sent: clock::Millis) -> clock::Millis {
+    clock::Millis((sent + TTL).since(MARGIN).0)
 }
 
 /// Takes the duties whenever nobody holds them, and does them while they are held.
 pub async fn run(host: rc::Rc<host::Host>, fresh: bool) {
-    if !fresh {
-        // An earlier start of this host may have acted just now, and another one since.
-        time::sleep(host.settings.times.lease.duration()).await;
-    }
     let mut phase = host.phase.subscribe();
+    // An earlier start of this host may have acted just now, and another one since.
+    let mut acted = (!fresh).then(|| host.now());
     loop {
         let tenure = tokio::select! {
-            tenure = acquire(&host) => tenure,
+            tenure = acquire(&host, acted) => tenure,
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
         };
         let token = tenure.token;
@@ -80,14 +80,12 @@
         if why == "stopping" {
             return;
         }
-        // Whoever acts next may be done before another lease has passed.
-        time::sleep((host.settings.times.lease + FLIGHT).duration()).await;
+        acted = Some(host.now());
     }
 }
 
 /// Renews the lease until it is lost; returns why.
 async fn hold(host: &host::Host, tenure: &Tenure) -> &'static str {
-    let ttl = host.settings.times.lease;
     loop {
         time::sleep(RENEW_EVERY.duration()).await;
         let sent = host.now();
@@ -95,15 +93,16 @@
             return "lapsed";
         }
         match host.store.keep(tenure.lease).await {
-            Ok(()) => tenure.renewed(sent, ttl),
+            Ok(()) => tenure.renewed(sent),
             Err(ports::StoreError::NoLease) => return "lease_gone",
             Err(_) => {}
         }
     }
 }
 
-/// Waits until nobody holds the duties, and takes them.
-async fn acquire(host: &host::Host) -> Tenure {
+/// Waits until nobody holds the duties, and takes them: not while another holder may have been and
+/// gone within the platform's lease since this host acted.
+async fn acquire(host: &host::Host, acted: Option<clock::Millis>) -> Tenure {
     loop {
         match host.store.get(KEY).await {
             Ok((Some(_), at)) => {
@@ -111,7 +110,9 @@
                 let _ = host.store.watch(KEY, at, WATCH).await;
             }
             Ok((None, _)) => {
-                time::sleep(FLIGHT.duration()).await;
+                let again = acted.map_or(clock::Millis::ZERO, |a| a + host.settings.times.lease);
+                let wait = FLIGHT.max(again.since(host.now()));
+                time::sleep(wait.duration()).await;
                 if let Some(tenure) = claim(host).await {
                     return tenure;
                 }
@@ -123,9 +124,8 @@
 }
 
 async fn claim(host: &host::Host) -> Option<Tenure> {
-    let ttl = host.settings.times.lease;
     let sent = host.now();
-    let lease = host.store.grant(ttl).await.ok()?;
+    let lease = host.store.grant(TTL).await.ok()?;
     let value = format!("{}/{:016x}/{lease}", host.settings.host, host.boot);
     let t = ports::Transaction {
         expected: vec![(KEY.to_owned(), 0)],
@@ -151,7 +151,7 @@
     Some(Tenure {
         token,
         lease,
-        deadline: cell::Cell::new(deadline(sent, ttl)),
+        deadline: cell::Cell::new(deadline(sent)),
     })
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -12,6 +12,8 @@
 
 /// Tokens of a prompt that an engine reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 112.0;
+/// Weight of a request's own reading against waiting: it takes the engine's time from others.
+const OWN_READING: f64 = 2.0;
 /// Time that one running request adds to a request's first token, in milliseconds.
 const RUNNING_MS: f64 = 1.0;
 /// Time that one request in a plain service's slots adds, in milliseconds.
@@ -340,7 +342,8 @@
         let queue = if wish.parts.is_empty() {
             m.running(now) * PLAIN_MS
         } else {
-            (unread + m.unread) as f64 / READ_TOKENS_PER_MS + m.running(now) * RUNNING_MS
+            let own = unread as f64 * OWN_READING;
+            (own + m.unread as f64) / READ_TOKENS_PER_MS + m.running(now) * RUNNING_MS
         };
         let far = self.place.distance(&m.upstream.dc);
         let unlike = match (wish.parts.is_empty(), wish.quick, m.quick) {
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -26,7 +26,9 @@
 const SETTLE: clock::Millis = clock::Millis(8_000);
 /// How long fewer firm engines must have been enough before some are stopped.
 const SETTLE_FIRM: clock::Millis = clock::Millis(2_500);
-/// How long a new holder of the duties looks before its first order.
+/// The key of what the operators provided.
+const KEY: &str = "jacinthslip/provided";
+/// How long the first holder of the duties looks before its first order.
 const LOOK_FIRST: clock::Millis = clock::Millis(2_500);
 /// How long after an order cheap upstreams count that do not run yet.
 const STARTING: clock::Millis = clock::Millis(6_000);
@@ -65,6 +67,15 @@
         (demand.read / READ_PER_S).max(demand.busy / BUSY)
     }
 
+    /// A scaler that knows what was provided.
+    pub fn provided(engines: f64) -> Self {
+        Self {
+            provided: engines,
+            begun: Some(clock::Millis::ZERO),
+            ..Self::default()
+        }
+    }
+
     /// Looks at what the operators provided, for the demand that they expect; returns whether
     /// it has looked for long enough.
     fn look(&mut self, running: f64, now: clock::Millis) -> bool {
@@ -235,7 +246,11 @@
 
 /// Orders upstreams while the duties are held.
 pub async fn run(host: &host::Host, tenure: &duty::Tenure) {
-    let mut scalers: collections::HashMap<name::Service, Scaler> = collections::HashMap::new();
+    let mut known = load(host).await;
+    let mut scalers: collections::HashMap<name::Service, Scaler> = known
+        .iter()
+        .map(|(s, n)| (s.clone(), Scaler::provided(*n)))
+        .collect();
     loop {
         time::sleep(LOOK_EVERY.duration()).await;
         let Some(config) = host.current() else {
@@ -255,6 +270,10 @@
             let Some(need) = scaler.needed(&running, &demand, host.now()) else {
                 continue;
             };
+            if !known.contains_key(&service.name) {
+                known.insert(service.name.clone(), scaler.provided);
+                save(host, &known).await;
+            }
             let orders = scaler.plan_cheap(&service.name, scaling, need, host.now());
             send(host, tenure, scaler, &orders, &demand).await;
             let orders = scaler.plan_firm(&service.name, scaling, &running, need, host.now());
@@ -263,6 +282,42 @@
     }
 }
 
+/// Engines that the operators provided, by service, as an earlier holder saw it.
+type Provided = collections::BTreeMap<name::Service, f64>;
+
+async fn load(host: &host::Host) -> Provided {
+    loop {
+        match host.store.get(KEY).await {
+            Ok((None, _)) => return Provided::new(),
+            Ok((Some(item), _)) => {
+                return serde_json::from_slice(&item.value).unwrap_or_else(|e| {
+                    tracing::error!(event = "provided_unreadable", error = %e);
+                    Provided::new()
+                });
+            }
+            Err(_) => time::sleep(LOOK_EVERY.duration()).await,
+        }
+    }
+}
+
+/// Writes it once; if that fails, the next holder looks for itself.
+async fn save(host: &host::Host, known: &Provided) {
+    let Ok(value) = serde_json::to_vec(known) else {
+        return;
+    };
+    let t = ports::Transaction {
+        writes: vec![ports::Write {
+            key: KEY.to_owned(),
+            value,
+            lease: 0,
+        }],
+        ..ports::Transaction::default()
+    };
+    if let Err(e) = host.store.commit(&t).await {
+        tracing::warn!(event = "provided_not_saved", error = e.as_str());
+    }
+}
+
 async fn send(
     host: &host::Host,
     tenure: &duty::Tenure,
