--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -204,15 +204,15 @@
         self.host.fleet.borrow_mut().hear(&self.pick.name, now);
     }
 
-    /// Waits until the upstream has given no byte of any answer for `limit` since this was sent.
-    async fn silent(&self, limit: clock::Millis) {
+    /// Waits until the upstream has given no byte of any answer for `limit`.
+    pub async fn silent(&self, limit: clock::Millis) {
         loop {
+            let since = self.host.now();
             time::sleep(limit.duration()).await;
             let fleet = self.host.fleet.borrow();
-            if !fleet.is_heard_since(&self.pick.name, self.sent) {
+            if !fleet.is_heard_since(&self.pick.name, since) {
                 return;
             }
-            drop(fleet);
         }
     }
 
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -23,7 +23,9 @@
 /// The most that firm engines may add to those needed while cheap ones are not to be had.
 const FIRM_HEADROOM: f64 = 1.1;
 /// How long a smaller number must have been enough before upstreams are stopped.
-const SETTLE: clock::Millis = clock::Millis(8_000);
+const SETTLE: clock::Millis = clock::Millis(5_000);
+/// What is left of a surplus after each look.
+const SURPLUS_LEFT: f64 = 0.7;
 /// How long fewer firm engines must have been enough before some are stopped.
 const SETTLE_FIRM: clock::Millis = clock::Millis(2_500);
 /// The key of what the operators provided.
@@ -46,6 +48,8 @@
 #[derive(Debug, Default)]
 struct Site {
     ordered: collections::HashMap<bool, (u32, clock::Millis)>,
+    coming: u32,
+    coming_since: clock::Millis,
     dry: clock::Millis,
 }
 
@@ -94,7 +98,7 @@
             self.wanted = need;
             self.enough_since = now;
         } else if now.since(self.enough_since) >= SETTLE {
-            self.wanted = (self.wanted - 1.0).max(need);
+            self.wanted = need + (self.wanted - need) * SURPLUS_LEFT;
         }
         self.wanted
     }
@@ -157,8 +161,8 @@
         let cheap = |dc: &name::Dc| running.get(dc).map_or(0, |r| r.cheap);
         let mut have = 0;
         for dc in &dcs {
-            let starting = self.sites.get(*dc).map_or(0, |s| s.starting(now));
-            have += cheap(dc).max(starting);
+            let coming = self.sites.get(*dc).map_or(0, |s| s.coming(now));
+            have += cheap(dc) + coming;
         }
         let short = ((need * FIRM_HEADROOM).ceil() as u32).saturating_sub(have);
         let mut firm = self.settle_firm(short.max(floor(0)), now);
@@ -196,11 +200,19 @@
     pub fn done(
         &mut self,
         order: &ports::Order,
+        running: Running,
         result: Result<(), ports::OrderError>,
         now: clock::Millis,
     ) {
         let site = self.sites.entry(order.dc.clone()).or_default();
         match result {
+            Ok(()) if order.cheap => {
+                let before = site.ordered.insert(true, (order.count, now));
+                if before.is_none_or(|(n, _)| n < order.count) {
+                    site.coming = order.count.saturating_sub(running.cheap);
+                    site.coming_since = now;
+                }
+            }
             Ok(()) | Err(ports::OrderError::Rejected(_)) => {
                 site.ordered.insert(order.cheap, (order.count, now));
             }
@@ -216,12 +228,12 @@
 }
 
 impl Site {
-    /// Cheap engines that were ordered just now.
-    fn starting(&self, now: clock::Millis) -> u32 {
-        match self.ordered.get(&true) {
-            Some((count, at)) if now.since(*at) < STARTING => *count,
-            _ => 0,
+    /// Cheap engines that were ordered just now and don't run yet.
+    fn coming(&self, now: clock::Millis) -> u32 {
+        if now.since(self.coming_since) < STARTING {
+            return self.coming;
         }
+        0
     }
 
     fn is_due(&self, cheap: bool, count: u32, now: clock::Millis) -> bool {
@@ -275,9 +287,9 @@
                 save(host, &known).await;
             }
             let orders = scaler.plan_cheap(&service.name, scaling, need, host.now());
-            send(host, tenure, scaler, &orders, &demand).await;
+            send(host, tenure, scaler, &orders, &running, &demand).await;
             let orders = scaler.plan_firm(&service.name, scaling, &running, need, host.now());
-            send(host, tenure, scaler, &orders, &demand).await;
+            send(host, tenure, scaler, &orders, &running, &demand).await;
         }
     }
 }
@@ -323,12 +335,14 @@
     tenure: &duty::Tenure,
     scaler: &mut Scaler,
     orders: &[ports::Order],
+    running: &collections::BTreeMap<name::Dc, Running>,
     demand: &roster::Demand,
 ) {
     for order in orders {
         let result = host.orders.scale(tenure.term(), order).await;
         log(order, demand, tenure.token, result);
-        scaler.done(order, result, host.now());
+        let running = running.get(&order.dc).copied().unwrap_or_default();
+        scaler.done(order, running, result, host.now());
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -18,8 +18,6 @@
 const COME_BACK_LATER: clock::Millis = clock::Millis(1_000);
 /// Part of its target that a plain request waits at one upstream before it goes to another.
 const PLAIN_PATIENCE: f64 = 0.6;
-/// Targets that a stream waits for its first event before it goes to another upstream.
-const STREAM_PATIENCE: f64 = 3.0;
 /// Part of its target that a request waits at an upstream that gives no byte of any answer.
 const SILENT_PART: f64 = 0.6;
 /// How long a caller that states no deadline is taken to wait.
@@ -364,17 +362,16 @@
     attempts && host.can_spend(&call.service)
 }
 
-/// How long a try may take: all the time left, or less if another upstream can be tried.
+/// How long a try may take: all the time left, or less if another upstream can be tried. A stream
+/// that waits at an upstream that works would only wait again elsewhere.
 pub fn patience(host: &host::Host, call: &attempt::Call, tries: &Tries) -> clock::Millis {
     let left = call.until.since(host.now());
-    if !may_repeat(host, call, tries) {
+    if call.route.kind == model::Kind::Stream || !may_repeat(host, call, tries) {
         return left;
     }
-    let part = match call.route.kind {
-        model::Kind::Stream => STREAM_PATIENCE,
-        _ => PLAIN_PATIENCE,
-    };
-    left.min(clock::Millis((call.route.target.0 as f64 * part) as u64))
+    left.min(clock::Millis(
+        (call.route.target.0 as f64 * PLAIN_PATIENCE) as u64,
+    ))
 }
 
 /// How long the upstream may give no byte of any answer before the request goes elsewhere.
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -12,10 +12,8 @@
 
 /// Events on their way to a caller that does not read.
 const QUEUE: usize = 16;
-/// The shortest silence after which a stream goes on elsewhere.
-const MIN_STALL: clock::Millis = clock::Millis(1_200);
-/// Pauses on time after which a stream goes on elsewhere.
-const STALL_GAPS: u64 = 3;
+/// The shortest silence of an upstream after which a stream goes on elsewhere.
+const MIN_SILENCE: clock::Millis = clock::Millis(500);
 /// Tokens that an engine reads in a millisecond, for the expected time to the first event.
 const READ_TOKENS_PER_MS: u64 = 112;
 /// Time to the first event besides reading, in milliseconds.
@@ -35,34 +33,40 @@
 }
 
 impl Source {
-    /// The next whole event, within `limit`.
-    async fn next(&mut self, limit: clock::Millis) -> Next {
-        match time::timeout(limit.duration(), self.read()).await {
-            Ok(next) => next,
-            Err(_) => Next::Broken(attempt::Failure::Slow),
+    /// The next whole event, within `limit`, and as long as the upstream is not silent for `silence`.
+    async fn next(&mut self, limit: clock::Millis, silence: clock::Millis) -> Next {
+        let flight = &self.running.flight;
+        tokio::select! {
+            next = read(&mut self.running.body, &mut self.cutter, flight) => next,
+            () = time::sleep(limit.duration()) => Next::Broken(attempt::Failure::Slow),
+            () = flight.silent(silence) => Next::Broken(attempt::Failure::Silent),
         }
     }
+}
 
-    async fn read(&mut self) -> Next {
-        loop {
-            match self.cutter.next_event() {
-                Ok(Some(event)) => return Next::Event(event),
-                Ok(None) => {}
-                Err(events::Garbage) => return Next::Broken(attempt::Failure::Broken),
-            }
-            match self.running.body.frame().await {
-                Some(Ok(frame)) => {
-                    self.running.flight.heard();
-                    if let Some(data) = frame.data_ref() {
-                        self.cutter.push(data);
-                    }
-                }
-                Some(Err(_)) => return Next::Broken(attempt::Failure::Broken),
-                None if self.cutter.is_partial() => {
-                    return Next::Broken(attempt::Failure::Broken);
+async fn read(
+    body: &mut hyper::body::Incoming,
+    cutter: &mut events::Cutter,
+    flight: &attempt::Flight,
+) -> Next {
+    loop {
+        match cutter.next_event() {
+            Ok(Some(event)) => return Next::Event(event),
+            Ok(None) => {}
+            Err(events::Garbage) => return Next::Broken(attempt::Failure::Broken),
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                flight.heard();
+                if let Some(data) = frame.data_ref() {
+                    cutter.push(data);
                 }
-                None => return Next::End,
             }
+            Some(Err(_)) => return Next::Broken(attempt::Failure::Broken),
+            None if cutter.is_partial() => {
+                return Next::Broken(attempt::Failure::Broken);
+            }
+            None => return Next::End,
         }
     }
 }
@@ -164,7 +168,7 @@
         cutter: events::Cutter::default(),
     };
     loop {
-        match source.next(left()).await {
+        match source.next(left(), silence).await {
             Next::Event(event) if is_old(&event, resume) => {}
             Next::Event(event) => {
                 let now = host.now();
@@ -264,13 +268,13 @@
             if left == clock::Millis::ZERO {
                 return Err("timeout");
             }
-            let limit = left.min(self.stall());
+            let silence = self.silence();
             let Some(source) = &mut self.source else {
                 return Err("broken");
             };
             let caller = self.caller.clone();
             let next = tokio::select! {
-                next = source.next(limit) => next,
+                next = source.next(left, silence) => next,
                 () = caller.closed() => return Err("caller_gone"),
             };
             match next {
@@ -287,14 +291,15 @@
         }
     }
 
-    /// Silence after which the stream goes on elsewhere, if it may.
-    fn stall(&self) -> clock::Millis {
-        let again = self.call.route.repeats() && self.tries.runs + 1 < self.call.route.attempts;
-        if !again {
-            return self.call.until;
+    /// Silence of the upstream after which the stream goes on elsewhere, if it may.
+    fn silence(&self) -> clock::Millis {
+        if !serve::may_repeat(&self.host, &self.call, &self.tries) {
+            return self.call.route.timeout;
         }
-        let gap = self.call.route.gap.unwrap_or(self.call.route.target);
-        clock::Millis(gap.0 * STALL_GAPS).max(MIN_STALL)
+        self.call
+            .route
+            .gap
+            .map_or(MIN_SILENCE, |g| g.max(MIN_SILENCE))
     }
 
     /// Goes on at another upstream after the last event passed on.
