--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -8,7 +8,7 @@
 
 use adapter::{dialect, duties, settings, store};
 use base::clock;
-use router::{fleet, host, lifecycle, metrics, roster, windows, wire};
+use router::{fleet, follow, host, lifecycle, metrics, relay, roster, windows, wire};
 use tokio::sync::watch;
 use tokio::task;
 
@@ -79,6 +79,10 @@
         windows: cell::RefCell::new(windows::Counter::default()),
         demand: cell::RefCell::new(collections::HashMap::new()),
         roster: cell::RefCell::new(roster::Roster::default()),
+        known: relay::Known::default(),
+        health: follow::Health::default(),
+        holder: cell::Cell::new(None),
+        holds: cell::Cell::new(false),
         metrics: metrics::Metrics::new()?,
         phase: watch::Sender::new(host::Phase::Serving),
         serving: cell::Cell::new(0),
--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -5,9 +5,11 @@
 //! waits until the key is gone and calls in flight have ended.
 
 use std::cell;
+use std::net;
 use std::rc;
 
-use base::clock;
+use base::{clock, name};
+use serde::{Deserialize, Serialize};
 use tokio::time;
 
 use crate::{host, ports, scale, usage};
@@ -27,6 +29,16 @@
 /// How long before its end a lease is no longer used.
 const MARGIN: clock::Millis = clock::Millis(100);
 
+/// What the holder's key says.
+#[derive(Debug, Serialize, Deserialize)]
+struct Record {
+    host: name::Host,
+    boot: u64,
+    lease: u64,
+    /// Where other hosts reach it.
+    peer: net::SocketAddr,
+}
+
 /// The lease while it is held.
 #[derive(Debug)]
 pub struct Tenure {
@@ -66,12 +78,16 @@
         };
         let token = tenure.token;
         tracing::info!(event = "duties_taken", token);
+        host.holds.set(true);
+        host.holder.set(Some(host.settings.peer));
         let why = tokio::select! {
             why = hold(&host, &tenure) => why,
             () = usage::run(&host, &tenure) => "usage_ended",
             () = scale::run(&host, &tenure) => "scaling_ended",
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => "stopping",
         };
+        host.holds.set(false);
+        host.holder.set(None);
         tracing::info!(event = "duties_left", token, why);
         let released = host.store.release(tenure.lease).await;
         if let Err(e) = released {
@@ -105,11 +121,13 @@
 async fn acquire(host: &host::Host, acted: Option<clock::Millis>) -> Tenure {
     loop {
         match host.store.get(KEY).await {
-            Ok((Some(_), at)) => {
+            Ok((Some(item), at)) => {
+                note_holder(host, &item.value);
                 // An error shows as a key that is still there.
                 let _ = host.store.watch(KEY, at, WATCH).await;
             }
             Ok((None, _)) => {
+                host.holder.set(None);
                 let again = acted.map_or(clock::Millis::ZERO, |a| a + host.settings.times.lease);
                 let wait = FLIGHT.max(again.since(host.now()));
                 time::sleep(wait.duration()).await;
@@ -123,22 +141,35 @@
     }
 }
 
+fn note_holder(host: &host::Host, value: &[u8]) {
+    match serde_json::from_slice::<Record>(value) {
+        Ok(record) => host.holder.set(Some(record.peer)),
+        Err(e) => tracing::warn!(event = "holder_unreadable", error = %e),
+    }
+}
+
 async fn claim(host: &host::Host) -> Option<Tenure> {
     let sent = host.now();
     let lease = host.store.grant(TTL).await.ok()?;
-    let value = format!("{}/{:016x}/{lease}", host.settings.host, host.boot);
+    let record = Record {
+        host: host.settings.host.clone(),
+        boot: host.boot,
+        lease,
+        peer: host.settings.peer,
+    };
+    let value = serde_json::to_vec(&record).ok()?;
     let t = ports::Transaction {
         expected: vec![(KEY.to_owned(), 0)],
         writes: vec![ports::Write {
             key: KEY.to_owned(),
-            value: value.clone().into_bytes(),
+            value: value.clone(),
             lease,
         }],
         removes: Vec::new(),
     };
     let token = match host.store.commit(&t).await {
         Ok(revision) => Some(revision),
-        Err(ports::StoreError::Unknown) => read_back(host, value.as_bytes()).await,
+        Err(ports::StoreError::Unknown) => read_back(host, &value).await,
         Err(_) => None,
     };
     let Some(token) = token else {
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -1,49 +1,114 @@
 //! The configuration and the list of upstreams, followed in the store by watches.
 
 use std::cell;
+use std::collections;
 use std::rc;
 
 use base::{clock, name};
 use rand::Rng as _;
+use tokio::sync::watch;
 use tokio::{task, time};
 
 use crate::{host, model, ports};
 
-/// How long a watch waits; a connection that has gone silent is noticed a little later.
-pub const WATCH: clock::Millis = clock::Millis(2_000);
+/// Part of the bound on leaving upstreams and changes for which a watch waits: a connection that
+/// has gone silent is noticed, and the list read again, within the bound.
+const WATCH_PART: f64 = 0.5;
+/// How often a host looks at whom to follow if nothing tells it to.
+const LOOK_EVERY: clock::Millis = clock::Millis(2_000);
 /// Pause after a failed call.
 const PAUSE: clock::Millis = clock::Millis(250);
 /// How long after an outage of the store an entry that lapsed may come back.
 const COME_BACK: clock::Millis = clock::Millis(2_200);
 
-/// What is known of the store's health.
-#[derive(Debug, Default)]
+/// What is followed in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum What {
+    Config,
+    Upstreams,
+}
+
+impl What {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Upstreams => "upstreams",
+        }
+    }
+}
+
+/// Whether the store answers this host.
+#[derive(Debug)]
 pub struct Health {
-    lost: cell::Cell<bool>,
+    lost: [cell::Cell<bool>; 2],
     back: cell::Cell<Option<clock::Millis>>,
+    fed: cell::Cell<bool>,
+    looks: watch::Sender<u64>,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            lost: Default::default(),
+            back: cell::Cell::new(None),
+            fed: cell::Cell::new(false),
+            looks: watch::Sender::new(0),
+        }
+    }
 }
 
 impl Health {
-    fn note<T>(&self, what: &'static str, r: &Result<T, ports::StoreError>, now: clock::Millis) {
+    fn note<T>(&self, what: What, r: &Result<T, ports::StoreError>, now: clock::Millis) {
+        let lost = &self.lost[what as usize];
         match r {
             Ok(_) => {
-                if self.lost.replace(false) {
+                if lost.replace(false) {
                     self.back.set(Some(now));
-                    tracing::info!(event = "store_regained", what);
+                    tracing::info!(event = "store_regained", what = what.as_str());
                 }
             }
             Err(ports::StoreError::Compacted) => {}
             Err(e) => {
-                if !self.lost.replace(true) {
-                    tracing::warn!(event = "store_lost", what, error = e.as_str());
+                if !lost.replace(true) {
+                    tracing::warn!(event = "store_lost", what = what.as_str(), error = %e);
+                    self.look();
                 }
             }
         }
     }
 
+    /// Wakes those who wait for the store's loss: something they look at has changed.
+    pub fn look(&self) {
+        self.looks.send_modify(|n| *n += 1);
+    }
+
+    /// Whether the store does not answer.
+    pub fn is_lost(&self) -> bool {
+        self.lost.iter().any(cell::Cell::get)
+    }
+
+    /// Notes whether another host tells what the store would.
+    pub fn set_fed(&self, fed: bool) {
+        self.fed.set(fed);
+    }
+
+    /// Waits for something to change, or a while.
+    pub async fn wait(&self) {
+        let mut looks = self.looks.subscribe();
+        // Either way the caller looks again.
+        let _ = time::timeout(LOOK_EVERY.duration(), looks.changed()).await;
+    }
+
     /// Whether an entry that is missing may have lapsed with an outage.
     fn may_come_back(&self, now: clock::Millis) -> bool {
-        self.lost.get() || self.back.get().is_some_and(|b| now.since(b) < COME_BACK)
+        self.is_lost() || self.back.get().is_some_and(|b| now.since(b) < COME_BACK)
+    }
+}
+
+/// Waits while another host tells this one what the store would.
+async fn wait_unfed(host: &host::Host) {
+    while !host.watches() && host.health.fed.get() {
+        time::sleep(PAUSE.duration()).await;
     }
 }
 
@@ -52,13 +117,17 @@
     time::sleep(clock::Millis(PAUSE.0 + jitter).duration()).await;
 }
 
+fn watch_time(host: &host::Host) -> clock::Millis {
+    clock::Millis((host.settings.times.change.0 as f64 * WATCH_PART) as u64)
+}
+
 /// Follows the configuration.
 pub async fn config(host: rc::Rc<host::Host>) {
-    let health = Health::default();
     let key = host.dialect.config_key().to_owned();
     loop {
+        wait_unfed(&host).await;
         let got = host.store.get(&key).await;
-        health.note("config", &got, host.now());
+        host.health.note(What::Config, &got, host.now());
         let Ok((item, mut at)) = got else {
             pause().await;
             continue;
@@ -66,9 +135,9 @@
         if let Some(item) = item {
             take_config(&host, &item.value, "store");
         }
-        loop {
-            let seen = host.store.watch(&key, at, WATCH).await;
-            health.note("config", &seen, host.now());
+        while host.watches() || !host.health.fed.get() {
+            let seen = host.store.watch(&key, at, watch_time(&host)).await;
+            host.health.note(What::Config, &seen, host.now());
             match seen {
                 Ok((events, as_of)) => {
                     at = as_of;
@@ -110,29 +179,31 @@
         old
     );
     *host.config.borrow_mut() = Some(rc::Rc::new(config));
+    host.known.set_config(bytes);
 }
 
 /// Follows the list of upstreams.
 pub async fn upstreams(host: rc::Rc<host::Host>) {
-    let health = rc::Rc::new(Health::default());
     let prefix = host.dialect.upstream_prefix().to_owned();
     loop {
+        wait_unfed(&host).await;
         let list = host.store.list(&prefix, false).await;
-        health.note("upstreams", &list, host.now());
+        host.health.note(What::Upstreams, &list, host.now());
         let Ok((items, mut at)) = list else {
             pause().await;
             continue;
         };
-        take_list(&host, &health, &items);
-        loop {
-            let seen = host.store.watch(&prefix, at, WATCH).await;
-            health.note("upstreams", &seen, host.now());
+        take_list(&host, &items, at);
+        while host.watches() || !host.health.fed.get() {
+            let seen = host.store.watch(&prefix, at, watch_time(&host)).await;
+            host.health.note(What::Upstreams, &seen, host.now());
             match seen {
                 Ok((events, as_of)) => {
                     at = as_of;
                     for event in events {
-                        take_event(&host, &health, &event);
+                        take_event(&host, &event, as_of);
                     }
+                    host.known.stands_at(at);
                 }
                 Err(ports::StoreError::Compacted) => break,
                 Err(_) => {
@@ -144,43 +215,82 @@
     }
 }
 
-fn take_list(host: &rc::Rc<host::Host>, health: &rc::Rc<Health>, items: &[ports::Item]) {
+fn take_list(host: &rc::Rc<host::Host>, items: &[ports::Item], at: u64) {
     for item in items {
-        take_item(host, item);
+        take_entry(host, &item.key, item.revision, &item.value);
     }
     let prefix = host.dialect.upstream_prefix();
-    let listed = |n: &name::Upstream| {
-        items
-            .iter()
-            .any(|i| i.key.strip_prefix(prefix) == Some(n.as_str()))
-    };
-    let names = host.fleet.borrow().names();
-    for name in names.into_iter().filter(|n| !listed(n)) {
-        missing(host, health, name);
+    let listed: collections::HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
+    for name in host.fleet.borrow().names() {
+        let key = format!("{prefix}{name}");
+        if !listed.contains(key.as_str()) {
+            take_gone(host, &key, at);
+        }
     }
+    host.known.stands_at(at);
     host.listed.set(true);
 }
 
-fn take_event(host: &rc::Rc<host::Host>, health: &rc::Rc<Health>, event: &ports::Event) {
+fn take_event(host: &rc::Rc<host::Host>, event: &ports::Event, at: u64) {
     match event {
-        ports::Event::Put(item) => take_item(host, item),
-        ports::Event::Removed(key) => {
-            let prefix = host.dialect.upstream_prefix();
-            if let Some(name) = key.strip_prefix(prefix) {
-                missing(host, health, name.into());
-            }
+        ports::Event::Put(item) => take_entry(host, &item.key, item.revision, &item.value),
+        ports::Event::Removed(key) => take_gone(host, key, at),
+    }
+}
+
+/// An upstream's entry is gone from the store, at a revision of it: at once if the store was well,
+/// else after the time in which it may come back.
+fn take_gone(host: &rc::Rc<host::Host>, key: &str, at: u64) {
+    if !host.health.may_come_back(host.now()) {
+        return take_told_gone(host, key, at);
+    }
+    let Some(name) = name_of(host, key) else {
+        return;
+    };
+    let miss = host.fleet.borrow_mut().miss(&name);
+    let host = host.clone();
+    let key = key.to_owned();
+    task::spawn_local(async move {
+        time::sleep(COME_BACK.duration()).await;
+        if host.fleet.borrow().is_missing(&name, miss) {
+            take_told_gone(&host, &key, at);
         }
+    });
+}
+
+/// An upstream's entry is gone, as the store or another host that it answers says.
+pub fn take_told_gone(host: &host::Host, key: &str, at: u64) {
+    if host.known.is_newer(key, at) {
+        return;
+    }
+    let Some(name) = name_of(host, key) else {
+        return;
+    };
+    host.known.remove(key, at);
+    let removed = host.fleet.borrow_mut().remove(&name);
+    if let Some(address) = removed {
+        host.pool.forget(address);
+        tracing::info!(event = "upstream_gone", upstream = %name, at);
     }
 }
 
-fn take_item(host: &host::Host, item: &ports::Item) {
-    let upstream = match host.dialect.upstream(&item.key, &item.value) {
+fn name_of(host: &host::Host, key: &str) -> Option<name::Upstream> {
+    key.strip_prefix(host.dialect.upstream_prefix())
+        .map(name::Upstream::from)
+}
+
+/// Takes an upstream's entry as the store holds it.
+pub fn take_entry(host: &host::Host, key: &str, revision: u64, value: &[u8]) {
+    let upstream = match host.dialect.upstream(key, value) {
         Ok(upstream) => upstream,
         Err(fault) => {
-            tracing::warn!(event = "upstream_unreadable", key = item.key, fault);
+            tracing::warn!(event = "upstream_unreadable", key, fault);
             return;
         }
     };
+    if !host.known.put(key, revision, value) {
+        return;
+    }
     let (name, address, state) = (upstream.name.clone(), upstream.address, upstream.state);
     let cheap = upstream.cheap;
     if host.fleet.borrow_mut().put(upstream) {
@@ -190,26 +300,3 @@
         host.pool.forget(address);
     }
 }
-
-/// An entry is gone: at once if the store was well, else after the time in which it may come back.
-fn missing(host: &rc::Rc<host::Host>, health: &rc::Rc<Health>, name: name::Upstream) {
-    if !health.may_come_back(host.now()) {
-        remove(host, &name);
-        return;
-    }
-    let miss = host.fleet.borrow_mut().miss(&name);
-    let host = host.clone();
-    task::spawn_local(async move {
-        time::sleep(COME_BACK.duration()).await;
-        if host.fleet.borrow().is_missing(&name, miss) {
-            remove(&host, &name);
-        }
-    });
-}
-
-fn remove(host: &host::Host, name: &name::Upstream) {
-    if let Some(address) = host.fleet.borrow_mut().remove(name) {
-        host.pool.forget(address);
-        tracing::info!(event = "upstream_gone", upstream = %name);
-    }
-}
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -8,7 +8,7 @@
 use base::{clock, name};
 use tokio::sync::watch;
 
-use crate::{budget, fleet, metrics, model, ports, roster, windows, wire};
+use crate::{budget, fleet, follow, metrics, model, ports, relay, roster, windows, wire};
 
 /// Settings of a host, checked.
 #[derive(Clone, Debug)]
@@ -23,6 +23,8 @@
     pub ready: net::SocketAddr,
     /// Where other hosts connect.
     pub peer: net::SocketAddr,
+    /// Where some other hosts may be, for before the store has said.
+    pub seeds: Vec<net::SocketAddr>,
     /// Where metrics are served.
     pub metrics: net::SocketAddr,
     /// The bound on repeats.
@@ -36,7 +38,9 @@
 pub struct Times {
     /// From the stop signal until the process is killed.
     pub grace: clock::Millis,
-    /// How long a lease of the duties lasts.
+    /// Within which a change of the configuration or of an upstream is in force.
+    pub change: clock::Millis,
+    /// How long another holder of the duties may have been and gone unseen.
     pub lease: clock::Millis,
     /// Length of a usage window.
     pub window: clock::Millis,
@@ -87,6 +91,14 @@
     pub demand: cell::RefCell<collections::HashMap<name::Service, roster::Demand>>,
     /// The other hosts.
     pub roster: cell::RefCell<roster::Roster>,
+    /// What the store's entries say, as read.
+    pub known: relay::Known,
+    /// Whether the store answers.
+    pub health: follow::Health,
+    /// Where the holder of the duties is, as far as known.
+    pub holder: cell::Cell<Option<net::SocketAddr>>,
+    /// Whether this host holds the duties.
+    pub holds: cell::Cell<bool>,
     /// Counters and histograms.
     pub metrics: metrics::Metrics,
     /// How far a stop has come.
@@ -125,6 +137,12 @@
         budget.holds(now, &self.settings.budget, hosts)
     }
 
+    /// Whether this host watches the store itself.
+    pub fn watches(&self) -> bool {
+        let roster = self.roster.borrow();
+        roster.watches(&self.settings.host, &self.settings.place.dc)
+    }
+
     /// Takes one repeat from the service's budget.
     pub fn spend(&self, service: &name::Service) -> bool {
         let hosts = self.roster.borrow().live();
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix;
 use tokio::{task, time};
 
-use crate::{duty, follow, front, host, roster};
+use crate::{duty, follow, front, host, relay, roster};
 
 /// How long after the stop signal callers may still come: until the balancer has asked twice.
 const LINGER: clock::Millis = clock::Millis(2_600);
@@ -30,6 +30,7 @@
     let front = front::listen(host.settings.front)?;
     let ready = front::listen(host.settings.ready)?;
     let metrics = front::listen(host.settings.metrics)?;
+    let peers = front::listen(host.settings.peer)?;
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     let mut hangup = unix::signal(unix::SignalKind::hangup())?;
@@ -47,7 +48,10 @@
     task::spawn_local(front::readiness(host.clone(), ready));
     task::spawn_local(front::metrics(host.clone(), metrics));
     task::spawn_local(front::callers(host.clone(), front));
-    task::spawn_local(roster::write(host.clone(), writer.clone()));
+    task::spawn_local(relay::serve(host.clone(), peers));
+    task::spawn_local(relay::follow(host.clone()));
+    task::spawn_local(relay::tell(host.clone(), writer.clone()));
+    task::spawn_local(roster::appear(host.clone()));
     task::spawn_local(roster::read(host.clone()));
     task::spawn_local(sweep(host.clone()));
     let duties = task::spawn_local(duty::run(host.clone(), fresh));
@@ -74,14 +78,14 @@
     host.phase.send_replace(host::Phase::Closing);
     let last = begun + clock::Millis(host.settings.times.grace.since(MARGIN).0);
     let written = host.now();
-    writer.write(host).await;
+    writer.write(host, &writer.entry(host)).await;
     time::sleep(TAKING.duration()).await;
     host.phase.send_replace(host::Phase::Refusing);
     while host.serving.get() > 0 && host.now() < last {
         time::sleep(LOOK_EVERY.duration()).await;
     }
     if host.now() > written {
-        writer.write(host).await;
+        writer.write(host, &writer.entry(host)).await;
     }
     let cut = host.serving.get();
     tracing::info!(event = "stopped", connections = cut);
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,364 @@
+//! What hosts hear from each other: the configuration and the list of upstreams for those that the
+//! store does not answer, counts and demand for the holder of the duties.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+
+use base::clock;
+use rand::seq::IndexedRandom as _;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::{net as tokio_net, task, time};
+
+use crate::{follow, host, link, roster};
+
+/// How often a host that is followed says that it lives.
+const PULSE: clock::Millis = clock::Millis(500);
+/// Silence after which another host is followed.
+const SILENCE: clock::Millis = clock::Millis(1_500);
+/// Pause before another host is tried.
+const PAUSE: clock::Millis = clock::Millis(200);
+/// How often counts and demand are told.
+const TELL_EVERY: clock::Millis = clock::Millis(1_000);
+/// Time for a told entry to be acknowledged.
+const ACK: clock::Millis = clock::Millis(800);
+/// Keys of entries that are gone which are remembered, so that late news don't bring them back.
+const MAX_GONE: usize = 4_096;
+/// Pause after a connection could not be taken.
+const ACCEPT_PAUSE: clock::Millis = clock::Millis(50);
+
+/// The first message of a stream: what it is for.
+#[derive(Debug, Serialize, Deserialize)]
+enum Hello {
+    /// Tell me what you know.
+    Follow,
+    /// I'll tell you what I counted.
+    Tell,
+}
+
+/// What a followed host tells.
+#[derive(Debug, Serialize, Deserialize)]
+enum News {
+    /// A configuration as the store holds it.
+    Config(Vec<u8>),
+    /// An upstream's entry as the store holds it.
+    Put(Entry),
+    /// An upstream's entry is gone, at this revision of the store.
+    Gone(String, u64),
+    /// The list is whole at this revision.
+    Listed(u64),
+    /// It lives; whether the store answers it.
+    Pulse(bool),
+}
+
+/// An entry of the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Entry {
+    key: String,
+    revision: u64,
+    value: Vec<u8>,
+}
+
+/// What is known of the store's entries, as it was read.
+pub struct Known {
+    config: cell::RefCell<Option<rc::Rc<[u8]>>>,
+    upstreams: cell::RefCell<collections::BTreeMap<String, (u64, rc::Rc<[u8]>)>>,
+    gone: cell::RefCell<collections::HashMap<String, u64>>,
+    at: cell::Cell<u64>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Known {
+    fn default() -> Self {
+        Self {
+            config: cell::RefCell::default(),
+            upstreams: cell::RefCell::default(),
+            gone: cell::RefCell::default(),
+            at: cell::Cell::new(0),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Known {
+    fn change(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Notes the configuration in force.
+    pub fn set_config(&self, bytes: &[u8]) {
+        *self.config.borrow_mut() = Some(bytes.into());
+        self.change();
+    }
+
+    /// Notes an upstream's entry; returns whether it is as new as what was known: hosts hear
+    /// from others that lag.
+    pub fn put(&self, key: &str, revision: u64, value: &[u8]) -> bool {
+        if self
+            .gone
+            .borrow()
+            .get(key)
+            .is_some_and(|at| *at >= revision)
+        {
+            return false;
+        }
+        let mut upstreams = self.upstreams.borrow_mut();
+        match upstreams.get(key) {
+            Some((known, _)) if *known > revision => return false,
+            Some((known, _)) if *known == revision => return true,
+            _ => {}
+        }
+        upstreams.insert(key.to_owned(), (revision, value.into()));
+        drop(upstreams);
+        self.change();
+        true
+    }
+
+    /// Whether an entry is known that was written after `at`.
+    pub fn is_newer(&self, key: &str, at: u64) -> bool {
+        self.upstreams
+            .borrow()
+            .get(key)
+            .is_some_and(|(r, _)| *r > at)
+    }
+
+    /// Forgets an upstream's entry that is gone at this revision of the store.
+    pub fn remove(&self, key: &str, at: u64) {
+        self.upstreams.borrow_mut().remove(key);
+        let mut gone = self.gone.borrow_mut();
+        if gone.len() >= MAX_GONE {
+            gone.clear();
+        }
+        gone.insert(key.to_owned(), at);
+        drop(gone);
+        self.change();
+    }
+
+    /// Notes the store's revision that the list stands at.
+    pub fn stands_at(&self, at: u64) {
+        self.at.set(self.at.get().max(at));
+    }
+
+    fn keys(&self) -> Vec<String> {
+        self.upstreams.borrow().keys().cloned().collect()
+    }
+}
+
+/// Serves other hosts.
+pub async fn serve(host: rc::Rc<host::Host>, listener: tokio_net::TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let host = host.clone();
+                task::spawn_local(link::accept(stream, |link| answer(host, link)));
+            }
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", error = %e);
+                time::sleep(ACCEPT_PAUSE.duration()).await;
+            }
+        }
+    }
+}
+
+async fn answer(host: rc::Rc<host::Host>, mut link: link::Link) {
+    let hello = link.receiver.receive(SILENCE).await;
+    // The other side sees the end of the stream and tries again.
+    let _ = match hello {
+        Ok(Hello::Follow) => tell_news(&host, &mut link).await,
+        Ok(Hello::Tell) => take_entries(&host, &mut link).await,
+        Err(link::Closed) => Err(link::Closed),
+    };
+}
+
+/// What a follower has been told.
+#[derive(Default)]
+struct Told {
+    config: Option<rc::Rc<[u8]>>,
+    upstreams: collections::BTreeMap<String, u64>,
+    at: Option<u64>,
+}
+
+async fn tell_news(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
+    let mut changed = host.known.changed.subscribe();
+    let mut told = Told::default();
+    loop {
+        changed.mark_unchanged();
+        for news in news(host, &mut told) {
+            link.sender.send(&news).await?;
+        }
+        let healthy = host.watches() && !host.health.is_lost();
+        link.sender.send(&News::Pulse(healthy)).await?;
+        // Either way it is time to look again.
+        let _ = time::timeout(PULSE.duration(), changed.changed()).await;
+    }
+}
+
+/// What a follower has not been told.
+fn news(host: &host::Host, told: &mut Told) -> Vec<News> {
+    let known = &host.known;
+    let mut out = Vec::new();
+    let config = known.config.borrow().clone();
+    let same = match (&config, &told.config) {
+        (Some(a), Some(b)) => rc::Rc::ptr_eq(a, b),
+        (None, _) => true,
+        (Some(_), None) => false,
+    };
+    if !same {
+        out.extend(config.iter().map(|bytes| News::Config(bytes.to_vec())));
+        told.config = config;
+    }
+    if !host.listed.get() {
+        return out;
+    }
+    let upstreams = known.upstreams.borrow();
+    for (key, (revision, value)) in upstreams.iter() {
+        if told.upstreams.get(key) == Some(revision) {
+            continue;
+        }
+        out.push(News::Put(Entry {
+            key: key.clone(),
+            revision: *revision,
+            value: value.to_vec(),
+        }));
+        told.upstreams.insert(key.clone(), *revision);
+    }
+    let at = known.at.get();
+    told.upstreams.retain(|key, _| {
+        let there = upstreams.contains_key(key);
+        if !there {
+            out.push(News::Gone(key.clone(), at));
+        }
+        there
+    });
+    if told.at != Some(at) {
+        told.at = Some(at);
+        out.push(News::Listed(at));
+    }
+    out
+}
+
+/// Follows another host while the store does not answer this one, or while others watch it.
+pub async fn follow(host: rc::Rc<host::Host>) {
+    loop {
+        if !needs_peer(&host) {
+            host.health.wait().await;
+            continue;
+        }
+        if let Some(address) = choose(&host) {
+            // Its loss is logged; another one is tried.
+            let _ = follow_one(&host, address).await;
+            host.health.set_fed(false);
+        }
+        time::sleep(PAUSE.duration()).await;
+    }
+}
+
+fn needs_peer(host: &host::Host) -> bool {
+    host.health.is_lost() || !host.watches()
+}
+
+/// Another host: one that was seen, or a seed of the settings.
+fn choose(host: &host::Host) -> Option<net::SocketAddr> {
+    let own = host.settings.peer;
+    let mut all = host.roster.borrow().watchers();
+    all.extend(host.settings.seeds.iter().copied());
+    all.retain(|a| *a != own);
+    all.choose(&mut rand::rng()).copied()
+}
+
+async fn follow_one(
+    host: &rc::Rc<host::Host>,
+    address: net::SocketAddr,
+) -> Result<(), link::Closed> {
+    let mut link = link::open(address).await?;
+    link.sender.send(&Hello::Follow).await?;
+    tracing::info!(event = "peer_followed", peer = %address);
+    let mut listed = collections::HashSet::new();
+    let mut first = true;
+    while needs_peer(host) {
+        let news = link.receiver.receive(SILENCE).await;
+        let Ok(news) = news else {
+            tracing::info!(event = "peer_lost", peer = %address);
+            return Err(link::Closed);
+        };
+        match news {
+            News::Config(bytes) => follow::take_config(host, &bytes, "peer"),
+            News::Put(entry) => {
+                listed.insert(entry.key.clone());
+                follow::take_entry(host, &entry.key, entry.revision, &entry.value);
+            }
+            News::Gone(key, at) => follow::take_told_gone(host, &key, at),
+            News::Listed(at) => {
+                if std::mem::take(&mut first) {
+                    for key in host.known.keys() {
+                        if !listed.contains(&key) {
+                            follow::take_told_gone(host, &key, at);
+                        }
+                    }
+                }
+                host.known.stands_at(at);
+                host.listed.set(true);
+            }
+            // One that the store does not answer either can't say more.
+            News::Pulse(false) => return Ok(()),
+            News::Pulse(true) => host.health.set_fed(host.listed.get()),
+        }
+    }
+    Ok(())
+}
+
+/// Takes the entries that a host tells.
+async fn take_entries(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
+    loop {
+        let limit = TELL_EVERY + SILENCE;
+        let entry: roster::Entry = link.receiver.receive(limit).await?;
+        let holds = host.holds.get();
+        if holds {
+            host.roster.borrow_mut().told(entry, host.now());
+        }
+        link.sender.send(&holds).await?;
+        if !holds {
+            return Err(link::Closed);
+        }
+    }
+}
+
+/// Tells the holder of the duties each second what was counted; into the store if that fails.
+pub async fn tell(host: rc::Rc<host::Host>, writer: rc::Rc<roster::Writer>) {
+    let mut link = None;
+    loop {
+        let entry = writer.entry(&host);
+        if tell_one(&host, &mut link, &entry).await.is_err() {
+            link = None;
+            writer.write(&host, &entry).await;
+        }
+        time::sleep(TELL_EVERY.duration()).await;
+    }
+}
+
+async fn tell_one(
+    host: &host::Host,
+    link: &mut Option<(net::SocketAddr, link::Link)>,
+    entry: &roster::Entry,
+) -> Result<(), link::Closed> {
+    let Some(holder) = host.holder.get() else {
+        return Err(link::Closed);
+    };
+    if holder == host.settings.peer {
+        host.roster.borrow_mut().told(entry.clone(), host.now());
+        return Ok(());
+    }
+    if link.as_ref().is_none_or(|(to, _)| *to != holder) {
+        let mut opened = link::open(holder).await?;
+        opened.sender.send(&Hello::Tell).await?;
+        *link = Some((holder, opened));
+    }
+    let Some((_, link)) = link else {
+        return Err(link::Closed);
+    };
+    link.sender.send(entry).await?;
+    let holds: bool = link.receiver.receive(ACK).await?;
+    if holds { Ok(()) } else { Err(link::Closed) }
+}
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -1,5 +1,7 @@
-//! What each host tells the others through the store: where it is, what it counted, what its
-//! callers ask for. One entry a start, written by that start alone.
+//! The other hosts: who is there, what each counted, what its callers ask for.
+//!
+//! A host keeps a key under a lease that says where it is. What it counted goes to the holder of
+//! the duties, or into the store under a key of this start alone if the holder can't be told.
 
 use std::cell;
 use std::collections;
@@ -12,14 +14,25 @@
 
 use crate::{host, ports, windows};
 
-/// The beginning of the keys of hosts' entries.
-pub const PREFIX: &str = "jacinthslip/hosts/";
-/// How often a host writes its entry.
-const WRITE_EVERY: clock::Millis = clock::Millis(1_000);
-/// How often a host reads the entries of the others.
+/// The beginning of the keys that say where hosts are.
+const PRESENT: &str = "jacinthslip/hosts/";
+/// The beginning of the keys of what hosts counted.
+pub const COUNTED: &str = "jacinthslip/counts/";
+/// Length of the lease of a host's key.
+const TTL: clock::Millis = clock::Millis(6_000);
+/// How often the lease is renewed.
+const RENEW_EVERY: clock::Millis = clock::Millis(2_000);
+/// Pause after a failed call.
+const PAUSE: clock::Millis = clock::Millis(500);
+/// How often the keys of hosts are read, and how much longer for each host that is there.
 const READ_EVERY: clock::Millis = clock::Millis(4_000);
-/// How long after its last write a host counts as live.
-const LIFE: clock::Millis = clock::Millis(6_000);
+const READ_EVERY_HOST: clock::Millis = clock::Millis(100);
+/// How long a number of hosts counts: as long as repeats do in the budget, and once more.
+const COUNT_LIFE: clock::Millis = clock::Millis(20_000);
+/// How long a told demand counts.
+const DEMAND_LIFE: clock::Millis = clock::Millis(3_500);
+/// Hosts of a data centre that watch the store; the others follow them.
+const WATCHERS: usize = 3;
 /// Weight of the newest second in the moving means of the demand, as one part in this many.
 const SMOOTHING: f64 = 3.0;
 
@@ -77,18 +90,25 @@
     }
 }
 
-/// A host's entry.
+/// Where a host is.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Entry {
+pub struct Present {
     /// Its name.
     pub host: name::Host,
     /// Its data centre.
     pub dc: name::Dc,
     /// Where other hosts reach it.
     pub peer: net::SocketAddr,
+}
+
+/// What a start of a host counted and is asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its name.
+    pub host: name::Host,
     /// The number drawn at its start.
     pub boot: u64,
-    /// When it was written, in Unix milliseconds.
+    /// When this was counted, in Unix milliseconds by that host's clock.
     pub at: u64,
     /// Requests that began.
     pub windows: windows::Windows,
@@ -96,83 +116,116 @@
     pub demand: collections::BTreeMap<name::Service, Demand>,
 }
 
-#[derive(Debug)]
-struct Seen {
-    entry: Entry,
-    revision: u64,
-    since: clock::Millis,
-}
-
-/// The hosts' entries as last read.
+/// The hosts as last read, and what they told.
 #[derive(Debug, Default)]
 pub struct Roster {
-    seen: collections::HashMap<String, Seen>,
-    most: u32,
+    present: Vec<Present>,
+    counts: collections::VecDeque<(clock::Millis, u32)>,
+    told: collections::HashMap<(name::Host, u64), (Entry, clock::Millis)>,
 }
 
 impl Roster {
-    /// Takes one reading.
-    pub fn read(&mut self, items: Vec<ports::Item>, now: clock::Millis) {
-        let keys: collections::HashSet<String> = items.iter().map(|i| i.key.clone()).collect();
-        self.seen.retain(|k, _| keys.contains(k));
+    /// Takes a reading of the hosts' keys.
+    pub fn read(&mut self, items: &[ports::Item], now: clock::Millis) {
+        self.present.clear();
         for item in items {
-            if self
-                .seen
-                .get(&item.key)
-                .is_some_and(|s| s.revision == item.revision)
-            {
-                continue;
-            }
             match serde_json::from_slice(&item.value) {
-                Ok(entry) => {
-                    let seen = Seen {
-                        entry,
-                        revision: item.revision,
-                        since: now,
-                    };
-                    self.seen.insert(item.key, seen);
-                }
+                Ok(present) => self.present.push(present),
                 Err(e) => {
-                    tracing::warn!(event = "host_entry_unreadable", key = item.key, error = %e)
+                    tracing::warn!(event = "host_unreadable", key = item.key, error = %e)
                 }
             }
         }
-        self.most = self.count(now);
+        self.present.sort_by(|a, b| a.host.cmp(&b.host));
+        self.counts.push_back((now, self.present.len() as u32));
+        while self
+            .counts
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > COUNT_LIFE)
+        {
+            self.counts.pop_front();
+        }
     }
 
-    fn count(&self, now: clock::Millis) -> u32 {
-        let live = self.seen.values().filter(|s| now.since(s.since) < LIFE);
-        let hosts: collections::HashSet<&name::Host> = live.map(|s| &s.entry.host).collect();
-        hosts.len() as u32
+    /// Hosts that may spend from the budget: the most that were there lately, at least one.
+    pub fn live(&self) -> u32 {
+        self.counts
+            .iter()
+            .map(|(_, n)| *n)
+            .max()
+            .unwrap_or(1)
+            .max(1)
     }
 
-    /// Live hosts as last counted, this one included; at least one.
-    pub fn live(&self) -> u32 {
-        self.most.max(1)
+    /// Whether a host watches the store itself: some in each data centre do.
+    pub fn watches(&self, host: &name::Host, dc: &name::Dc) -> bool {
+        let there = self.present.iter().filter(|p| p.dc == *dc);
+        !there.skip(WATCHERS).any(|p| p.host == *host)
+    }
+
+    /// Where the hosts that watch the store are.
+    pub fn watchers(&self) -> Vec<net::SocketAddr> {
+        let watches = |p: &&Present| self.watches(&p.host, &p.dc);
+        self.present
+            .iter()
+            .filter(watches)
+            .map(|p| p.peer)
+            .collect()
+    }
+
+    /// Takes what a host told.
+    pub fn told(&mut self, entry: Entry, now: clock::Millis) {
+        let start = (entry.host.clone(), entry.boot);
+        if self.told.get(&start).is_none_or(|(e, _)| e.at <= entry.at) {
+            self.told.insert(start, (entry, now));
+        }
     }
 
-    /// The entries of hosts that live.
-    pub fn entries(&self, now: clock::Millis) -> impl Iterator<Item = &Entry> {
-        let live = self
-            .seen
-            .values()
-            .filter(move |s| now.since(s.since) < LIFE);
-        live.map(|s| &s.entry)
+    /// Takes what hosts wrote into the store.
+    pub fn written(&mut self, items: &[ports::Item]) {
+        for item in items {
+            match serde_json::from_slice::<Entry>(&item.value) {
+                // It is no sign of life: it may be old.
+                Ok(entry) => self.told(entry, clock::Millis::ZERO),
+                Err(e) => {
+                    tracing::warn!(event = "counts_unreadable", key = item.key, error = %e)
+                }
+            }
+        }
     }
 
-    /// All entries, of hosts that are gone too.
-    pub fn all(&self) -> impl Iterator<Item = &Entry> {
-        self.seen.values().map(|s| &s.entry)
+    /// What all starts of hosts counted in a window.
+    pub fn counted(&self, window: u64) -> ports::Counts {
+        let mut sum = ports::Counts::new();
+        for (entry, _) in self.told.values() {
+            entry.windows.add_to(window, &mut sum);
+        }
+        sum
     }
 
-    /// Keys not written for `age`.
-    pub fn stale(&self, now: clock::Millis, age: clock::Millis) -> Vec<String> {
-        let old = self.seen.iter().filter(|(_, s)| now.since(s.since) > age);
-        old.map(|(k, _)| k.clone()).collect()
+    /// Forgets starts that counted nothing since this window.
+    pub fn forget_before(&mut self, window: u64) {
+        self.told.retain(|_, (e, _)| {
+            let last = e.windows.0.last_key_value();
+            last.is_none_or(|(w, _)| *w >= window)
+        });
+    }
+
+    /// What the callers of all hosts ask of a service.
+    pub fn demand(&self, service: &name::Service, now: clock::Millis) -> Demand {
+        let mut sum = Demand::default();
+        for (entry, at) in self.told.values() {
+            if now.since(*at) < DEMAND_LIFE
+                && let Some(demand) = entry.demand.get(service)
+            {
+                sum.add(demand);
+            }
+        }
+        sum
     }
 }
 
-/// Writes this host's entry each second, and once more when told to.
+/// Tells what this start counted.
 pub struct Writer {
     key: String,
     revision: cell::Cell<Option<u64>>,
@@ -183,19 +236,18 @@
     /// A writer for this start.
     pub fn new(host: &host::Host) -> Self {
         Self {
-            key: format!("{PREFIX}{}/{:016x}", host.settings.host, host.boot),
+            key: format!("{COUNTED}{}/{:016x}", host.settings.host, host.boot),
             revision: cell::Cell::new(Some(0)),
             last: cell::Cell::new(host.now()),
         }
     }
 
-    /// Writes the entry.
-    pub async fn write(&self, host: &host::Host) {
-        let entry = self.entry(host);
-        let value = match serde_json::to_vec(&entry) {
+    /// Writes an entry into the store.
+    pub async fn write(&self, host: &host::Host, entry: &Entry) {
+        let value = match serde_json::to_vec(entry) {
             Ok(value) => value,
             Err(e) => {
-                tracing::error!(event = "host_entry_unwritable", error = %e);
+                tracing::error!(event = "counts_unwritable", error = %e);
                 return;
             }
         };
@@ -230,7 +282,8 @@
         Some(revision)
     }
 
-    fn entry(&self, host: &host::Host) -> Entry {
+    /// What this start counted up to now.
+    pub fn entry(&self, host: &host::Host) -> Entry {
         let now = host.now();
         let passed = now.since(self.last.replace(now));
         let mut demand = host.demand.borrow_mut();
@@ -241,8 +294,6 @@
         }
         Entry {
             host: host.settings.host.clone(),
-            dc: host.settings.place.dc.clone(),
-            peer: host.settings.peer,
             boot: host.boot,
             at: host.clock.unix().0,
             windows: host.windows.borrow().counts.clone(),
@@ -251,21 +302,58 @@
     }
 }
 
-/// Writes the entry each second.
-pub async fn write(host: rc::Rc<host::Host>, writer: rc::Rc<Writer>) {
+/// Keeps this host's key in the store until it stops.
+pub async fn appear(host: rc::Rc<host::Host>) {
+    let present = Present {
+        host: host.settings.host.clone(),
+        dc: host.settings.place.dc.clone(),
+        peer: host.settings.peer,
+    };
+    let value = match serde_json::to_vec(&present) {
+        Ok(value) => value,
+        Err(e) => {
+            tracing::error!(event = "host_unwritable", error = %e);
+            return;
+        }
+    };
     loop {
-        writer.write(&host).await;
-        time::sleep(WRITE_EVERY.duration()).await;
+        let Some(lease) = appear_once(&host, &value).await else {
+            time::sleep(PAUSE.duration()).await;
+            continue;
+        };
+        loop {
+            time::sleep(RENEW_EVERY.duration()).await;
+            if host.store.keep(lease).await == Err(ports::StoreError::NoLease) {
+                break;
+            }
+        }
     }
 }
 
-/// Reads the entries of all hosts, for the budget and for peers.
+async fn appear_once(host: &host::Host, value: &[u8]) -> Option<u64> {
+    let lease = host.store.grant(TTL).await.ok()?;
+    let t = ports::Transaction {
+        writes: vec![ports::Write {
+            key: format!("{PRESENT}{}", host.settings.host),
+            value: value.to_vec(),
+            lease,
+        }],
+        ..ports::Transaction::default()
+    };
+    host.store.commit(&t).await.ok()?;
+    Some(lease)
+}
+
+/// Reads the keys of all hosts, for the budget and for whom to follow.
 pub async fn read(host: rc::Rc<host::Host>) {
     loop {
-        if let Ok((items, _)) = host.store.list(PREFIX, true).await {
+        if let Ok((items, _)) = host.store.list(PRESENT, true).await {
             let now = host.now();
-            host.roster.borrow_mut().read(items, now);
+            host.roster.borrow_mut().read(&items, now);
+            host.health.look();
         }
-        time::sleep(READ_EVERY.duration()).await;
+        let hosts = u64::from(host.roster.borrow().live());
+        let pause = READ_EVERY + clock::Millis(READ_EVERY_HOST.0 * hosts);
+        time::sleep(pause.duration()).await;
     }
 }
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -154,18 +154,26 @@
         service: &name::Service,
         scaling: &model::Scaling,
         running: &collections::BTreeMap<name::Dc, Running>,
+        demand: &roster::Demand,
         need: f64,
         now: clock::Millis,
     ) -> Vec<ports::Order> {
         let dcs = by_price(scaling);
         let cheap = |dc: &name::Dc| running.get(dc).map_or(0, |r| r.cheap);
-        let mut have = 0;
-        for dc in &dcs {
-            let coming = self.sites.get(*dc).map_or(0, |s| s.coming(now));
-            have += cheap(dc) + coming;
+        let there: u32 = dcs.iter().map(|dc| cheap(dc)).sum();
+        let coming: u32 = self.sites.values().map(|s| s.coming(now)).sum();
+        let want = (need * FIRM_HEADROOM).ceil() as u32;
+        let least = want.saturating_sub(there + coming).max(floor(0));
+        // Those that only start do not replace any, but while nobody asks for anything.
+        let most = if demand.busy == 0.0 {
+            least
+        } else {
+            want.saturating_sub(there).max(floor(0))
+        };
+        if self.firm == 0 {
+            self.firm = running.values().map(|r| r.firm).sum();
         }
-        let short = ((need * FIRM_HEADROOM).ceil() as u32).saturating_sub(have);
-        let mut firm = self.settle_firm(short.max(floor(0)), now);
+        let mut firm = self.settle_firm(least, most, now);
         let mut orders = Vec::new();
         for (i, dc) in dcs.iter().enumerate() {
             let room = scaling.max.saturating_sub(cheap(dc)).max(floor(i));
@@ -185,13 +193,15 @@
         orders
     }
 
-    /// Firm engines: more at once, fewer after a while.
-    fn settle_firm(&mut self, short: u32, now: clock::Millis) -> u32 {
-        if short >= self.firm {
-            self.firm = short;
+    /// Firm engines: as many as `least` at once, no more than `most` after a while.
+    fn settle_firm(&mut self, least: u32, most: u32, now: clock::Millis) -> u32 {
+        if self.firm < least {
+            self.firm = least;
+            self.firm_since = now;
+        } else if self.firm <= most {
             self.firm_since = now;
         } else if now.since(self.firm_since) >= SETTLE_FIRM {
-            self.firm = short;
+            self.firm = most;
         }
         self.firm
     }
@@ -268,16 +278,12 @@
         let Some(config) = host.current() else {
             continue;
         };
-        if let Ok((items, _)) = host.store.list(roster::PREFIX, false).await {
-            let now = host.now();
-            host.roster.borrow_mut().read(items, now);
-        }
         for service in config.services.values() {
             let Some(scaling) = &service.scaling else {
                 continue;
             };
             let scaler = scalers.entry(service.name.clone()).or_default();
-            let demand = demand(host, &service.name);
+            let demand = host.roster.borrow().demand(&service.name, host.now());
             let running = running(host, &service.name);
             let Some(need) = scaler.needed(&running, &demand, host.now()) else {
                 continue;
@@ -288,7 +294,8 @@
             }
             let orders = scaler.plan_cheap(&service.name, scaling, need, host.now());
             send(host, tenure, scaler, &orders, &running, &demand).await;
-            let orders = scaler.plan_firm(&service.name, scaling, &running, need, host.now());
+            let now = host.now();
+            let orders = scaler.plan_firm(&service.name, scaling, &running, &demand, need, now);
             send(host, tenure, scaler, &orders, &running, &demand).await;
         }
     }
@@ -365,17 +372,6 @@
     );
 }
 
-fn demand(host: &host::Host, service: &name::Service) -> roster::Demand {
-    let mut sum = roster::Demand::default();
-    let roster = host.roster.borrow();
-    for entry in roster.entries(host.now()) {
-        if let Some(d) = entry.demand.get(service) {
-            sum.add(d);
-        }
-    }
-    sum
-}
-
 fn running(host: &host::Host, service: &name::Service) -> collections::BTreeMap<name::Dc, Running> {
     let mut out: collections::BTreeMap<name::Dc, Running> = collections::BTreeMap::new();
     let fleet = host.fleet.borrow();
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -18,8 +18,12 @@
 /// Part of the time for a report after which a window is sealed: by then hosts have told what
 /// they counted, and time is left to send it.
 const SEAL_AFTER: f64 = 0.4;
-/// How long after its last write the entry of a host that is gone is kept.
+/// How long what a host wrote is kept: until its windows have long been sealed.
 const KEPT: clock::Millis = clock::Millis(60_000);
+/// Sealed windows for which what hosts told is kept.
+const KEPT_WINDOWS: u64 = 6;
+/// Old keys removed with one seal, within the store's bound on a transaction.
+const MAX_REMOVED: usize = 16;
 /// Pause after a failed call.
 const PAUSE: clock::Millis = clock::Millis(300);
 
@@ -95,16 +99,18 @@
 
 /// Seals the next window and writes it; `None` if it is not known to stand.
 async fn seal(host: &host::Host, record: &mut Record, revision: u64) -> Option<u64> {
-    let (items, _) = host.store.list(roster::PREFIX, false).await.ok()?;
-    let now = host.now();
-    let mut counts = ports::Counts::new();
-    let stale = {
+    let (items, _) = host.store.list(roster::COUNTED, false).await.ok()?;
+    let mut old = Vec::new();
+    let counts = {
         let mut roster = host.roster.borrow_mut();
-        roster.read(items, now);
-        for entry in roster.all() {
-            entry.windows.add_to(record.next, &mut counts);
+        roster.written(&items);
+        roster.forget_before(record.next.saturating_sub(KEPT_WINDOWS));
+        for item in items {
+            if is_old(&item, host.clock.unix()) {
+                old.push(item.key);
+            }
         }
-        roster.stale(now, KEPT)
+        roster.counted(record.next)
     };
     let mut sealed = record.clone();
     sealed.seal(counts);
@@ -116,7 +122,7 @@
             value,
             lease: 0,
         }],
-        removes: stale.into_iter().take(8).collect(),
+        removes: old.into_iter().take(MAX_REMOVED).collect(),
     };
     match host.store.commit(&t).await {
         Ok(at) => {
@@ -134,6 +140,11 @@
     }
 }
 
+fn is_old(item: &ports::Item, unix: clock::Millis) -> bool {
+    let entry = serde_json::from_slice::<roster::Entry>(&item.value);
+    entry.is_ok_and(|e| unix.since(clock::Millis(e.at)) > KEPT)
+}
+
 /// Sends what is sealed and not known to be taken.
 async fn report(host: &host::Host, tenure: &duty::Tenure, record: &mut Record) {
     let windows: Vec<u64> = record.sealed.keys().copied().collect();
--- /dev/null
+++ b/crates/router/tests/fleet.rs
@@ -0,0 +1,176 @@
+//! The choice of an upstream.
+
+use std::collections;
+
+use base::{clock, name};
+use router::{fleet, model, ports};
+
+fn place() -> fleet::Place {
+    let regions = [("a", "x"), ("b", "x"), ("c", "y")];
+    fleet::Place {
+        dc: "a".into(),
+        regions: regions
+            .iter()
+            .map(|(d, r)| ((*d).into(), (*r).into()))
+            .collect(),
+    }
+}
+
+fn upstream(name: &str, dc: &str, n: u8) -> model::Upstream {
+    model::Upstream {
+        name: name.into(),
+        service: "llm".into(),
+        address: ([10, 0, 0, n], 80).into(),
+        dc: dc.into(),
+        slots: 128,
+        state: model::State::Ready,
+        cold: clock::Millis::ZERO,
+        cheap: false,
+        born: 1,
+    }
+}
+
+fn fleet(n: u8) -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::new(place());
+    for i in 0..n {
+        let dc = ["a", "b", "c"][usize::from(i % 3)];
+        fleet.put(upstream(&format!("u{i}"), dc, i));
+    }
+    fleet
+}
+
+fn parts(shared: u64, own: u64) -> Vec<ports::Part> {
+    vec![
+        ports::Part {
+            id: shared,
+            tokens: 13_000,
+        },
+        ports::Part {
+            id: own,
+            tokens: 3_000,
+        },
+    ]
+}
+
+fn wish<'a>(service: &'a name::Service, parts: &'a [ports::Part], quick: bool) -> fleet::Wish<'a> {
+    fleet::Wish {
+        service,
+        parts,
+        prompt: parts.iter().map(|p| p.tokens).sum(),
+        quick,
+        avoid: &[],
+    }
+}
+
+const NOW: clock::Millis = clock::Millis(100_000);
+
+#[test]
+fn hosts_agree_where_a_shared_part_is_kept() {
+    let service = name::Service::from("llm");
+    let here = fleet(12);
+    let mut there = fleet::Fleet::new(fleet::Place {
+        dc: "b".into(),
+        ..place()
+    });
+    for i in (0..12).rev() {
+        let dc = ["a", "b", "c"][usize::from(i % 3)];
+        there.put(upstream(&format!("u{i}"), dc, i));
+    }
+    let mut used = collections::HashSet::new();
+    for id in 0..200 {
+        let parts = parts(id, 1_000 + id);
+        let wish = wish(&service, &parts, false);
+        let pick = here.choose(&wish, NOW).map(|p| p.name);
+        assert_eq!(pick, there.choose(&wish, NOW).map(|p| p.name), "part {id}");
+        used.extend(pick);
+    }
+    assert!(used.len() >= 6, "parts are spread: {used:?}");
+}
+
+#[test]
+fn most_shared_parts_stay_when_an_upstream_goes() {
+    let service = name::Service::from("llm");
+    let mut fleet = fleet(12);
+    let home = |fleet: &fleet::Fleet, id| {
+        let parts = parts(id, 1_000 + id);
+        fleet
+            .choose(&wish(&service, &parts, false), NOW)
+            .map(|p| p.name)
+    };
+    let before: Vec<_> = (0..300).map(|id| home(&fleet, id)).collect();
+    fleet.remove(&"u4".into());
+    let moved = (0..300)
+        .filter(|id| home(&fleet, *id) != before[*id as usize])
+        .count();
+    assert!(moved <= 300 / 4, "{moved} of 300 moved");
+}
+
+#[test]
+fn short_pauses_and_long_prompts_go_to_different_engines() {
+    let service = name::Service::from("llm");
+    let fleet = fleet(12);
+    let chosen = |quick| -> collections::HashSet<name::Upstream> {
+        let pick = |id| {
+            let parts = parts(id, 1_000 + id);
+            fleet
+                .choose(&wish(&service, &parts, quick), NOW)
+                .map(|p| p.name)
+        };
+        (0..200).filter_map(pick).collect()
+    };
+    assert!(chosen(true).is_disjoint(&chosen(false)));
+}
+
+#[test]
+fn leaving_and_avoided_upstreams_are_not_chosen() {
+    let service = name::Service::from("llm");
+    let mut fleet = fleet(2);
+    let mut leaving = upstream("u0", "a", 0);
+    leaving.state = model::State::Leaving;
+    fleet.put(leaving);
+    let parts = parts(1, 2);
+    let first = fleet.choose(&wish(&service, &parts, false), NOW);
+    assert_eq!(first.map(|p| p.name), Some("u1".into()));
+    let avoid = [name::Upstream::from("u1")];
+    let second = fleet::Wish {
+        avoid: &avoid,
+        ..wish(&service, &parts, false)
+    };
+    assert_eq!(fleet.choose(&second, NOW), None);
+}
+
+#[test]
+fn a_failing_upstream_is_set_aside_and_comes_back() {
+    let service = name::Service::from("llm");
+    let mut fleet = fleet(2);
+    let none: [ports::Part; 0] = [];
+    let wish = wish(&service, &none, false);
+    let near = fleet.choose(&wish, NOW).map(|p| p.name);
+    assert_eq!(near, Some("u0".into()));
+    for _ in 0..3 {
+        fleet.fail(&"u0".into(), NOW);
+    }
+    assert_eq!(fleet.choose(&wish, NOW).map(|p| p.name), Some("u1".into()));
+    for _ in 0..60 {
+        fleet.succeed(&"u0".into(), 1.0);
+    }
+    assert_eq!(fleet.choose(&wish, NOW).map(|p| p.name), Some("u0".into()));
+}
+
+#[test]
+fn a_new_start_under_an_old_name_is_another_upstream() {
+    let mut fleet = fleet(1);
+    let pick = fleet::Pick {
+        name: "u0".into(),
+        address: ([10, 0, 0, 0], 80).into(),
+        unread: 5,
+    };
+    fleet.begin(&pick, &[], NOW);
+    let mut again = upstream("u0", "a", 0);
+    again.born = 2;
+    fleet.put(again);
+    assert_eq!(
+        fleet.get(&"u0".into()).map(|m| (m.busy, m.unread)),
+        Some((0, 0))
+    );
+}
