--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -221,7 +221,8 @@
     }
     let prefix = host.dialect.upstream_prefix();
     let listed: collections::HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
-    for name in host.fleet.borrow().names() {
+    let names = host.fleet.borrow().names();
+    for name in names {
         let key = format!("{prefix}{name}");
         if !listed.contains(key.as_str()) {
             take_gone(host, &key, at);
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -150,7 +150,7 @@
 }
 
 /// Takes callers until the process ends.
-pub async fn callers(host: rc::Rc<host::Host>, listener: tokio_net::TcpListener) {
+pub async fn callers(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -277,7 +277,7 @@
 }
 
 /// Answers the balancer whether this host takes callers.
-pub async fn readiness(host: rc::Rc<host::Host>, listener: tokio_net::TcpListener) {
+pub async fn readiness(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     answer_all(listener, move || {
         let ready = host.is_ready();
         let mut answer = http::Response::new(reply::Body::Whole(None));
@@ -290,7 +290,7 @@
 }
 
 /// Serves metrics.
-pub async fn metrics(host: rc::Rc<host::Host>, listener: tokio_net::TcpListener) {
+pub async fn metrics(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     answer_all(listener, move || {
         let text = host.metrics.text();
         http::Response::new(reply::Body::Whole(Some(text.into())))
@@ -300,7 +300,7 @@
 
 /// Answers each request in the same way.
 async fn answer_all(
-    listener: tokio_net::TcpListener,
+    listener: rc::Rc<tokio_net::TcpListener>,
     answer: impl Fn() -> reply::Answer + 'static,
 ) {
     let answer = rc::Rc::new(answer);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod scale;
 pub mod serve;
 pub mod stream;
+pub mod supervisor;
 pub mod usage;
 pub mod windows;
 pub mod wire;
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -5,9 +5,9 @@
 
 use base::clock;
 use tokio::signal::unix;
-use tokio::{task, time};
+use tokio::{net, time};
 
-use crate::{duty, follow, front, host, relay, roster};
+use crate::{duty, follow, front, host, ports, relay, roster, supervisor};
 
 /// How long after the stop signal callers may still come: until the balancer has asked twice.
 const LINGER: clock::Millis = clock::Millis(2_600);
@@ -43,18 +43,17 @@
         fresh,
     );
     let writer = rc::Rc::new(roster::Writer::new(&host));
-    task::spawn_local(follow::config(host.clone()));
-    task::spawn_local(follow::upstreams(host.clone()));
-    task::spawn_local(front::readiness(host.clone(), ready));
-    task::spawn_local(front::metrics(host.clone(), metrics));
-    task::spawn_local(front::callers(host.clone(), front));
-    task::spawn_local(relay::serve(host.clone(), peers));
-    task::spawn_local(relay::follow(host.clone()));
-    task::spawn_local(relay::tell(host.clone(), writer.clone()));
-    task::spawn_local(roster::appear(host.clone()));
-    task::spawn_local(roster::read(host.clone()));
-    task::spawn_local(sweep(host.clone()));
-    let duties = task::spawn_local(duty::run(host.clone(), fresh));
+    start(
+        &host,
+        &writer,
+        Listeners {
+            front,
+            ready,
+            metrics,
+            peers,
+        },
+        fresh,
+    );
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -63,10 +62,44 @@
         }
     }
     stop(&host, &writer).await;
-    duties.abort();
     Ok(())
 }
 
+/// Where this host listens.
+struct Listeners {
+    front: net::TcpListener,
+    ready: net::TcpListener,
+    metrics: net::TcpListener,
+    peers: net::TcpListener,
+}
+
+/// Starts the tasks that run until the process ends.
+fn start(host: &rc::Rc<host::Host>, writer: &rc::Rc<roster::Writer>, at: Listeners, fresh: bool) {
+    let child = |name, run: fn(rc::Rc<host::Host>) -> ports::Local<'static, ()>| {
+        let host = host.clone();
+        supervisor::spawn(name, move || run(host.clone()));
+    };
+    child("config", |h| Box::pin(follow::config(h)));
+    child("upstreams", |h| Box::pin(follow::upstreams(h)));
+    child("peer_news", |h| Box::pin(relay::follow(h)));
+    child("presence", |h| Box::pin(roster::appear(h)));
+    child("roster", |h| Box::pin(roster::read(h)));
+    child("sweep", |h| Box::pin(sweep(h)));
+    let (owner, writer) = (host.clone(), writer.clone());
+    supervisor::spawn("tell", move || relay::tell(owner.clone(), writer.clone()));
+    let owner = host.clone();
+    supervisor::spawn("duties", move || duty::run(owner.clone(), fresh));
+    type Serve = fn(rc::Rc<host::Host>, rc::Rc<net::TcpListener>) -> ports::Local<'static, ()>;
+    let listen = |name, listener: net::TcpListener, serve: Serve| {
+        let (host, listener) = (host.clone(), rc::Rc::new(listener));
+        supervisor::spawn(name, move || serve(host.clone(), listener.clone()));
+    };
+    listen("ready", at.ready, |h, l| Box::pin(front::readiness(h, l)));
+    listen("metrics", at.metrics, |h, l| Box::pin(front::metrics(h, l)));
+    listen("callers", at.front, |h, l| Box::pin(front::callers(h, l)));
+    listen("peers", at.peers, |h, l| Box::pin(relay::serve(h, l)));
+}
+
 /// Leaves without cutting a request: first unready, then no kept connections, then no new
 /// requests, then the end.
 async fn stop(host: &host::Host, writer: &roster::Writer) {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -147,7 +147,7 @@
 }
 
 /// Serves other hosts.
-pub async fn serve(host: rc::Rc<host::Host>, listener: tokio_net::TcpListener) {
+pub async fn serve(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
