--- /dev/null
+++ b/crates/router/tests/duty.rs
@@ -0,0 +1,189 @@
+//! Who holds the duties, and what it reports.
+
+mod env;
+
+use std::collections;
+
+use base::{clock, name};
+use router::{duty, host, roster, usage};
+use tokio::task;
+
+const LEASE_MS: u64 = 3_000;
+
+/// Tokens never fall, two holders never share one, and nobody acts again within a lease after
+/// another one has.
+fn check(world: &env::World) {
+    let calls = world.calls.borrow();
+    let mut holders: collections::HashMap<u64, &str> = collections::HashMap::new();
+    let mut last = 0;
+    for (i, (at, who, token)) in calls.iter().enumerate() {
+        assert!(*token >= last, "token {token} after {last}");
+        last = *token;
+        let holder = holders.entry(*token).or_insert(who);
+        assert_eq!(*holder, who, "token {token} of two holders");
+        let since = calls[..i]
+            .iter()
+            .rev()
+            .take_while(|c| at.since(c.0).0 < LEASE_MS);
+        let others: Vec<&str> = since.map(|c| c.1.as_str()).collect();
+        let other = others.iter().position(|o| o != who);
+        if let Some(other) = other {
+            assert!(
+                !others[other..].contains(&who.as_str()),
+                "{who} acts around another"
+            );
+        }
+    }
+}
+
+fn start(node: &env::Node) -> task::JoinHandle<()> {
+    node.host
+        .windows
+        .borrow_mut()
+        .wall(node.host.now(), node.host.clock.unix());
+    task::spawn_local(duty::run(node.host.clone(), true))
+}
+
+#[test]
+fn the_next_holder_acts_only_after_the_last_one_cannot() {
+    env::run(|| async {
+        let world = env::World::new();
+        let nodes = ["h1", "h2", "h3"].map(|n| env::node(&world, n, 1));
+        let _tasks = [start(&nodes[0]), start(&nodes[1]), start(&nodes[2])];
+        for round in 0..12 {
+            env::pass(15_000).await;
+            let holding: Vec<_> = nodes.iter().filter(|n| n.host.holds.get()).collect();
+            assert_eq!(holding.len(), 1, "round {round}");
+            // The holder loses the store, and later gets it back.
+            holding[0].mood.set(env::Mood::Down);
+            env::pass(2_500).await;
+            assert!(!holding[0].host.holds.get(), "round {round}");
+            env::pass(2_500).await;
+            holding[0].mood.set(env::Mood::Well);
+        }
+        assert!(world.calls.borrow().len() > 20);
+        check(&world);
+    });
+}
+
+/// Calls that are on their way when a holder is lost arrive before those of the next one.
+#[test]
+fn calls_in_flight_are_waited_out() {
+    env::run(|| async {
+        let world = env::World::new();
+        world.flight.set(clock::Millis(600));
+        let window = clock::Millis(300);
+        let nodes = ["h1", "h2", "h3"].map(|n| env::node_with(&world, n, 1, window));
+        let _tasks = [start(&nodes[0]), start(&nodes[1]), start(&nodes[2])];
+        for _ in 0..40 {
+            env::pass(4_900).await;
+            for node in &nodes {
+                if node.host.holds.get() {
+                    node.host.phase.send_replace(host::Phase::Leaving);
+                    env::pass(3_500).await;
+                    node.host.phase.send_replace(host::Phase::Serving);
+                    start(node);
+                    break;
+                }
+            }
+        }
+        assert!(world.calls.borrow().len() > 200);
+        check(&world);
+    });
+}
+
+#[test]
+fn lost_answers_leave_one_holder() {
+    env::run(|| async {
+        let world = env::World::new();
+        let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
+        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        for round in 0..10 {
+            nodes[round % 2].mood.set(env::Mood::LosesAnswers);
+            env::pass(6_000).await;
+            nodes[round % 2].mood.set(env::Mood::Well);
+            env::pass(9_000).await;
+        }
+        check(&world);
+    });
+}
+
+#[test]
+fn a_stopping_holder_hands_over_at_once() {
+    env::run(|| async {
+        let world = env::World::new();
+        let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
+        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        env::pass(15_000).await;
+        let first = usize::from(!nodes[0].host.holds.get());
+        nodes[first].host.phase.send_replace(host::Phase::Leaving);
+        env::pass(1_500).await;
+        assert!(nodes[1 - first].host.holds.get());
+        env::pass(20_000).await;
+        check(&world);
+    });
+}
+
+#[test]
+fn each_window_is_sealed_once_and_reported_with_one_set_of_figures() {
+    env::run(|| async {
+        let world = env::World::new();
+        let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
+        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        let team = name::Team::from("t");
+        let writers: Vec<_> = nodes.iter().map(|n| roster::Writer::new(&n.host)).collect();
+        for step in 0..240 {
+            for (node, writer) in nodes.iter().zip(&writers) {
+                let window = world.clock.now().0 / 5_000;
+                node.host.windows.borrow_mut().counts.count(window, &team);
+                let entry = writer.entry(&node.host);
+                writer.write(&node.host, &entry).await;
+            }
+            env::pass(250).await;
+            // Reporters change while windows are open.
+            let away = step % 80 > 60;
+            nodes[0].mood.set(if away {
+                env::Mood::Down
+            } else {
+                env::Mood::Well
+            });
+        }
+        env::pass(20_000).await;
+        let record = world.value(usage::KEY).expect("sealed");
+        let record: usage::Record = serde_json::from_slice(&record).expect("readable");
+        assert!(record.next >= 12, "{record:?}");
+        for window in 1..record.next - 1 {
+            assert!(
+                world.value(&format!("reported/{window}")).is_some(),
+                "window {window}"
+            );
+        }
+        check(&world);
+    });
+}
+
+#[test]
+fn what_the_holder_was_told_is_counted_once() {
+    let mut roster = roster::Roster::default();
+    let team = name::Team::from("t");
+    let mut entry = roster::Entry {
+        host: "h".into(),
+        boot: 1,
+        at: 10,
+        windows: router::windows::Windows::default(),
+        demand: collections::BTreeMap::new(),
+    };
+    entry.windows.count(3, &team);
+    roster.told(entry.clone(), base::clock::Millis(5));
+    entry.windows.count(3, &team);
+    entry.at = 20;
+    roster.told(entry.clone(), base::clock::Millis(6));
+    let late = roster::Entry {
+        at: 15,
+        ..entry.clone()
+    };
+    roster.told(late, base::clock::Millis(7));
+    let again = roster::Entry { boot: 2, ..entry };
+    roster.told(again, base::clock::Millis(8));
+    assert_eq!(roster.counted(3).get(&team), Some(&4));
+}
--- /dev/null
+++ b/crates/router/tests/env/mod.rs
@@ -0,0 +1,506 @@
+//! A store, a platform and a dialect in memory, and hosts on them, in time that tests move.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::cell;
+use std::collections;
+use std::rc;
+
+use base::{clock, finding, name};
+use router::{budget, fleet, follow, host, metrics, model, ports, relay, roster, windows, wire};
+use tokio::sync::watch;
+use tokio::{task, time};
+
+/// The store of all hosts of a test.
+#[derive(Default)]
+pub struct World {
+    items: cell::RefCell<collections::BTreeMap<String, (ports::Item, u64)>>,
+    events: cell::RefCell<Vec<(u64, ports::Event)>>,
+    revision: cell::Cell<u64>,
+    oldest: cell::Cell<u64>,
+    leases: cell::RefCell<collections::HashMap<u64, (clock::Millis, clock::Millis)>>,
+    pub clock: clock::Clock,
+    /// Whether each second call to the platform takes a while to arrive.
+    pub flight: cell::Cell<clock::Millis>,
+    sent: cell::Cell<u64>,
+    /// Calls to the platform: when they arrived, by whom, with which token.
+    pub calls: cell::RefCell<Vec<(clock::Millis, String, u64)>>,
+}
+
+impl World {
+    pub fn new() -> rc::Rc<Self> {
+        let world = rc::Rc::new(Self {
+            clock: clock::Clock::manual(),
+            ..Self::default()
+        });
+        let ticking = world.clone();
+        task::spawn_local(async move {
+            loop {
+                time::sleep(time::Duration::from_millis(5)).await;
+                ticking.clock.advance(clock::Millis(5));
+                ticking.expire();
+            }
+        });
+        world
+    }
+
+    fn next(&self) -> u64 {
+        self.revision.set(self.revision.get() + 1);
+        self.revision.get()
+    }
+
+    pub fn put(&self, key: &str, value: &str) {
+        self.write(key, value.as_bytes(), 0, self.next());
+    }
+
+    fn write(&self, key: &str, value: &[u8], lease: u64, revision: u64) {
+        let mut items = self.items.borrow_mut();
+        let created = items.get(key).map_or(revision, |(i, _)| i.created);
+        let item = ports::Item {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            revision,
+            created,
+        };
+        items.insert(key.to_owned(), (item.clone(), lease));
+        let event = ports::Event::Put(item);
+        self.events.borrow_mut().push((revision, event));
+    }
+
+    pub fn remove(&self, key: &str) {
+        if self.items.borrow_mut().remove(key).is_some() {
+            let event = ports::Event::Removed(key.to_owned());
+            let revision = self.next();
+            self.events.borrow_mut().push((revision, event));
+        }
+    }
+
+    /// Forgets the history, as after a compaction.
+    pub fn compact(&self) {
+        self.oldest.set(self.revision.get() + 1);
+        self.events.borrow_mut().clear();
+    }
+
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.items.borrow().get(key).map(|(i, _)| i.value.clone())
+    }
+
+    fn since(&self, prefix: &str, after: u64) -> Vec<ports::Event> {
+        let key = |e: &ports::Event| match e {
+            ports::Event::Put(i) => i.key.clone(),
+            ports::Event::Removed(k) => k.clone(),
+        };
+        let events = self.events.borrow();
+        let events = events
+            .iter()
+            .filter(|(r, e)| *r > after && key(e).starts_with(prefix));
+        events.map(|(_, e)| e.clone()).collect()
+    }
+
+    fn expire(&self) {
+        let now = self.clock.now();
+        let over: Vec<u64> = self
+            .leases
+            .borrow()
+            .iter()
+            .filter(|(_, (end, _))| now >= *end)
+            .map(|(l, _)| *l)
+            .collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&self, lease: u64) {
+        self.leases.borrow_mut().remove(&lease);
+        let keys: Vec<String> = self
+            .items
+            .borrow()
+            .iter()
+            .filter(|(_, (_, l))| *l == lease)
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+}
+
+/// How the store answers one host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mood {
+    #[default]
+    Well,
+    /// Nothing is done.
+    Down,
+    /// Writes are done, their answers lost.
+    LosesAnswers,
+}
+
+/// The store as one host sees it.
+pub struct Store {
+    pub world: rc::Rc<World>,
+    pub mood: rc::Rc<cell::Cell<Mood>>,
+}
+
+impl Store {
+    fn check(&self) -> Result<(), ports::StoreError> {
+        if self.mood.get() == Mood::Down {
+            return Err(ports::StoreError::Refused);
+        }
+        Ok(())
+    }
+
+    fn answer<T>(&self, value: T) -> Result<T, ports::StoreError> {
+        if self.mood.get() == Mood::LosesAnswers {
+            return Err(ports::StoreError::Unknown);
+        }
+        Ok(value)
+    }
+
+    fn do_commit(&self, t: &ports::Transaction) -> Result<u64, ports::StoreError> {
+        let world = &self.world;
+        for (key, revision) in &t.expected {
+            let at = world.items.borrow().get(key).map_or(0, |(i, _)| i.revision);
+            if at != *revision {
+                return Err(ports::StoreError::Conflict);
+            }
+        }
+        for write in &t.writes {
+            if write.lease != 0 && !world.leases.borrow().contains_key(&write.lease) {
+                return Err(ports::StoreError::NoLease);
+            }
+        }
+        let revision = world.next();
+        for write in &t.writes {
+            world.write(&write.key, &write.value, write.lease, revision);
+        }
+        for key in &t.removes {
+            world.remove(key);
+        }
+        Ok(revision)
+    }
+}
+
+impl ports::Store for Store {
+    fn get<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> ports::Local<'a, Result<(Option<ports::Item>, u64), ports::StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let item = self.world.items.borrow().get(key).map(|(i, _)| i.clone());
+            Ok((item, self.world.revision.get()))
+        })
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        _: bool,
+    ) -> ports::Local<'a, Result<(Vec<ports::Item>, u64), ports::StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let items = self.world.items.borrow();
+            let items = items.iter().filter(|(k, _)| k.starts_with(prefix));
+            let items = items.map(|(_, (i, _))| i.clone()).collect();
+            Ok((items, self.world.revision.get()))
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: clock::Millis,
+    ) -> ports::Local<'a, Result<(Vec<ports::Event>, u64), ports::StoreError>> {
+        Box::pin(async move {
+            let end = self.world.clock.now() + wait;
+            loop {
+                self.check()?;
+                if after + 1 < self.world.oldest.get() {
+                    return Err(ports::StoreError::Compacted);
+                }
+                let events = self.world.since(prefix, after);
+                if !events.is_empty() || self.world.clock.now() >= end {
+                    return Ok((events, self.world.revision.get()));
+                }
+                time::sleep(time::Duration::from_millis(5)).await;
+            }
+        })
+    }
+
+    fn commit<'a>(
+        &'a self,
+        t: &'a ports::Transaction,
+    ) -> ports::Local<'a, Result<u64, ports::StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let revision = self.do_commit(t)?;
+            self.answer(revision)
+        })
+    }
+
+    fn grant(&self, ttl: clock::Millis) -> ports::Local<'_, Result<u64, ports::StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let lease = self.world.next();
+            let end = self.world.clock.now() + ttl;
+            self.world.leases.borrow_mut().insert(lease, (end, ttl));
+            Ok(lease)
+        })
+    }
+
+    fn keep(&self, lease: u64) -> ports::Local<'_, Result<(), ports::StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let now = self.world.clock.now();
+            let mut leases = self.world.leases.borrow_mut();
+            let Some((end, ttl)) = leases.get_mut(&lease) else {
+                return Err(ports::StoreError::NoLease);
+            };
+            *end = now + *ttl;
+            Ok(())
+        })
+    }
+
+    fn release(&self, lease: u64) -> ports::Local<'_, Result<(), ports::StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            self.world.end_lease(lease);
+            Ok(())
+        })
+    }
+}
+
+/// The platform as one host sees it: notes who calls.
+pub struct Orders {
+    world: rc::Rc<World>,
+    host: String,
+    clock: clock::Clock,
+}
+
+impl Orders {
+    fn note(&self, term: ports::Term) -> Result<(), ports::OrderError> {
+        if self.clock.now() >= term.deadline {
+            return Err(ports::OrderError::TermOver);
+        }
+        let world = self.world.clone();
+        let host = self.host.clone();
+        world.sent.set(world.sent.get() + 1);
+        let flight = world.flight.get().0 * (world.sent.get() % 2);
+        task::spawn_local(async move {
+            pass(flight).await;
+            let call = (world.clock.now(), host, term.token);
+            world.calls.borrow_mut().push(call);
+        });
+        Ok(())
+    }
+}
+
+impl ports::Orders for Orders {
+    fn scale<'a>(
+        &'a self,
+        term: ports::Term,
+        _: &'a ports::Order,
+    ) -> ports::Local<'a, Result<(), ports::OrderError>> {
+        Box::pin(async move { self.note(term) })
+    }
+
+    fn report<'a>(
+        &'a self,
+        term: ports::Term,
+        window: u64,
+        counts: &'a ports::Counts,
+    ) -> ports::Local<'a, Result<(), ports::OrderError>> {
+        Box::pin(async move {
+            let key = format!("reported/{window}");
+            let text = format!("{counts:?}");
+            let old = self
+                .world
+                .value(&key)
+                .unwrap_or_else(|| text.clone().into_bytes());
+            assert_eq!(
+                String::from_utf8(old).unwrap(),
+                text,
+                "window {window} differs"
+            );
+            self.world.put(&key, &text);
+            self.note(term)
+        })
+    }
+}
+
+/// Entries as text: a configuration is its version, an upstream `STATE PORT BORN`.
+pub struct Dialect;
+
+impl ports::Dialect for Dialect {
+    fn ask(&self, _: &http::HeaderMap) -> Result<ports::Ask, &'static str> {
+        Ok(ports::Ask::default())
+    }
+
+    fn send(&self, _: &mut http::HeaderMap, _: ports::Send<'_>) {}
+
+    fn reply(&self, _: &http::HeaderMap) -> ports::Reply {
+        ports::Reply::default()
+    }
+
+    fn config_key(&self) -> &str {
+        "config"
+    }
+
+    fn upstream_prefix(&self) -> &str {
+        "up/"
+    }
+
+    fn config(&self, bytes: &[u8]) -> Result<model::Config, finding::Findings> {
+        let Ok(version) = String::from_utf8_lossy(bytes).parse() else {
+            let mut findings = finding::Findings::default();
+            findings.add(finding::Place::default(), "not a number", "write a number");
+            return Err(findings);
+        };
+        let limits = model::Limits {
+            head: 16_384,
+            body: 65_536,
+            receive: clock::Millis(3_000),
+            idle: clock::Millis(15_000),
+        };
+        Ok(model::Config::new(
+            version,
+            Vec::new(),
+            Vec::new(),
+            limits,
+            None,
+        ))
+    }
+
+    fn upstream(&self, key: &str, bytes: &[u8]) -> Result<model::Upstream, String> {
+        let text = String::from_utf8_lossy(bytes);
+        let words: Vec<&str> = text.split(' ').collect();
+        let [state, port, born] = words[..] else {
+            return Err("not three words".to_owned());
+        };
+        Ok(model::Upstream {
+            name: key["up/".len()..].into(),
+            service: "s".into(),
+            address: ([127, 0, 0, 1], port.parse().map_err(|_| "no port")?).into(),
+            dc: "a".into(),
+            slots: 4,
+            state: match state {
+                "ready" => model::State::Ready,
+                "leaving" => model::State::Leaving,
+                _ => return Err("no such state".to_owned()),
+            },
+            cold: clock::Millis::ZERO,
+            cheap: false,
+            born: born.parse().map_err(|_| "no start")?,
+        })
+    }
+}
+
+/// A host and how the store answers it.
+pub struct Node {
+    pub host: rc::Rc<host::Host>,
+    pub mood: rc::Rc<cell::Cell<Mood>>,
+}
+
+impl Node {
+    /// Names of the upstreams that take work.
+    pub fn ready(&self) -> Vec<String> {
+        let fleet = self.host.fleet.borrow();
+        let service = name::Service::from("s");
+        let ready = fleet.of(&service);
+        let ready = ready.filter(|m| m.upstream.state == model::State::Ready);
+        let mut names: Vec<String> = ready.map(|m| m.upstream.name.to_string()).collect();
+        names.sort();
+        names
+    }
+
+    pub fn version(&self) -> Option<u64> {
+        self.host.current().map(|c| c.version)
+    }
+}
+
+pub fn node(world: &rc::Rc<World>, name: &str, peer: u16) -> Node {
+    node_with(world, name, peer, clock::Millis(5_000))
+}
+
+/// A host whose usage windows have this length.
+pub fn node_with(world: &rc::Rc<World>, name: &str, peer: u16, window: clock::Millis) -> Node {
+    let mood = rc::Rc::new(cell::Cell::new(Mood::Well));
+    let place = fleet::Place {
+        dc: "a".into(),
+        regions: [("a".into(), "r".into())].into(),
+    };
+    let any = ([127, 0, 0, 1], 0).into();
+    let settings = host::Settings {
+        host: name.into(),
+        place: place.clone(),
+        front: any,
+        ready: any,
+        peer: ([127, 0, 0, 1], peer).into(),
+        seeds: Vec::new(),
+        metrics: any,
+        budget: budget::Bound {
+            ratio: 0.2,
+            extra: 50.0,
+            window: clock::Millis(10_000),
+        },
+        times: host::Times {
+            change: clock::Millis(2_500),
+            grace: clock::Millis(8_000),
+            lease: clock::Millis(3_000),
+            window,
+            late: clock::Millis(2 * window.0),
+        },
+    };
+    let host = host::Host {
+        settings,
+        dialect: Box::new(Dialect),
+        store: Box::new(Store {
+            world: world.clone(),
+            mood: mood.clone(),
+        }),
+        orders: Box::new(Orders {
+            world: world.clone(),
+            host: name.to_owned(),
+            clock: world.clock.clone(),
+        }),
+        clock: world.clock.clone(),
+        boot: rand::random(),
+        config: cell::RefCell::new(None),
+        fleet: cell::RefCell::new(fleet::Fleet::new(place)),
+        listed: cell::Cell::new(false),
+        pool: wire::Pool::default(),
+        budgets: cell::RefCell::new(collections::HashMap::new()),
+        windows: cell::RefCell::new(windows::Counter::default()),
+        demand: cell::RefCell::new(collections::HashMap::new()),
+        roster: cell::RefCell::new(roster::Roster::default()),
+        known: relay::Known::default(),
+        health: follow::Health::default(),
+        holder: cell::Cell::new(None),
+        holds: cell::Cell::new(false),
+        metrics: metrics::Metrics::new().unwrap(),
+        phase: watch::Sender::new(host::Phase::Serving),
+        serving: cell::Cell::new(0),
+    };
+    Node {
+        host: rc::Rc::new(host),
+        mood,
+    }
+}
+
+/// Runs a test on one thread in time that passes as fast as nothing is left to do.
+pub fn run<Fut: Future<Output = ()>>(test: impl FnOnce() -> Fut) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, async { test().await });
+}
+
+pub async fn pass(ms: u64) {
+    time::sleep(time::Duration::from_millis(ms)).await;
+}
