--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -15,12 +15,14 @@
 use hyper_util::rt as util;
 use tokio::{net as tokio_net, task as tokio_task, time};
 
-use crate::{host, reply, serve};
+use crate::{framing, host, reply, serve};
 
 /// Pause after a connection could not be taken, as when descriptors run out.
 const ACCEPT_PAUSE: clock::Millis = clock::Millis(50);
 /// Connections waiting to be taken.
 const BACKLOG: u32 = 1_024;
+/// Bytes read from a caller at a time.
+const READ_BYTES: usize = 8 << 10;
 /// Bytes of a head before the configuration has said how many.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
 /// The least that the library takes as a bound on a head, in bytes.
@@ -51,6 +53,8 @@
     idle: cell::Cell<clock::Millis>,
     /// Since when a head is coming in.
     receiving: cell::Cell<Option<clock::Millis>>,
+    /// What was seen of that head.
+    head: cell::RefCell<framing::Scanner>,
     clock: clock::Clock,
 }
 
@@ -60,13 +64,16 @@
             busy: cell::Cell::new(0),
             idle: cell::Cell::new(clock.now()),
             receiving: cell::Cell::new(None),
+            head: cell::RefCell::default(),
             clock,
         }
     }
 
-    fn begin(&self) {
+    /// Begins a request; returns whether its head states both a length and a coding.
+    fn begin(&self) -> bool {
         self.busy.set(self.busy.get() + 1);
         self.receiving.set(None);
+        self.head.take().is_double()
     }
 
     fn end(&self) {
@@ -74,8 +81,12 @@
         self.idle.set(self.clock.now());
     }
 
-    fn received(&self) {
-        if self.busy.get() == 0 && self.receiving.get().is_none() {
+    fn received(&self, bytes: &[u8]) {
+        if self.busy.get() > 0 || bytes.is_empty() {
+            return;
+        }
+        self.head.borrow_mut().push(bytes);
+        if self.receiving.get().is_none() {
             self.receiving.set(Some(self.clock.now()));
         }
     }
@@ -103,13 +114,15 @@
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
-        buf: rt::ReadBufCursor<'_>,
+        mut buf: rt::ReadBufCursor<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let read = pin::Pin::new(&mut self.io).poll_read(cx, buf);
-        if matches!(read, task::Poll::Ready(Ok(()))) {
-            self.activity.received();
-        }
-        read
+        let mut bytes = [0; READ_BYTES];
+        let room = buf.remaining().min(READ_BYTES);
+        let mut part = rt::ReadBuf::new(&mut bytes[..room]);
+        task::ready!(pin::Pin::new(&mut self.io).poll_read(cx, part.unfilled()))?;
+        self.activity.received(part.filled());
+        buf.put_slice(part.filled());
+        task::Poll::Ready(Ok(()))
     }
 }
 
@@ -237,10 +250,14 @@
     (host, activity): (rc::Rc<host::Host>, rc::Rc<Activity>),
     request: http::Request<body::Incoming>,
 ) -> Result<http::Response<Held>, std::convert::Infallible> {
-    activity.begin();
+    let double = activity.begin();
     let in_hand = InHand(activity);
-    let mut answer = serve::serve(host.clone(), request).await;
-    if host.is_leaving() {
+    let mut answer = if double {
+        serve::refuse_double(&host)
+    } else {
+        serve::serve(host.clone(), request).await
+    };
+    if double || host.is_leaving() {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(http::header::CONNECTION, close);
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod fleet;
 pub mod follow;
+pub mod framing;
 pub mod front;
 pub mod host;
 pub mod lifecycle;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -20,8 +20,10 @@
 const SILENCE: clock::Millis = clock::Millis(1_500);
 /// Pause before another host is tried.
 const PAUSE: clock::Millis = clock::Millis(200);
-/// How often counts and demand are told.
+/// How often counts and demand are told at least.
 const TELL_EVERY: clock::Millis = clock::Millis(1_000);
+/// Part of the time for a report after which they are told again.
+const TELL_PART: u64 = 10;
 /// Time for a told entry to be acknowledged.
 const ACK: clock::Millis = clock::Millis(800);
 /// Keys of entries that are gone which are remembered, so that late news don't bring them back.
@@ -334,7 +336,8 @@
             link = None;
             writer.write(&host, &entry).await;
         }
-        time::sleep(TELL_EVERY.duration()).await;
+        let part = clock::Millis(host.settings.times.late.0 / TELL_PART);
+        time::sleep(TELL_EVERY.min(part).duration()).await;
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -76,6 +76,16 @@
     }
 }
 
+/// Refuses a request whose head states both a length and a transfer coding: hosts on its way may
+/// have disagreed on where it ends.
+pub fn refuse_double(host: &host::Host) -> reply::Answer {
+    let refused = Refused {
+        id: String::new(),
+        refusal: refusal::Refusal::not_run(refusal::Reason::BadRequest),
+    };
+    refused.answer(host)
+}
+
 /// Reads, authenticates and routes a request.
 async fn receive(
     host: &host::Host,
@@ -87,9 +97,6 @@
         id: id.to_owned(),
         refusal: refusal::Refusal::not_run(reason),
     };
-    if is_doubly_framed(&parts.headers) {
-        return Err(refuse("", refusal::Reason::BadRequest));
-    }
     let ask = match host.dialect.ask(&parts.headers) {
         Ok(ask) => ask,
         Err(_) => return Err(refuse("", refusal::Reason::BadRequest)),
@@ -142,12 +149,6 @@
     })
 }
 
-/// Both a length and a transfer coding: the two ends could disagree on where it ends.
-fn is_doubly_framed(head: &http::HeaderMap) -> bool {
-    head.contains_key(http::header::CONTENT_LENGTH)
-        && head.contains_key(http::header::TRANSFER_ENCODING)
-}
-
 fn find_route(
     config: &model::Config,
     parts: &http::request::Parts,
