--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -39,9 +39,9 @@
 /// The fewest engines that are divided.
 const MIN_DIVIDED: usize = 3;
 /// Cost of a stream with short pauses beside prompts that are read, in milliseconds.
-const DISTURBED_MS: f64 = 150.0;
+const DISTURBED_MS: f64 = 400.0;
 /// Cost of a long prompt beside streams with short pauses, in milliseconds.
-const DISTURBING_MS: f64 = 300.0;
+const DISTURBING_MS: f64 = 1_500.0;
 /// Time of an engine's step while it reads a prompt, in milliseconds.
 const READING_STEP_MS: u64 = 60;
 /// Weight of the newest delay, as one part in this many.
