--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -100,19 +100,22 @@
     }
 }
 
-/// Renews the lease until it is lost; returns why.
+/// Renews the lease until it is gone; returns why. While the store is away nothing is sent, but a
+/// lease that is still there when it returns goes on: nobody else can have held it.
 async fn hold(host: &host::Host, tenure: &Tenure) -> &'static str {
     loop {
         time::sleep(RENEW_EVERY.duration()).await;
         let sent = host.now();
-        if sent >= tenure.deadline.get() {
-            return "lapsed";
-        }
         match host.store.keep(tenure.lease).await {
             Ok(()) => tenure.renewed(sent),
             Err(ports::StoreError::NoLease) => return "lease_gone",
             Err(_) => {}
         }
+        let holds = host.now() < tenure.deadline.get();
+        if host.holds.replace(holds) != holds {
+            let token = tenure.token;
+            tracing::info!(event = "duties_paused", token, paused = !holds);
+        }
     }
 }
 
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -113,6 +113,12 @@
         self.clock.now()
     }
 
+    /// The wall time, whatever the time of day jumps to.
+    pub fn wall(&self) -> clock::Millis {
+        let mut windows = self.windows.borrow_mut();
+        windows.wall(self.clock.now(), self.clock.unix())
+    }
+
     /// Whether a stop has begun.
     pub fn is_leaving(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -108,7 +108,7 @@
     pub host: name::Host,
     /// The number drawn at its start.
     pub boot: u64,
-    /// When this was counted, in Unix milliseconds by that host's clock.
+    /// Up to when this was counted, in Unix milliseconds.
     pub at: u64,
     /// Requests that began.
     pub windows: windows::Windows,
@@ -203,6 +203,17 @@
         sum
     }
 
+    /// Whether every host that was heard of has told what it counted up to `at`; of a host that
+    /// started again the last start counts.
+    pub fn is_told_up_to(&self, at: u64) -> bool {
+        let mut last: collections::HashMap<&name::Host, u64> = collections::HashMap::new();
+        for (entry, _) in self.told.values() {
+            let told = last.entry(&entry.host).or_default();
+            *told = entry.at.max(*told);
+        }
+        last.values().all(|told| *told >= at)
+    }
+
     /// Forgets starts that counted nothing since this window.
     pub fn forget_before(&mut self, window: u64) {
         self.told.retain(|_, (e, _)| {
@@ -295,7 +306,7 @@
         Entry {
             host: host.settings.host.clone(),
             boot: host.boot,
-            at: host.clock.unix().0,
+            at: host.wall().0,
             windows: host.windows.borrow().counts.clone(),
             demand: demand.iter().map(|(s, d)| (s.clone(), *d)).collect(),
         }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -223,10 +223,10 @@
 /// Counts a request that began at an upstream at `at`.
 pub fn count_begun(host: &host::Host, call: &attempt::Call, at: clock::Millis) {
     let Some(team) = &call.team else { return };
-    let mut windows = host.windows.borrow_mut();
-    let wall = windows.wall(host.clock.now(), host.clock.unix());
+    let wall = host.wall();
     let began = clock::Millis(wall.since(host.now().since(at)).0);
     let window = began.0 / host.settings.times.window.0;
+    let mut windows = host.windows.borrow_mut();
     windows.counts.count(window, &team.name);
 }
 
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -15,9 +15,11 @@
 pub const KEY: &str = "jacinthslip/usage";
 /// How often windows are looked at.
 const LOOK_EVERY: clock::Millis = clock::Millis(400);
-/// Part of the time for a report after which a window is sealed: by then hosts have told what
-/// they counted, and time is left to send it.
-const SEAL_AFTER: f64 = 0.4;
+/// Part of the time for a report after which a window is sealed whoever has not told: time is left
+/// to send it.
+const SEAL_LATEST: f64 = 0.8;
+/// Part of that time for requests that began in the window and whose outcome is not known.
+const SEAL_EARLIEST: f64 = 0.15;
 /// How long what a host wrote is kept: until its windows have long been sealed.
 const KEPT: clock::Millis = clock::Millis(60_000);
 /// Sealed windows for which what hosts told is kept.
@@ -37,10 +39,18 @@
 }
 
 impl Record {
-    /// Whether the next window may be sealed at this wall time.
-    pub fn is_due(&self, wall: clock::Millis, times: &host::Times) -> bool {
+    /// Whether the next window may be sealed at this wall time: when `told` says that all hosts
+    /// have told what they counted up to a time, or when it can't wait.
+    pub fn is_due(
+        &self,
+        wall: clock::Millis,
+        times: &host::Times,
+        told: impl Fn(u64) -> bool,
+    ) -> bool {
         let end = (self.next + 1) * times.window.0;
-        wall.0 >= end + (times.late.0 as f64 * SEAL_AFTER) as u64
+        let after = |part: f64| end + (times.late.0 as f64 * part) as u64;
+        let settled = after(SEAL_EARLIEST);
+        wall.0 >= after(SEAL_LATEST) || wall.0 >= settled && told(settled)
     }
 
     /// Seals the next window with these counts.
@@ -58,8 +68,8 @@
             continue;
         };
         loop {
-            let wall = wall(host);
-            if record.is_due(wall, &host.settings.times) {
+            let told = |at| host.roster.borrow().is_told_up_to(at);
+            if record.is_due(host.wall(), &host.settings.times, told) {
                 match seal(host, &mut record, revision).await {
                     Some(at) => revision = at,
                     None => break,
@@ -72,16 +82,11 @@
     }
 }
 
-fn wall(host: &host::Host) -> clock::Millis {
-    let mut windows = host.windows.borrow_mut();
-    windows.wall(host.clock.now(), host.clock.unix())
-}
-
 /// The record as it stands; a new one begins with the window of now.
 async fn load(host: &host::Host) -> Option<(Record, u64)> {
     let (item, _) = host.store.get(KEY).await.ok()?;
     let Some(item) = item else {
-        let next = wall(host).0 / host.settings.times.window.0;
+        let next = host.wall().0 / host.settings.times.window.0;
         let record = Record {
             next,
             ..Record::default()
--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -92,6 +92,74 @@
     });
 }
 
+/// A short outage does not change the holder: its lease is still there.
+#[test]
+fn a_lease_that_outlives_an_outage_goes_on() {
+    env::run(|| async {
+        let world = env::World::new();
+        let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
+        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        env::pass(15_000).await;
+        let first = usize::from(!nodes[0].host.holds.get());
+        world.hold_leases(true);
+        for node in &nodes {
+            node.mood.set(env::Mood::Down);
+        }
+        env::pass(6_000).await;
+        assert!(!nodes[first].host.holds.get(), "nothing is sent meanwhile");
+        for node in &nodes {
+            node.mood.set(env::Mood::Well);
+        }
+        env::pass(700).await;
+        assert!(nodes[first].host.holds.get());
+        world.hold_leases(false);
+        env::pass(15_000).await;
+        check(&world);
+    });
+}
+
+/// A host that is cut off tells late: the window waits for it as long as there is time.
+#[test]
+fn a_window_waits_for_hosts_that_have_not_told() {
+    let times = host::Times {
+        change: clock::Millis(2_500),
+        grace: clock::Millis(8_000),
+        lease: clock::Millis(LEASE_MS),
+        window: clock::Millis(5_000),
+        late: clock::Millis(10_000),
+    };
+    let record = usage::Record {
+        next: 3,
+        ..usage::Record::default()
+    };
+    let due = |wall: u64, told: bool| record.is_due(clock::Millis(wall), &times, |_| told);
+    assert!(
+        !due(20_000, true),
+        "requests that began may still be counted"
+    );
+    assert!(due(21_600, true));
+    assert!(!due(27_000, false));
+    assert!(
+        due(28_100, false),
+        "it is not late for one that never tells"
+    );
+    let mut roster = roster::Roster::default();
+    let entry = |boot, at| roster::Entry {
+        host: "h".into(),
+        boot,
+        at,
+        windows: router::windows::Windows::default(),
+        demand: collections::BTreeMap::new(),
+    };
+    roster.told(entry(1, 10), clock::Millis(1));
+    assert!(!roster.is_told_up_to(11));
+    roster.told(entry(2, 12), clock::Millis(2));
+    assert!(
+        roster.is_told_up_to(11),
+        "the start before is not waited for"
+    );
+}
+
 #[test]
 fn lost_answers_leave_one_holder() {
     env::run(|| async {
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -19,6 +19,7 @@
     revision: cell::Cell<u64>,
     oldest: cell::Cell<u64>,
     leases: cell::RefCell<collections::HashMap<u64, (clock::Millis, clock::Millis)>>,
+    held: cell::Cell<bool>,
     pub clock: clock::Clock,
     /// Whether each second call to the platform takes a while to arrive.
     pub flight: cell::Cell<clock::Millis>,
@@ -97,7 +98,15 @@
         events.map(|(_, e)| e.clone()).collect()
     }
 
+    /// Whether leases stand still, as some stores' do in an outage.
+    pub fn hold_leases(&self, held: bool) {
+        self.held.set(held);
+    }
+
     fn expire(&self) {
+        if self.held.get() {
+            return;
+        }
         let now = self.clock.now();
         let over: Vec<u64> = self
             .leases
