--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{host, ports, scale, usage};
+use crate::{follow, host, ports, scale, usage};
 
 /// The key of the holder.
 pub const KEY: &str = "jacinthslip/duty";
@@ -123,6 +123,7 @@
 /// gone within the platform's lease since this host acted.
 async fn acquire(host: &host::Host, acted: Option<clock::Millis>) -> Tenure {
     loop {
+        follow::wait_unfed(host).await;
         match host.store.get(KEY).await {
             Ok((Some(item), at)) => {
                 note_holder(host, &item.value);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -16,6 +16,9 @@
 const WATCH_PART: f64 = 0.5;
 /// How often a host looks at whom to follow if nothing tells it to.
 const LOOK_EVERY: clock::Millis = clock::Millis(2_000);
+/// Pause after changes of upstreams before the next are asked for: they come many at a time, and
+/// each answer is a call.
+const GATHER: clock::Millis = clock::Millis(200);
 /// Pause after a failed call.
 const PAUSE: clock::Millis = clock::Millis(250);
 /// How long after an outage of the store an entry that lapsed may come back.
@@ -92,6 +95,11 @@
         self.fed.set(fed);
     }
 
+    /// Whether another host tells what the store would.
+    pub fn is_fed(&self) -> bool {
+        self.fed.get()
+    }
+
     /// Waits for something to change, or a while.
     pub async fn wait(&self) {
         let mut looks = self.looks.subscribe();
@@ -106,8 +114,8 @@
 }
 
 /// Waits while another host tells this one what the store would.
-async fn wait_unfed(host: &host::Host) {
-    while !host.watches() && host.health.fed.get() {
+pub async fn wait_unfed(host: &host::Host) {
+    while host.is_fed() {
         time::sleep(PAUSE.duration()).await;
     }
 }
@@ -135,7 +143,7 @@
         if let Some(item) = item {
             take_config(&host, &item.value, "store");
         }
-        while host.watches() || !host.health.fed.get() {
+        while !host.is_fed() {
             let seen = host.store.watch(&key, at, watch_time(&host)).await;
             host.health.note(What::Config, &seen, host.now());
             match seen {
@@ -194,16 +202,20 @@
             continue;
         };
         take_list(&host, &items, at);
-        while host.watches() || !host.health.fed.get() {
+        while !host.is_fed() {
             let seen = host.store.watch(&prefix, at, watch_time(&host)).await;
             host.health.note(What::Upstreams, &seen, host.now());
             match seen {
                 Ok((events, as_of)) => {
                     at = as_of;
+                    let changed = !events.is_empty();
                     for event in events {
                         take_event(&host, &event, as_of);
                     }
                     host.known.stands_at(at);
+                    if changed {
+                        time::sleep(GATHER.duration()).await;
+                    }
                 }
                 Err(ports::StoreError::Compacted) => break,
                 Err(_) => {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -149,6 +149,11 @@
         roster.watches(&self.settings.host, &self.settings.place.dc)
     }
 
+    /// Whether this host leaves the store to others and hears from one of them.
+    pub fn is_fed(&self) -> bool {
+        !self.watches() && self.health.is_fed()
+    }
+
     /// Takes one repeat from the service's budget.
     pub fn spend(&self, service: &name::Service) -> bool {
         let hosts = self.roster.borrow().live();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -51,6 +51,8 @@
     Gone(String, u64),
     /// The list is whole at this revision.
     Listed(u64),
+    /// Where the holder of the duties is.
+    Holder(Option<net::SocketAddr>),
     /// It lives; whether the store answers it.
     Pulse(bool),
 }
@@ -180,6 +182,7 @@
     config: Option<rc::Rc<[u8]>>,
     upstreams: collections::BTreeMap<String, u64>,
     at: Option<u64>,
+    holder: Option<net::SocketAddr>,
 }
 
 async fn tell_news(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
@@ -211,6 +214,10 @@
         out.extend(config.iter().map(|bytes| News::Config(bytes.to_vec())));
         told.config = config;
     }
+    if told.holder != host.holder.get() {
+        told.holder = host.holder.get();
+        out.push(News::Holder(told.holder));
+    }
     if !host.listed.get() {
         return out;
     }
@@ -303,6 +310,7 @@
                 host.known.stands_at(at);
                 host.listed.set(true);
             }
+            News::Holder(holder) => host.holder.set(holder),
             // One that the store does not answer either can't say more.
             News::Pulse(false) => return Ok(()),
             News::Pulse(true) => host.health.set_fed(host.listed.get()),
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -32,7 +32,7 @@
 /// How long a told demand counts.
 const DEMAND_LIFE: clock::Millis = clock::Millis(3_500);
 /// Hosts of a data centre that watch the store; the others follow them.
-const WATCHERS: usize = 3;
+const WATCHERS: usize = 2;
 /// Weight of the newest second in the moving means of the demand, as one part in this many.
 const SMOOTHING: f64 = 3.0;
 
