--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -44,6 +44,8 @@
     pub tier: u8,
     /// Whether its pauses are too short for an engine that reads long prompts meanwhile.
     pub quick: bool,
+    /// The configuration that it was routed by.
+    pub version: u64,
     /// When its head was read.
     pub arrived: clock::Millis,
     /// When its caller stops waiting.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -136,6 +136,25 @@
     pub address: std::net::SocketAddr,
     /// Tokens that it is expected to read.
     pub unread: u64,
+    /// What decided.
+    pub reasons: Reasons,
+}
+
+/// What decided a choice, for the logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Reasons {
+    /// Upstreams that could be chosen.
+    pub usable: u32,
+    /// Whether it keeps the prompt's shared part, as far as known.
+    pub kept: bool,
+    /// Requests that this host had there.
+    pub busy: u32,
+    /// Running and waiting requests that it last reported.
+    pub told: u32,
+    /// How old that report is, in milliseconds.
+    pub told_age: u64,
+    /// The cost that was least, in milliseconds.
+    pub cost: u64,
 }
 
 /// Where this host stands.
@@ -285,7 +304,9 @@
         let shared = wish.shared();
         let home = shared.and_then(|(id, _)| self.home(wish, id));
         let mut best: Option<(f64, &Member, u64)> = None;
+        let mut usable_count = 0;
         for m in self.of(wish.service).filter(usable) {
+            usable_count += 1;
             let unread = self.unread(wish, m, shared, home, now);
             let mut cost = self.cost(wish, m, unread, now);
             if now < m.until {
@@ -295,8 +316,21 @@
                 best = Some((cost, m, unread));
             }
         }
-        let (_, m, unread) = best?;
+        let (cost, m, unread) = best?;
+        let (told, told_age) = match m.load {
+            Some(([running, waiting, _], at)) => (running + waiting, now.since(at).0),
+            None => (0, 0),
+        };
+        let reasons = Reasons {
+            usable: usable_count,
+            kept: unread < u64::from(wish.prompt),
+            busy: m.busy,
+            told,
+            told_age,
+            cost: cost as u64,
+        };
         Some(Pick {
+            reasons,
             name: m.upstream.name.clone(),
             address: m.upstream.address,
             unread,
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -90,9 +90,9 @@
         self.lost.iter().any(cell::Cell::get)
     }
 
-    /// Notes whether another host tells what the store would.
-    pub fn set_fed(&self, fed: bool) {
-        self.fed.set(fed);
+    /// Notes whether another host tells what the store would; returns whether one did before.
+    pub fn set_fed(&self, fed: bool) -> bool {
+        self.fed.replace(fed)
     }
 
     /// Whether another host tells what the store would.
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -120,6 +120,7 @@
     if host.now() > written {
         writer.write(host, &writer.entry(host)).await;
     }
+    relay::hand_over(host, writer).await;
     let cut = host.serving.get();
     tracing::info!(event = "stopped", connections = cut);
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -20,6 +20,8 @@
 const SILENCE: clock::Millis = clock::Millis(1_500);
 /// Pause before another host is tried.
 const PAUSE: clock::Millis = clock::Millis(200);
+/// The longest pause while no other host can say more than this one knows.
+const MAX_PAUSE: clock::Millis = clock::Millis(1_600);
 /// How often counts and demand are told at least.
 const TELL_EVERY: clock::Millis = clock::Millis(1_000);
 /// Part of the time for a report after which they are told again.
@@ -250,17 +252,24 @@
 
 /// Follows another host while the store does not answer this one, or while others watch it.
 pub async fn follow(host: rc::Rc<host::Host>) {
+    let mut pause = PAUSE;
     loop {
         if !needs_peer(&host) {
             host.health.wait().await;
+            pause = PAUSE;
             continue;
         }
         if let Some(address) = choose(&host) {
             // Its loss is logged; another one is tried.
             let _ = follow_one(&host, address).await;
-            host.health.set_fed(false);
         }
-        time::sleep(PAUSE.duration()).await;
+        let fed = host.health.set_fed(false);
+        pause = if fed {
+            PAUSE
+        } else {
+            MAX_PAUSE.min(pause + pause)
+        };
+        time::sleep(pause.duration()).await;
     }
 }
 
@@ -283,7 +292,6 @@
 ) -> Result<(), link::Closed> {
     let mut link = link::open(address).await?;
     link.sender.send(&Hello::Follow).await?;
-    tracing::info!(event = "peer_followed", peer = %address);
     let mut listed = collections::HashSet::new();
     let mut first = true;
     while needs_peer(host) {
@@ -313,7 +321,11 @@
             News::Holder(holder) => host.holder.set(holder),
             // One that the store does not answer either can't say more.
             News::Pulse(false) => return Ok(()),
-            News::Pulse(true) => host.health.set_fed(host.listed.get()),
+            News::Pulse(true) => {
+                if host.listed.get() && !host.health.set_fed(true) {
+                    tracing::info!(event = "peer_followed", peer = %address);
+                }
+            }
         }
     }
     Ok(())
@@ -324,14 +336,9 @@
     loop {
         let limit = TELL_EVERY + SILENCE;
         let entry: roster::Entry = link.receiver.receive(limit).await?;
-        let holds = host.holds.get();
-        if holds {
-            host.roster.borrow_mut().told(entry, host.now());
-        }
-        link.sender.send(&holds).await?;
-        if !holds {
-            return Err(link::Closed);
-        }
+        // One that does not hold the duties may hold them next.
+        host.roster.borrow_mut().told(entry, host.now());
+        link.sender.send(&host.holds.get()).await?;
     }
 }
 
@@ -349,6 +356,35 @@
     }
 }
 
+/// Tells all that this host counted, and that it was told, to those that may hold the duties next.
+pub async fn hand_over(host: &host::Host, writer: &roster::Writer) {
+    host.roster
+        .borrow_mut()
+        .told(writer.entry(host), host.now());
+    let entries = host.roster.borrow().entries();
+    let mut told = 0;
+    for address in host.roster.borrow().watchers() {
+        if address != host.settings.peer && hand_to(address, &entries).await.is_ok() {
+            told += 1;
+        }
+    }
+    tracing::info!(
+        event = "counts_handed_over",
+        entries = entries.len(),
+        hosts = told
+    );
+}
+
+async fn hand_to(address: net::SocketAddr, entries: &[roster::Entry]) -> Result<(), link::Closed> {
+    let mut link = link::open(address).await?;
+    link.sender.send(&Hello::Tell).await?;
+    for entry in entries {
+        link.sender.send(entry).await?;
+        let _holds: bool = link.receiver.receive(ACK).await?;
+    }
+    Ok(())
+}
+
 async fn tell_one(
     host: &host::Host,
     link: &mut Option<(net::SocketAddr, link::Link)>,
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -203,15 +203,20 @@
         sum
     }
 
-    /// Whether every host that was heard of has told what it counted up to `at`; of a host that
-    /// started again the last start counts.
-    pub fn is_told_up_to(&self, at: u64) -> bool {
+    /// What was told.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.told.values().map(|(e, _)| e.clone()).collect()
+    }
+
+    /// Whether every host that was heard of since `since` has told what it counted up to `at`; of
+    /// a host that started again the last start counts.
+    pub fn is_told_up_to(&self, since: u64, at: u64) -> bool {
         let mut last: collections::HashMap<&name::Host, u64> = collections::HashMap::new();
         for (entry, _) in self.told.values() {
             let told = last.entry(&entry.host).or_default();
             *told = entry.at.max(*told);
         }
-        last.values().all(|told| *told >= at)
+        last.values().all(|told| *told >= at || *told < since)
     }
 
     /// Forgets starts that counted nothing since this window.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -34,6 +34,8 @@
     pub runs: u32,
     /// Where it has been.
     pub avoid: SmallVec<[name::Upstream; 4]>,
+    /// What decided the last choice.
+    pub reasons: fleet::Reasons,
     /// The last failure.
     pub last: Option<attempt::Failure>,
 }
@@ -143,6 +145,7 @@
         team,
         tier,
         quick,
+        version: config.version,
         arrived,
         deadline,
         until,
@@ -262,6 +265,7 @@
     let demand = demand.entry(call.service.clone()).or_default();
     demand.request(pick.unread);
     tries.sends += 1;
+    tries.reasons = pick.reasons;
     tries.avoid.push(pick.name.clone());
     Ok(pick)
 }
@@ -292,6 +296,9 @@
         reason = failure.as_str(),
         may_have_run = ran,
         sends = tries.sends,
+        busy = tries.reasons.busy,
+        told = tries.reasons.told,
+        told_age_ms = tries.reasons.told_age,
         after_ms = now.since(call.arrived).0,
     );
 }
@@ -346,6 +353,13 @@
         tier = call.tier,
         upstream = tries.avoid.last().map_or("", name::Upstream::as_str),
         sends = tries.sends,
+        usable = tries.reasons.usable,
+        kept = tries.reasons.kept,
+        busy = tries.reasons.busy,
+        told = tries.reasons.told,
+        told_age_ms = tries.reasons.told_age,
+        cost_ms = tries.reasons.cost,
+        config = call.version,
         end,
         status,
         first_ms = first.map(|f| f.0),
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -20,6 +20,8 @@
 const SEAL_LATEST: f64 = 0.8;
 /// Part of that time for requests that began in the window and whose outcome is not known.
 const SEAL_EARLIEST: f64 = 0.15;
+/// Times for a report after which a host that tells nothing is not waited for any more.
+const GONE_AFTER: u64 = 2;
 /// How long what a host wrote is kept: until its windows have long been sealed.
 const KEPT: clock::Millis = clock::Millis(60_000);
 /// Sealed windows for which what hosts told is kept.
@@ -53,6 +55,13 @@
         wall.0 >= after(SEAL_LATEST) || wall.0 >= settled && told(settled)
     }
 
+    /// Whether the next window has ended and its requests are known: hosts that could not tell may
+    /// have written what they counted.
+    pub fn is_open(&self, wall: clock::Millis, times: &host::Times) -> bool {
+        let end = (self.next + 1) * times.window.0;
+        wall.0 >= end + (times.late.0 as f64 * SEAL_EARLIEST) as u64
+    }
+
     /// Seals the next window with these counts.
     pub fn seal(&mut self, counts: ports::Counts) {
         self.sealed.insert(self.next, counts);
@@ -68,8 +77,14 @@
             continue;
         };
         loop {
-            let told = |at| host.roster.borrow().is_told_up_to(at);
-            if record.is_due(host.wall(), &host.settings.times, told) {
+            let times = &host.settings.times;
+            let wall = host.wall();
+            let since = wall.since(clock::Millis(times.late.0 * GONE_AFTER)).0;
+            if record.is_open(wall, times) {
+                read_counts(host).await;
+            }
+            let told = |at| host.roster.borrow().is_told_up_to(since, at);
+            if record.is_due(wall, times, told) {
                 match seal(host, &mut record, revision).await {
                     Some(at) => revision = at,
                     None => break,
@@ -104,17 +119,10 @@
 
 /// Seals the next window and writes it; `None` if it is not known to stand.
 async fn seal(host: &host::Host, record: &mut Record, revision: u64) -> Option<u64> {
-    let (items, _) = host.store.list(roster::COUNTED, false).await.ok()?;
-    let mut old = Vec::new();
+    let old = read_counts(host).await?;
     let counts = {
         let mut roster = host.roster.borrow_mut();
-        roster.written(&items);
         roster.forget_before(record.next.saturating_sub(KEPT_WINDOWS));
-        for item in items {
-            if is_old(&item, host.clock.unix()) {
-                old.push(item.key);
-            }
-        }
         roster.counted(record.next)
     };
     let mut sealed = record.clone();
@@ -145,6 +153,17 @@
     }
 }
 
+/// Reads what hosts that could not tell have written; returns the keys that are no longer needed.
+async fn read_counts(host: &host::Host) -> Option<Vec<String>> {
+    let (items, _) = host.store.list(roster::COUNTED, false).await.ok()?;
+    host.roster.borrow_mut().written(&items);
+    let old = items
+        .into_iter()
+        .filter(|i| is_old(i, host.clock.unix()))
+        .map(|i| i.key);
+    Some(old.collect())
+}
+
 fn is_old(item: &ports::Item, unix: clock::Millis) -> bool {
     let entry = serde_json::from_slice::<roster::Entry>(&item.value);
     entry.is_ok_and(|e| unix.since(clock::Millis(e.at)) > KEPT)
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -164,6 +164,7 @@
         name: "u0".into(),
         address: ([10, 0, 0, 0], 80).into(),
         unread: 5,
+        reasons: fleet::Reasons::default(),
     };
     fleet.begin(&pick, &[], NOW);
     let mut again = upstream("u0", "a", 0);
