Hosts whose watchers are cut off hear from any host that the store answers

Found by a test of the links: with both watchers of a data centre turned away, these asked only each other; hosts that read the store themselves meanwhile were not asked and called themselves unfit.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -67,10 +67,13 @@
     value: Vec<u8>,
 }
 
+/// A revision of the store and the bytes written then.
+type Written = (u64, rc::Rc<[u8]>);
+
 /// What is known of the store's entries, as it was read.
 pub struct Known {
     config: cell::RefCell<Option<rc::Rc<[u8]>>>,
-    upstreams: cell::RefCell<collections::BTreeMap<String, (u64, rc::Rc<[u8]>)>>,
+    upstreams: cell::RefCell<collections::BTreeMap<String, Written>>,
     gone: cell::RefCell<collections::HashMap<String, u64>>,
     at: cell::Cell<u64>,
     changed: watch::Sender<u64>,
@@ -195,7 +198,7 @@
         for news in news(host, &mut told) {
             link.sender.send(&news).await?;
         }
-        let healthy = host.watches() && !host.health.is_lost();
+        let healthy = !host.is_fed() && !host.health.is_lost();
         link.sender.send(&News::Pulse(healthy)).await?;
         // Either way it is time to look again.
         let _ = time::timeout(PULSE.duration(), changed.changed()).await;
@@ -259,7 +262,8 @@
             pause = PAUSE;
             continue;
         }
-        if let Some(address) = choose(&host) {
+        // Where those that watch can't help, another one may hear the store.
+        if let Some(address) = choose(&host, pause > PAUSE) {
             // Its loss is logged; another one is tried.
             let _ = follow_one(&host, address).await;
         }
@@ -277,10 +281,16 @@
     host.health.is_lost() || !host.watches()
 }
 
-/// Another host: one that was seen, or a seed of the settings.
-fn choose(host: &host::Host) -> Option<net::SocketAddr> {
+/// Another host: one that was seen and watches the store, or any, or a seed of the settings.
+fn choose(host: &host::Host, any: bool) -> Option<net::SocketAddr> {
     let own = host.settings.peer;
-    let mut all = host.roster.borrow().watchers();
+    let roster = host.roster.borrow();
+    let mut all = if any {
+        roster.peers()
+    } else {
+        roster.watchers()
+    };
+    drop(roster);
     all.extend(host.settings.seeds.iter().copied());
     all.retain(|a| *a != own);
     all.choose(&mut rand::rng()).copied()
@@ -363,7 +373,8 @@
         .told(writer.entry(host), host.now());
     let entries = host.roster.borrow().entries();
     let mut told = 0;
-    for address in host.roster.borrow().watchers() {
+    let watchers = host.roster.borrow().watchers();
+    for address in watchers {
         if address != host.settings.peer && hand_to(address, &entries).await.is_ok() {
             told += 1;
         }
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -163,6 +163,11 @@
         !there.skip(WATCHERS).any(|p| p.host == *host)
     }
 
+    /// Where all hosts are.
+    pub fn peers(&self) -> Vec<net::SocketAddr> {
+        self.present.iter().map(|p| p.peer).collect()
+    }
+
     /// Where the hosts that watch the store are.
     pub fn watchers(&self) -> Vec<net::SocketAddr> {
         let watches = |p: &&Present| self.watches(&p.host, &p.dc);
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -92,7 +92,8 @@
             Ok(begun) => begun,
         };
         match begun {
-            Begun::Stream(parts, source, event) => {
+            Begun::Stream(begun) => {
+                let (parts, source, event) = *begun;
                 return relay(host, call, tries, parts, source, event);
             }
             Begun::Other(answer) if answer.status().is_server_error() => failed = Some(answer),
@@ -118,7 +119,7 @@
 /// What came of a try of a stream.
 enum Begun {
     /// Its head and first event.
-    Stream(http::response::Parts, Source, events::Event),
+    Stream(Box<(http::response::Parts, Source, events::Event)>),
     /// An answer without events.
     Other(reply::Answer),
     /// Nothing; noted.
@@ -178,7 +179,7 @@
                 let ratio = now.since(sent).0 as f64 / expected as f64;
                 let name = &source.running.flight.pick.name;
                 host.fleet.borrow_mut().succeed(name, ratio);
-                return Ok(Begun::Stream(parts, source, event));
+                return Ok(Begun::Stream(Box::new((parts, source, event))));
             }
             Next::End => {
                 source.running.finish();
@@ -314,7 +315,8 @@
                 () = caller.closed() => return Err("caller_gone"),
             };
             match begun {
-                Ok(Begun::Stream(_, source, event)) => {
+                Ok(Begun::Stream(begun)) => {
+                    let (_, source, event) = *begun;
                     self.source = Some(source);
                     return Ok(event);
                 }
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -510,6 +510,16 @@
     local.block_on(&runtime, async { test().await });
 }
 
+/// Runs a test on one thread in real time, for tests with sockets.
+pub fn run_real<Fut: Future<Output = ()>>(test: impl FnOnce() -> Fut) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, async { test().await });
+}
+
 pub async fn pass(ms: u64) {
     time::sleep(time::Duration::from_millis(ms)).await;
 }
