--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -31,7 +31,7 @@
 /// The key of what the operators provided.
 const KEY: &str = "jacinthslip/provided";
 /// How long the first holder of the duties looks before its first order.
-const LOOK_FIRST: clock::Millis = clock::Millis(2_500);
+const LOOK_FIRST: clock::Millis = clock::Millis(1_300);
 /// How long after an order cheap upstreams count that do not run yet.
 const STARTING: clock::Millis = clock::Millis(6_000);
 
