--- a/crates/router/tests/scale.rs
+++ b/crates/router/tests/scale.rs
@@ -150,7 +150,7 @@
     let some = fleet([(1, 0), (0, 0), (0, 0)]);
     assert_eq!(plan(&mut scaler, &some, &idle, 10_000, Ok(())), []);
     let all = fleet([(3, 0), (3, 0), (3, 0)]);
-    assert_eq!(plan(&mut scaler, &all, &idle, 12_000, Ok(())), []);
+    assert_eq!(plan(&mut scaler, &all, &idle, 11_000, Ok(())), []);
     let orders = plan(&mut scaler, &all, &idle, 13_000, Ok(()));
     assert!(!orders.is_empty());
 }
