--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body;
 use tokio::time;
 
-use crate::{fleet, host, model, ports, wire};
+use crate::{band, fleet, host, model, ports, wire};
 
 /// Time to open a connection to an upstream.
 const CONNECT: clock::Millis = clock::Millis(300);
@@ -42,8 +42,8 @@
     pub team: Option<rc::Rc<model::Team>>,
     /// Its tier.
     pub tier: u8,
-    /// Whether its pauses are too short for an engine that reads long prompts meanwhile.
-    pub quick: bool,
+    /// Which engines it has first claim on.
+    pub band: band::Band,
     /// The configuration that it was routed by.
     pub version: u64,
     /// When its head was read.
--- /dev/null
+++ b/crates/router/src/band.rs
@@ -0,0 +1,87 @@
+//! Which engines a stream has first claim on.
+//!
+//! An engine that reads prompts takes long for each of its steps, and tokens of other requests
+//! wait. So engines are divided among streams that mind this to different degrees.
+
+use std::collections;
+
+use base::name;
+
+use crate::model;
+
+/// Parts of a service's engines that streams with short pauses, and then streams that can't be
+/// resumed, have first claim on.
+const QUICK_SHARE: f64 = 0.3;
+const ONCE_SHARE: f64 = 0.2;
+/// The fewest engines that are divided.
+const MIN_DIVIDED: usize = 3;
+/// Cost of a stream with short pauses beside prompts that are read, in milliseconds.
+const DISTURBED_MS: f64 = 400.0;
+/// Cost of a long prompt beside streams with short pauses, in milliseconds.
+const DISTURBING_MS: f64 = 1_500.0;
+/// Cost of a stream that can't be resumed beside prompts that others read, and of these beside it,
+/// in milliseconds.
+const ONCE_DISTURBED_MS: f64 = 150.0;
+const ONCE_DISTURBING_MS: f64 = 300.0;
+/// Time of an engine's step while it reads a prompt, in milliseconds.
+const READING_STEP_MS: u64 = 60;
+/// A kind of stream, and the engines that it has first claim on.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Band {
+    /// Its pauses are too short for an engine that reads long prompts meanwhile.
+    Quick,
+    /// It can't be resumed: a slow engine that misses its timeout loses all of it.
+    Once,
+    /// All others.
+    Other,
+}
+
+/// The band of a route's streams, if an event of the engine holds `stride` tokens.
+pub fn band(route: &model::Route, stride: u32) -> Band {
+    let quick = u64::from(stride) * READING_STEP_MS;
+    if route.gap.is_some_and(|g| g.0 <= quick) {
+        Band::Quick
+    } else if route.repeats() {
+        Band::Other
+    } else {
+        Band::Once
+    }
+}
+
+/// The cost of a request of one band on an engine of another, in milliseconds.
+pub fn unlike(wish: Band, engine: Band) -> f64 {
+    match (wish, engine) {
+        (Band::Quick, Band::Once | Band::Other) => DISTURBED_MS,
+        (Band::Once | Band::Other, Band::Quick) => DISTURBING_MS,
+        (Band::Once, Band::Other) => ONCE_DISTURBED_MS,
+        (Band::Other, Band::Once) => ONCE_DISTURBING_MS,
+        _ => 0.0,
+    }
+}
+
+/// Divides the engines of a service, in the order of their hashes, over the data centres.
+pub fn divide(ranked: Vec<(u64, name::Dc, name::Upstream)>) -> Vec<(name::Upstream, Band)> {
+    let mut seen: collections::HashMap<name::Dc, u32> = collections::HashMap::new();
+    let mut order: Vec<(u32, name::Upstream)> = Vec::with_capacity(ranked.len());
+    for (_, dc, name) in ranked {
+        let rank = seen.entry(dc).or_default();
+        order.push((*rank, name));
+        *rank += 1;
+    }
+    order.sort_by_key(|(rank, _)| *rank);
+    let all = order.len() as f64;
+    let quick = (all * QUICK_SHARE).ceil() as usize;
+    let once = quick + (all * ONCE_SHARE).floor() as usize;
+    let divided = order.len() >= MIN_DIVIDED;
+    let names = order.into_iter().enumerate();
+    let band = |(i, (_, name))| {
+        let band = match i {
+            _ if !divided => Band::Other,
+            i if i < quick => Band::Quick,
+            i if i < once => Band::Once,
+            _ => Band::Other,
+        };
+        (name, band)
+    };
+    names.map(band).collect()
+}
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -8,7 +8,7 @@
 use base::{clock, hash, name};
 use smallvec::SmallVec;
 
-use crate::{model, ports};
+use crate::{band, model, ports};
 
 /// Tokens of a prompt that an engine reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 112.0;
@@ -34,16 +34,6 @@
 const FIRST_PAUSE: clock::Millis = clock::Millis(400);
 /// Longest time for which a failing upstream is set aside.
 const MAX_PAUSE: clock::Millis = clock::Millis(3_000);
-/// Part of a service's engines that streams with short pauses have first claim on.
-const QUICK_SHARE: f64 = 0.3;
-/// The fewest engines that are divided.
-const MIN_DIVIDED: usize = 3;
-/// Cost of a stream with short pauses beside prompts that are read, in milliseconds.
-const DISTURBED_MS: f64 = 400.0;
-/// Cost of a long prompt beside streams with short pauses, in milliseconds.
-const DISTURBING_MS: f64 = 1_500.0;
-/// Time of an engine's step while it reads a prompt, in milliseconds.
-const READING_STEP_MS: u64 = 60;
 /// Weight of the newest delay, as one part in this many.
 const SMOOTHING: f64 = 6.0;
 /// Weight of the newest outcome in the rate of failures, as one part in this many.
@@ -67,7 +57,7 @@
     until: clock::Millis,
     delay: f64,
     missing: u64,
-    quick: bool,
+    band: band::Band,
     heard: clock::Millis,
 }
 
@@ -84,7 +74,7 @@
             until: clock::Millis::ZERO,
             delay: 1.0,
             missing: 0,
-            quick: false,
+            band: band::Band::Other,
             heard: clock::Millis::ZERO,
         }
     }
@@ -107,8 +97,8 @@
     pub parts: &'a [ports::Part],
     /// Tokens of its prompt.
     pub prompt: u32,
-    /// Whether its pauses are too short for an engine that reads long prompts meanwhile.
-    pub quick: bool,
+    /// Which engines it has first claim on.
+    pub band: band::Band,
     /// Upstreams that it has been at.
     pub avoid: &'a [name::Upstream],
 }
@@ -122,11 +112,6 @@
     }
 }
 
-/// Whether pauses of `gap` are too short for events of `stride` tokens while prompts are read.
-pub fn is_quick(gap: Option<clock::Millis>, stride: u32) -> bool {
-    gap.is_some_and(|g| g.0 <= u64::from(stride) * READING_STEP_MS)
-}
-
 /// The choice.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Pick {
@@ -237,8 +222,7 @@
         Some(member.upstream.address)
     }
 
-    /// Marks the engines that streams with short pauses have first claim on: the same at every
-    /// host, some in each data centre.
+    /// Divides the engines into bands: the same at every host, and over the data centres.
     fn divide(&mut self, service: &name::Service) {
         let mut ranked: Vec<(u64, name::Dc, name::Upstream)> = self
             .of(service)
@@ -246,22 +230,9 @@
             .map(|m| (name_hash(m), m.upstream.dc.clone(), m.upstream.name.clone()))
             .collect();
         ranked.sort_unstable();
-        let mut seen: collections::HashMap<name::Dc, u32> = collections::HashMap::new();
-        let mut order: Vec<(u32, name::Upstream)> = Vec::with_capacity(ranked.len());
-        for (_, dc, name) in ranked {
-            let rank = seen.entry(dc).or_default();
-            order.push((*rank, name));
-            *rank += 1;
-        }
-        order.sort_by_key(|(rank, _)| *rank);
-        let quick = if order.len() < MIN_DIVIDED {
-            0
-        } else {
-            (order.len() as f64 * QUICK_SHARE).ceil() as usize
-        };
-        for (i, (_, name)) in order.iter().enumerate() {
-            if let Some(m) = self.members.get_mut(name) {
-                m.quick = i < quick;
+        for (name, band) in band::divide(ranked) {
+            if let Some(m) = self.members.get_mut(&name) {
+                m.band = band;
             }
         }
     }
@@ -344,7 +315,7 @@
                 .filter(|m| m.upstream.state == model::State::Ready)
         };
         let weight = |m: &&Member| hash::stable(&(part ^ name_hash(m)).to_le_bytes());
-        let own = ready().filter(|m| m.quick == wish.quick).max_by_key(weight);
+        let own = ready().filter(|m| m.band == wish.band).max_by_key(weight);
         own.or_else(|| ready().max_by_key(weight))
             .map(|m| &m.upstream.name)
     }
@@ -380,10 +351,10 @@
             (own + m.unread as f64) / READ_TOKENS_PER_MS + m.running(now) * RUNNING_MS
         };
         let far = self.place.distance(&m.upstream.dc);
-        let unlike = match (wish.parts.is_empty(), wish.quick, m.quick) {
-            (false, true, false) => DISTURBED_MS,
-            (false, false, true) => DISTURBING_MS,
-            _ => 0.0,
+        let unlike = if wish.parts.is_empty() {
+            0.0
+        } else {
+            band::unlike(wish.band, m.band)
         };
         queue * m.delay + far + unlike + m.failing * FAILING_MS
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`ports`] says what is needed of the platform; the rest knows only [`model`]'s terms.
 
 pub mod attempt;
+pub mod band;
 pub mod budget;
 pub mod duty;
 pub mod events;
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -31,7 +31,9 @@
 /// The key of what the operators provided.
 const KEY: &str = "jacinthslip/provided";
 /// How long the first holder of the duties looks before its first order.
-const LOOK_FIRST: clock::Millis = clock::Millis(1_300);
+const LOOK_FIRST: clock::Millis = clock::Millis(2_500);
+/// How long after the first look firm engines that were not ordered may show up.
+const LATE_COMERS: clock::Millis = clock::Millis(6_000);
 /// How long after an order cheap upstreams count that do not run yet.
 const STARTING: clock::Millis = clock::Millis(6_000);
 
@@ -81,14 +83,13 @@
     }
 
     /// Looks at what the operators provided, for the demand that they expect; returns whether
-    /// it has looked for long enough.
-    fn look(&mut self, running: f64, now: clock::Millis) -> bool {
+    /// it has looked for long enough. Firm engines that show up late count as provided too.
+    fn look(&mut self, firm: f64, now: clock::Millis) -> bool {
         let begun = *self.begun.get_or_insert(now);
-        if now.since(begun) >= LOOK_FIRST {
-            return true;
+        if now.since(begun) < LATE_COMERS {
+            self.provided = self.provided.max(firm);
         }
-        self.provided = self.provided.max(running);
-        false
+        now.since(begun) >= LOOK_FIRST
     }
 
     /// Engines needed: more at once, fewer only after a while, and never fewer than provided.
@@ -110,8 +111,8 @@
         demand: &roster::Demand,
         now: clock::Millis,
     ) -> Option<f64> {
-        let all: u32 = running.values().map(|r| r.firm + r.cheap).sum();
-        if !self.look(f64::from(all), now) {
+        let firm: u32 = running.values().map(|r| r.firm).sum();
+        if !self.look(f64::from(firm), now) {
             return None;
         }
         Some(self.settle(Self::need(demand), now))
@@ -288,7 +289,7 @@
             let Some(need) = scaler.needed(&running, &demand, host.now()) else {
                 continue;
             };
-            if !known.contains_key(&service.name) {
+            if known.get(&service.name) != Some(&scaler.provided) {
                 known.insert(service.name.clone(), scaler.provided);
                 save(host, &known).await;
             }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 use tokio::time;
 
-use crate::{attempt, fleet, host, model, reply, stream};
+use crate::{attempt, band, fleet, host, model, reply, stream};
 
 /// Tries that upstreams may refuse besides those that may run.
 const SPARE_TRIES: u32 = 2;
@@ -133,7 +133,7 @@
         .services
         .get(&service)
         .and_then(|s| s.engine.as_ref());
-    let quick = engine.is_some_and(|e| fleet::is_quick(route.gap, e.stride));
+    let band = engine.map_or(band::Band::Other, |e| band::band(&route, e.stride));
     Ok(attempt::Call {
         ask,
         method: parts.method,
@@ -144,7 +144,7 @@
         service,
         team,
         tier,
-        quick,
+        band,
         version: config.version,
         arrived,
         deadline,
@@ -247,7 +247,7 @@
         service: &call.service,
         parts: &call.ask.parts,
         prompt: call.ask.prompt,
-        quick: call.quick,
+        band: call.band,
         avoid: &tries.avoid,
     };
     let pick = host.fleet.borrow().choose(&wish, host.now());
