Unused fields of the decoded manifest and entries go; starting engines count for their boot time

The quickstart serves until SIGINT or SIGTERM when its input is no terminal: it ended at once with its input closed.

--- a/crates/host/examples/quickstart.rs
+++ b/crates/host/examples/quickstart.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run -p jacinthslip --example quickstart [IP:PORT]`
 
-use std::io::BufRead as _;
+use std::io::{BufRead as _, IsTerminal as _};
 use std::net;
 
 use base::clock;
@@ -123,8 +123,20 @@
         "  cargo run -p jacinthctl -- status --store {}\n",
         store.address()
     );
-    println!("Press Enter to drain and stop.");
-    let _ = std::io::stdin().lock().read_line(&mut String::new());
+    let mut signals = signal_hook::iterator::Signals::new([
+        signal_hook::consts::SIGINT,
+        signal_hook::consts::SIGTERM,
+    ])?;
+    if std::io::stdin().is_terminal() {
+        println!("Press Enter, or Ctrl-C, to drain and stop.");
+        let handle = signals.handle();
+        std::thread::spawn(move || {
+            // A terminal that is closed ends the wait like Enter.
+            let _ = std::io::stdin().lock().read_line(&mut String::new());
+            handle.close();
+        });
+    }
+    let _ = signals.forever().next();
     serving.drain().finish(&stop::Stop::default());
     Ok(())
 }
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -83,10 +83,6 @@
 /// The model engine behind a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Tokens that its memory holds.
-    pub memory: u64,
     /// Tokens in one event of a stream.
     pub stride: u32,
 }
@@ -112,8 +108,6 @@
 pub struct Service {
     /// Its name.
     pub name: name::Service,
-    /// Connections that an upstream takes from all hosts together.
-    pub connections: u32,
     /// Its engine, if it serves a model.
     pub engine: Option<Engine>,
     /// How it may be scaled, if it may.
@@ -223,12 +217,8 @@
     pub address: net::SocketAddr,
     /// Its data centre.
     pub dc: name::Dc,
-    /// Requests that it runs at once.
-    pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
-    /// How much longer it is slow after its start.
-    pub cold: clock::Millis,
     /// Whether it may be reclaimed.
     pub cheap: bool,
     /// When it started, in Unix milliseconds: another number is another process.
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -194,8 +194,6 @@
     pub parts: SmallVec<[Part; 4]>,
     /// Tokens of its prompt.
     pub prompt: u32,
-    /// The most tokens of its answer.
-    pub answer: u32,
     /// The last event that the caller has.
     pub resume: Option<u64>,
 }
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -34,8 +34,8 @@
 const LOOK_FIRST: clock::Millis = clock::Millis(2_500);
 /// How long after the first look firm engines that were not ordered may show up.
 const LATE_COMERS: clock::Millis = clock::Millis(6_000);
-/// How long after an order cheap upstreams count that do not run yet.
-const STARTING: clock::Millis = clock::Millis(6_000);
+/// How much longer than engines take to start those ordered count that do not run yet.
+const START_SLACK: clock::Millis = clock::Millis(2_000);
 
 /// The upstreams of a service in one data centre.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -162,7 +162,8 @@
         let dcs = by_price(scaling);
         let cheap = |dc: &name::Dc| running.get(dc).map_or(0, |r| r.cheap);
         let there: u32 = dcs.iter().map(|dc| cheap(dc)).sum();
-        let coming: u32 = self.sites.values().map(|s| s.coming(now)).sum();
+        let starting = scaling.boot + START_SLACK;
+        let coming: u32 = self.sites.values().map(|s| s.coming(now, starting)).sum();
         let want = (need * FIRM_HEADROOM).ceil() as u32;
         let least = want.saturating_sub(there + coming).max(floor(0));
         // Those that only start do not replace any, but while nobody asks for anything.
@@ -240,8 +241,8 @@
 
 impl Site {
     /// Cheap engines that were ordered just now and don't run yet.
-    fn coming(&self, now: clock::Millis) -> u32 {
-        if now.since(self.coming_since) < STARTING {
+    fn coming(&self, now: clock::Millis, starting: clock::Millis) -> u32 {
+        if now.since(self.coming_since) < starting {
             return self.coming;
         }
         0
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -394,13 +394,11 @@
             service: "s".into(),
             address: ([127, 0, 0, 1], port.parse().map_err(|_| "no port")?).into(),
             dc: "a".into(),
-            slots: 4,
             state: match state {
                 "ready" => model::State::Ready,
                 "leaving" => model::State::Leaving,
                 _ => return Err("no such state".to_owned()),
             },
-            cold: clock::Millis::ZERO,
             cheap: false,
             born: born.parse().map_err(|_| "no start")?,
         })
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -22,9 +22,7 @@
         service: "llm".into(),
         address: ([10, 0, 0, n], 80).into(),
         dc: dc.into(),
-        slots: 128,
         state: model::State::Ready,
-        cold: clock::Millis::ZERO,
         cheap: false,
         born: 1,
     }
