--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -97,11 +97,13 @@
     }
 }
 
-/// The record as it stands; a new one begins with the window of now.
+/// The record as it stands; a new one begins as early as a report may still come: requests may
+/// have begun before anybody held the duties.
 async fn load(host: &host::Host) -> Option<(Record, u64)> {
     let (item, _) = host.store.get(KEY).await.ok()?;
     let Some(item) = item else {
-        let next = host.wall().0 / host.settings.times.window.0;
+        let times = &host.settings.times;
+        let next = host.wall().since(times.late).0 / times.window.0;
         let record = Record {
             next,
             ..Record::default()
--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -230,6 +230,27 @@
     });
 }
 
+/// Requests served before anybody first held the duties are reported too.
+#[test]
+fn the_first_holder_reports_what_began_before_it() {
+    env::run(|| async {
+        let world = env::World::new();
+        let node = env::node(&world, "h1", 1);
+        let team = name::Team::from("t");
+        node.host.windows.borrow_mut().counts.count(0, &team);
+        env::pass(5_500).await;
+        let _task = start(&node);
+        let writer = roster::Writer::new(&node.host);
+        for _ in 0..30 {
+            env::pass(500).await;
+            let entry = writer.entry(&node.host);
+            writer.write(&node.host, &entry).await;
+        }
+        let reported = world.value("reported/0").map(String::from_utf8);
+        assert_eq!(reported, Some(Ok(r#"{Team("t"): 1}"#.to_owned())));
+    });
+}
+
 #[test]
 fn what_the_holder_was_told_is_counted_once() {
     let mut roster = roster::Roster::default();
