--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -39,8 +39,7 @@
     match serve(settings, &file) {
         Ok(()) => exit_codes::ExitCode::Success,
         Err(e) => {
-            tracing::error!(event = "start_failed", error = %e);
-            eprintln!("jacinthslip: {e:#}. Correct the settings, then start again.");
+            tracing::error!(event = "start_failed", error = %e, mend = "correct the settings");
             exit_codes::ExitCode::Failure
         }
     }
