Tiers told to engines rank routes within a team's tier

Cause: where teams have tiers, a host sent the team's tier alone, so that all requests of a team, whatever their route, were equals to an engine. The engine preempts the newest of the least urgent, here a chat, while a job sheet of the same team tier ran on. A team's tier goes before the route's, it does not replace it.

--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -132,10 +132,14 @@
 pub struct Team {
     /// Its name.
     pub name: name::Team,
-    /// Its tier, which goes before the route's.
+    /// Its tier, which orders its requests before the route's tier does; without one it counts as
+    /// the most urgent.
     pub tier: Option<u8>,
 }
 
+/// Tiers that upstreams tell apart.
+pub const TIERS: usize = 10;
+
 /// A whole configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -147,6 +151,10 @@
     pub limits: Limits,
     /// Whether callers need keys.
     pub keyed: bool,
+    /// The tiers that teams have, the most urgent first.
+    team_tiers: Vec<u8>,
+    /// The tiers that routes have, the most urgent first.
+    route_tiers: Vec<u8>,
     routes: collections::HashMap<String, Vec<rc::Rc<Route>>>,
     keys: collections::HashMap<String, rc::Rc<Team>>,
 }
@@ -160,6 +168,10 @@
         limits: Limits,
         keys: Option<collections::HashMap<String, rc::Rc<Team>>>,
     ) -> Self {
+        let keyed = keys.is_some();
+        let keys = keys.unwrap_or_default();
+        let team_tiers = ranks(keys.values().map(|t| t.tier.unwrap_or(0)));
+        let route_tiers = ranks(routes.iter().map(|r| r.tier));
         let mut by_host: collections::HashMap<String, Vec<rc::Rc<Route>>> =
             collections::HashMap::new();
         for route in routes {
@@ -176,9 +188,11 @@
             version,
             services: services.collect(),
             limits,
-            keyed: keys.is_some(),
+            keyed,
+            team_tiers,
+            route_tiers,
             routes: by_host,
-            keys: keys.unwrap_or_default(),
+            keys,
         }
     }
 
@@ -195,6 +209,28 @@
     pub fn team(&self, key: &str) -> Option<&rc::Rc<Team>> {
         self.keys.get(key)
     }
+
+    /// How urgent a request of `team` on `route` is, below [`TIERS`]: by the team's tier, and by
+    /// the route's among requests of one team tier. If there are more combinations than tiers,
+    /// neighbours share one.
+    pub fn tier(&self, team: Option<&Team>, route: &Route) -> u8 {
+        let team = team.and_then(|t| t.tier).unwrap_or(0);
+        let rank = |tiers: &[u8], tier: u8| tiers.partition_point(|&t| t < tier);
+        let routes = self.route_tiers.len().max(1);
+        let rank = rank(&self.team_tiers, team) * routes + rank(&self.route_tiers, route.tier);
+        let ranks = self.team_tiers.len().max(1) * routes;
+        let tier = if ranks > TIERS {
+            rank * TIERS / ranks
+        } else {
+            rank
+        };
+        u8::try_from(tier.min(TIERS - 1)).unwrap_or(u8::MAX)
+    }
+}
+
+fn ranks(tiers: impl Iterator<Item = u8>) -> Vec<u8> {
+    let tiers: collections::BTreeSet<u8> = tiers.collect();
+    tiers.into_iter().collect()
 }
 
 /// What an upstream says of its life.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -127,7 +127,7 @@
         .map_err(|reason| refuse(&ask.id, reason))?;
     let deadline = arrived + ask.deadline.unwrap_or(DEFAULT_DEADLINE);
     let until = (arrived + route.timeout).min(clock::Millis(deadline.since(WAY_BACK).0));
-    let tier = team.as_ref().and_then(|t| t.tier).unwrap_or(route.tier);
+    let tier = config.tier(team.as_deref(), &route);
     let service = route.service(rand::random()).clone();
     let engine = config
         .services
