Request lines tell the bands and the longest pause

A late stream could not be explained from its line: neither the engine's band nor the pause that made it late was in it. Now band, at_band and gap_ms are.

--- a/crates/router/src/band.rs
+++ b/crates/router/src/band.rs
@@ -25,17 +25,30 @@
 const ONCE_DISTURBING_MS: f64 = 300.0;
 /// Time of an engine's step while it reads a prompt, in milliseconds.
 const READING_STEP_MS: u64 = 60;
+
 /// A kind of stream, and the engines that it has first claim on.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Band {
     /// Its pauses are too short for an engine that reads long prompts meanwhile.
     Quick,
     /// It can't be resumed: a slow engine that misses its timeout loses all of it.
     Once,
     /// All others.
+    #[default]
     Other,
 }
 
+impl Band {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Quick => "quick",
+            Self::Once => "once",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// The band of a route's streams, if an event of the engine holds `stride` tokens.
 pub fn band(route: &model::Route, stride: u32) -> Band {
     let quick = u64::from(stride) * READING_STEP_MS;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -140,6 +140,8 @@
     pub told_age: u64,
     /// The cost that was least, in milliseconds.
     pub cost: u64,
+    /// The streams that have first claim on it.
+    pub band: band::Band,
 }
 
 /// Where this host stands.
@@ -299,6 +301,7 @@
             told,
             told_age,
             cost: cost as u64,
+            band: m.band,
         };
         Some(Pick {
             reasons,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -38,6 +38,8 @@
     pub reasons: fleet::Reasons,
     /// The last failure.
     pub last: Option<attempt::Failure>,
+    /// The longest pause between two events that were passed on.
+    pub gap: clock::Millis,
 }
 
 /// Serves one request.
@@ -359,10 +361,13 @@
         told = tries.reasons.told,
         told_age_ms = tries.reasons.told_age,
         cost_ms = tries.reasons.cost,
+        band = call.band.as_str(),
+        at_band = tries.reasons.band.as_str(),
         config = call.version,
         end,
         status,
         first_ms = first.map(|f| f.0),
+        gap_ms = tries.gap.0,
         total_ms = total,
         left_ms = call.deadline.since(now).0,
     );
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -79,6 +79,8 @@
     source: Option<Source>,
     last: Option<u64>,
     first: clock::Millis,
+    /// When an event was passed on last.
+    passed: clock::Millis,
     caller: mpsc::Sender<Result<Bytes, reply::Broken>>,
 }
 
@@ -216,6 +218,7 @@
         source: Some(source),
         last: call.ask.resume,
         first: host.now().since(call.arrived),
+        passed: host.now(),
         caller,
     };
     task::spawn_local(relay.run(event));
@@ -258,7 +261,10 @@
 
     async fn hand(&mut self, event: events::Event) -> bool {
         self.last = event.id.or(self.last);
-        let left = self.call.until.since(self.host.now());
+        let now = self.host.now();
+        self.tries.gap = self.tries.gap.max(now.since(self.passed));
+        self.passed = now;
+        let left = self.call.until.since(now);
         let sent = time::timeout(left.duration(), self.caller.send(Ok(event.bytes)));
         matches!(sent.await, Ok(Ok(())))
     }
