Spill to engines of short pauses costs by tokens to be read

A long prompt was charged the same 1.5 s there as a short one, though only many chunks in a row make an event late (a step with a chunk takes about 57 ms, an event five of them).

Now each token to be read costs 0.15 ms there.

--- a/crates/router/src/band.rs
+++ b/crates/router/src/band.rs
@@ -17,8 +17,9 @@
 const MIN_DIVIDED: usize = 3;
 /// Cost of a stream with short pauses beside prompts that are read, in milliseconds.
 const DISTURBED_MS: f64 = 400.0;
-/// Cost of a long prompt beside streams with short pauses, in milliseconds.
-const DISTURBING_MS: f64 = 1_500.0;
+/// Cost of each token to be read beside streams with short pauses, in milliseconds: a chunk or two
+/// delays no event past its time, more in a row do.
+const DISTURBING_MS: f64 = 0.15;
 /// Cost of a stream that can't be resumed beside prompts that others read, and of these beside it,
 /// in milliseconds.
 const ONCE_DISTURBED_MS: f64 = 150.0;
@@ -61,11 +62,12 @@
     }
 }
 
-/// The cost of a request of one band on an engine of another, in milliseconds.
-pub fn unlike(wish: Band, engine: Band) -> f64 {
+/// The cost of a request of one band that reads `unread` tokens on an engine of another, in
+/// milliseconds.
+pub fn unlike(wish: Band, engine: Band, unread: u64) -> f64 {
     match (wish, engine) {
         (Band::Quick, Band::Once | Band::Other) => DISTURBED_MS,
-        (Band::Once | Band::Other, Band::Quick) => DISTURBING_MS,
+        (Band::Once | Band::Other, Band::Quick) => DISTURBING_MS * unread as f64,
         (Band::Once, Band::Other) => ONCE_DISTURBED_MS,
         (Band::Other, Band::Once) => ONCE_DISTURBING_MS,
         _ => 0.0,
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -357,7 +357,7 @@
         let unlike = if wish.parts.is_empty() {
             0.0
         } else {
-            band::unlike(wish.band, m.band)
+            band::unlike(wish.band, m.band, unread)
         };
         queue * m.delay + far + unlike + m.failing * FAILING_MS
     }
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -124,6 +124,29 @@
     assert!(quick.is_disjoint(&once) && quick.is_disjoint(&other) && once.is_disjoint(&other));
 }
 
+/// What spills to engines of streams with short pauses was chosen without regard to its length.
+#[test]
+fn short_prompts_spill_to_engines_of_short_pauses_before_long_ones() {
+    let service = name::Service::from("llm");
+    let mut fleet = fleet(12);
+    let prompt = |tokens| vec![ports::Part { id: 9, tokens }];
+    let pick = |fleet: &fleet::Fleet, parts: &[ports::Part]| {
+        let wish = wish(&service, parts, band::Band::Other);
+        fleet.choose(&wish, NOW)
+    };
+    let band = |fleet: &fleet::Fleet, tokens| pick(fleet, &prompt(tokens)).map(|p| p.reasons.band);
+    // All other engines are 1.3 s behind.
+    let behind = prompt(150_000);
+    while let Some(pick) = pick(&fleet, &behind) {
+        if fleet.get(&pick.name).is_some_and(|m| m.unread > 0) {
+            break;
+        }
+        fleet.begin(&pick, &behind, NOW);
+    }
+    assert_eq!(band(&fleet, 2_000), Some(band::Band::Quick));
+    assert_ne!(band(&fleet, 17_000), Some(band::Band::Quick));
+}
+
 #[test]
 fn leaving_and_avoided_upstreams_are_not_chosen() {
     let service = name::Service::from("llm");
