--- a/crates/router/src/band.rs
+++ b/crates/router/src/band.rs
@@ -11,7 +11,7 @@
 
 /// Parts of a service's engines that streams with short pauses, and then streams that can't be
 /// resumed, have first claim on.
-const QUICK_SHARE: f64 = 0.3;
+const QUICK_SHARE: f64 = 0.2;
 const ONCE_SHARE: f64 = 0.2;
 /// The fewest engines that are divided.
 const MIN_DIVIDED: usize = 3;
