Engines that were not seen lately are as slow as is usual

With 73 hosts and 200 engines a host sees most engines rarely, and one that it had not seen counted as fast (delay 1, against up to 20 at those that it had). Once all engines were behind, prompts left the ones that kept their shared parts for any unseen one, read 17,000 tokens instead of 3,700, and so kept all engines behind.

Now what a host saw of an engine loses half its weight in 3 s, and the rest is the mean over the engines of its band.

tests/fleet.rs: 82 of 100 prompts moved before, none now.

--- a/crates/router/src/band.rs
+++ b/crates/router/src/band.rs
@@ -28,7 +28,7 @@
 const READING_STEP_MS: u64 = 60;
 
 /// A kind of stream, and the engines that it has first claim on.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub enum Band {
     /// Its pauses are too short for an engine that reads long prompts meanwhile.
     Quick,
@@ -40,6 +40,9 @@
 }
 
 impl Band {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::Quick, Self::Once, Self::Other];
+
     /// Its name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -8,7 +8,7 @@
 use base::{clock, hash, name};
 use smallvec::SmallVec;
 
-use crate::{band, model, ports};
+use crate::{band, delay, model, ports};
 
 /// Tokens of a prompt that an engine reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 112.0;
@@ -34,8 +34,6 @@
 const FIRST_PAUSE: clock::Millis = clock::Millis(400);
 /// Longest time for which a failing upstream is set aside.
 const MAX_PAUSE: clock::Millis = clock::Millis(3_000);
-/// Weight of the newest delay, as one part in this many.
-const SMOOTHING: f64 = 6.0;
 /// Weight of the newest outcome in the rate of failures, as one part in this many.
 const FAILURE_SMOOTHING: f64 = 10.0;
 /// Cost of an upstream that fails every request, in milliseconds.
@@ -55,7 +53,7 @@
     failing: f64,
     pause: clock::Millis,
     until: clock::Millis,
-    delay: f64,
+    delay: delay::Delay,
     missing: u64,
     band: band::Band,
     heard: clock::Millis,
@@ -72,7 +70,7 @@
             failing: 0.0,
             pause: clock::Millis::ZERO,
             until: clock::Millis::ZERO,
-            delay: 1.0,
+            delay: delay::Delay::default(),
             missing: 0,
             band: band::Band::Other,
             heard: clock::Millis::ZERO,
@@ -165,12 +163,20 @@
     }
 }
 
+/// The upstreams of one service.
+#[derive(Debug, Default)]
+struct Pool {
+    names: Vec<name::Upstream>,
+    /// How slow those of each band are on the whole.
+    usual: delay::Usual,
+}
+
 /// All upstreams.
 #[derive(Debug)]
 pub struct Fleet {
     place: Place,
     members: collections::HashMap<name::Upstream, Member>,
-    services: collections::HashMap<name::Service, Vec<name::Upstream>>,
+    services: collections::HashMap<name::Service, Pool>,
     warm: collections::HashMap<u64, SmallVec<[(u64, clock::Millis); 2]>>,
     misses: u64,
 }
@@ -206,8 +212,8 @@
             }
             self.remove(&name);
         }
-        let list = self.services.entry(upstream.service.clone()).or_default();
-        list.push(name.clone());
+        let pool = self.services.entry(upstream.service.clone()).or_default();
+        pool.names.push(name.clone());
         let service = upstream.service.clone();
         self.members.insert(name, Member::new(upstream));
         self.divide(&service);
@@ -217,8 +223,8 @@
     /// Forgets an upstream that is gone; returns where it listened.
     pub fn remove(&mut self, name: &name::Upstream) -> Option<std::net::SocketAddr> {
         let member = self.members.remove(name)?;
-        if let Some(list) = self.services.get_mut(&member.upstream.service) {
-            list.retain(|n| n != name);
+        if let Some(pool) = self.services.get_mut(&member.upstream.service) {
+            pool.names.retain(|n| n != name);
         }
         self.divide(&member.upstream.service);
         Some(member.upstream.address)
@@ -260,7 +266,7 @@
 
     /// The upstreams of a service.
     pub fn of<'a>(&'a self, service: &name::Service) -> impl Iterator<Item = &'a Member> {
-        let names = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let names = self.services.get(service).map_or(&[][..], |p| &p.names);
         names.iter().filter_map(|n| self.members.get(n))
     }
 
@@ -276,12 +282,16 @@
         };
         let shared = wish.shared();
         let home = shared.and_then(|(id, _)| self.home(wish, id));
+        let usual = self
+            .services
+            .get(wish.service)
+            .map_or_else(delay::Usual::default, |p| p.usual);
         let mut best: Option<(f64, &Member, u64)> = None;
         let mut usable_count = 0;
         for m in self.of(wish.service).filter(usable) {
             usable_count += 1;
             let unread = self.unread(wish, m, shared, home, now);
-            let mut cost = self.cost(wish, m, unread, now);
+            let mut cost = self.cost(wish, m, &usual, unread, now);
             if now < m.until {
                 cost += FAILING_MS;
             }
@@ -346,7 +356,14 @@
         prompt
     }
 
-    fn cost(&self, wish: &Wish<'_>, m: &Member, unread: u64, now: clock::Millis) -> f64 {
+    fn cost(
+        &self,
+        wish: &Wish<'_>,
+        m: &Member,
+        usual: &delay::Usual,
+        unread: u64,
+        now: clock::Millis,
+    ) -> f64 {
         let queue = if wish.parts.is_empty() {
             m.running(now) * PLAIN_MS
         } else {
@@ -359,7 +376,7 @@
         } else {
             band::unlike(wish.band, m.band, unread)
         };
-        queue * m.delay + far + unlike + m.failing * FAILING_MS
+        queue * m.delay.expect(usual, m.band, now) + far + unlike + m.failing * FAILING_MS
     }
 
     /// Notes a request sent.
@@ -418,14 +435,18 @@
     }
 
     /// Notes an answer, `ratio` times as late as expected.
-    pub fn succeed(&mut self, name: &name::Upstream, ratio: f64) {
-        if let Some(m) = self.members.get_mut(name) {
-            m.failures = 0;
-            m.pause = clock::Millis::ZERO;
-            m.until = clock::Millis::ZERO;
-            m.failing -= m.failing / FAILURE_SMOOTHING;
-            m.delay += (ratio.clamp(0.5, 20.0) - m.delay) / SMOOTHING;
-        }
+    pub fn succeed(&mut self, name: &name::Upstream, ratio: f64, now: clock::Millis) {
+        let Some(m) = self.members.get_mut(name) else {
+            return;
+        };
+        m.failures = 0;
+        m.pause = clock::Millis::ZERO;
+        m.until = clock::Millis::ZERO;
+        m.failing -= m.failing / FAILURE_SMOOTHING;
+        let Some(pool) = self.services.get_mut(&m.upstream.service) else {
+            return;
+        };
+        m.delay.note(&mut pool.usual, m.band, ratio, now);
     }
 
     /// Notes a failure: it is set aside after some in a row, and used less after each.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod band;
 pub mod budget;
+pub mod delay;
 pub mod duty;
 pub mod events;
 pub mod fleet;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -432,7 +432,7 @@
                         drop(flight);
                         let answer = reply::whole(clean(parts), bytes);
                         if !status.is_server_error() {
-                            host.fleet.borrow_mut().succeed(&name, 1.0);
+                            host.fleet.borrow_mut().succeed(&name, 1.0, host.now());
                             let first = host.now().since(call.arrived);
                             log_end(host, call, &tries, "whole", status.as_u16(), Some(first));
                             return answer;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -180,7 +180,7 @@
                 let expected = FIRST_MS + unread / READ_TOKENS_PER_MS;
                 let ratio = now.since(sent).0 as f64 / expected as f64;
                 let name = &source.running.flight.pick.name;
-                host.fleet.borrow_mut().succeed(name, ratio);
+                host.fleet.borrow_mut().succeed(name, ratio, now);
                 return Ok(Begun::Stream(Box::new((parts, source, event))));
             }
             Next::End => {
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -124,6 +124,30 @@
     assert!(quick.is_disjoint(&once) && quick.is_disjoint(&other) && once.is_disjoint(&other));
 }
 
+/// An engine that a host had not seen counted as fast: when all were slow, prompts left the engines
+/// that kept their shared parts for any that was not seen, and were read whole there.
+#[test]
+fn prompts_stay_where_they_are_kept_while_all_engines_are_slow() {
+    let service = name::Service::from("llm");
+    let mut fleet = fleet(12);
+    let home = |fleet: &fleet::Fleet, id| {
+        let parts = parts(id, 1_000 + id);
+        let pick = fleet.choose(&wish(&service, &parts, band::Band::Other), NOW);
+        pick.map(|p| p.name)
+    };
+    let homes: Vec<_> = (0..100).filter_map(|id| home(&fleet, id)).collect();
+    let unseen = homes[0].clone();
+    for _ in 0..20 {
+        for name in fleet.names().iter().filter(|n| **n != unseen) {
+            fleet.succeed(name, 20.0, NOW);
+        }
+    }
+    let moved = (0..100)
+        .filter(|id| home(&fleet, *id).as_ref() != homes.get(*id as usize))
+        .count();
+    assert_eq!(moved, 0);
+}
+
 /// What spills to engines of streams with short pauses was chosen without regard to its length.
 #[test]
 fn short_prompts_spill_to_engines_of_short_pauses_before_long_ones() {
@@ -178,7 +202,7 @@
     }
     assert_eq!(fleet.choose(&wish, NOW).map(|p| p.name), Some("u1".into()));
     for _ in 0..60 {
-        fleet.succeed(&"u0".into(), 1.0);
+        fleet.succeed(&"u0".into(), 1.0, NOW);
     }
     assert_eq!(fleet.choose(&wish, NOW).map(|p| p.name), Some("u0".into()));
 }
