Calls to a store that does not answer back off

Refused calls are charged too.

Now a failed call is followed by a pause that doubles from 250 ms, up to 1 s at hosts that watch the store and 2 s at others, which are fed by them. Counts that can be told to nobody are written every fourth second then; what is told next holds all.

tests/follow.rs fails without the change.

--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{follow, host, ports, scale, usage};
+use crate::{follow, host, ports, retry, scale, usage};
 
 /// The key of the holder.
 pub const KEY: &str = "jacinthslip/duty";
@@ -122,10 +122,12 @@
 /// Waits until nobody holds the duties, and takes them: not while another holder may have been and
 /// gone within the platform's lease since this host acted.
 async fn acquire(host: &host::Host, acted: Option<clock::Millis>) -> Tenure {
+    let mut retry = retry::Retry::default();
     loop {
         follow::wait_unfed(host).await;
         match host.store.get(KEY).await {
             Ok((Some(item), at)) => {
+                retry.reset();
                 note_holder(host, &item.value);
                 // An error shows as a key that is still there.
                 let _ = host.store.watch(KEY, at, WATCH).await;
@@ -140,7 +142,7 @@
                 }
                 time::sleep(PAUSE.duration()).await;
             }
-            Err(_) => time::sleep(PAUSE.duration()).await,
+            Err(_) => retry.pause(host).await,
         }
     }
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -5,11 +5,10 @@
 use std::rc;
 
 use base::{clock, name};
-use rand::Rng as _;
 use tokio::sync::watch;
 use tokio::{task, time};
 
-use crate::{host, model, ports};
+use crate::{host, model, ports, retry};
 
 /// Part of the bound on leaving upstreams and changes for which a watch waits: a connection that
 /// has gone silent is noticed, and the list read again, within the bound.
@@ -19,8 +18,8 @@
 /// Pause after changes of upstreams before the next are asked for: they come many at a time, and
 /// each answer is a call.
 const GATHER: clock::Millis = clock::Millis(200);
-/// Pause after a failed call.
-const PAUSE: clock::Millis = clock::Millis(250);
+/// How often a host looks whether it is still fed.
+const LOOK_FED: clock::Millis = clock::Millis(250);
 /// How long after an outage of the store an entry that lapsed may come back.
 const COME_BACK: clock::Millis = clock::Millis(2_200);
 
@@ -116,15 +115,10 @@
 /// Waits while another host tells this one what the store would.
 pub async fn wait_unfed(host: &host::Host) {
     while host.is_fed() {
-        time::sleep(PAUSE.duration()).await;
+        time::sleep(LOOK_FED.duration()).await;
     }
 }
 
-async fn pause() {
-    let jitter = rand::rng().random_range(0..PAUSE.0);
-    time::sleep(clock::Millis(PAUSE.0 + jitter).duration()).await;
-}
-
 fn watch_time(host: &host::Host) -> clock::Millis {
     clock::Millis((host.settings.times.change.0 as f64 * WATCH_PART) as u64)
 }
@@ -132,14 +126,16 @@
 /// Follows the configuration.
 pub async fn config(host: rc::Rc<host::Host>) {
     let key = host.dialect.config_key().to_owned();
+    let mut retry = retry::Retry::default();
     loop {
         wait_unfed(&host).await;
         let got = host.store.get(&key).await;
         host.health.note(What::Config, &got, host.now());
         let Ok((item, mut at)) = got else {
-            pause().await;
+            retry.pause(&host).await;
             continue;
         };
+        retry.reset();
         if let Some(item) = item {
             take_config(&host, &item.value, "store");
         }
@@ -159,7 +155,7 @@
                 }
                 Err(ports::StoreError::Compacted) => break,
                 Err(_) => {
-                    pause().await;
+                    retry.pause(&host).await;
                     break;
                 }
             }
@@ -193,14 +189,16 @@
 /// Follows the list of upstreams.
 pub async fn upstreams(host: rc::Rc<host::Host>) {
     let prefix = host.dialect.upstream_prefix().to_owned();
+    let mut retry = retry::Retry::default();
     loop {
         wait_unfed(&host).await;
         let list = host.store.list(&prefix, false).await;
         host.health.note(What::Upstreams, &list, host.now());
         let Ok((items, mut at)) = list else {
-            pause().await;
+            retry.pause(&host).await;
             continue;
         };
+        retry.reset();
         take_list(&host, &items, at);
         while !host.is_fed() {
             let seen = host.store.watch(&prefix, at, watch_time(&host)).await;
@@ -219,7 +217,7 @@
                 }
                 Err(ports::StoreError::Compacted) => break,
                 Err(_) => {
-                    pause().await;
+                    retry.pause(&host).await;
                     break;
                 }
             }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ports;
 pub mod relay;
 pub mod reply;
+pub mod retry;
 pub mod roster;
 pub mod scale;
 pub mod serve;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -26,6 +26,8 @@
 const TELL_EVERY: clock::Millis = clock::Millis(1_000);
 /// Part of the time for a report after which they are told again.
 const TELL_PART: u64 = 10;
+/// Most times in a row that counts are not written into a store that does not answer.
+const MAX_SKIPS: u32 = 3;
 /// Time for a told entry to be acknowledged.
 const ACK: clock::Millis = clock::Millis(800);
 /// Keys of entries that are gone which are remembered, so that late news don't bring them back.
@@ -352,14 +354,26 @@
     }
 }
 
-/// Tells the holder of the duties each second what was counted; into the store if that fails.
+/// Tells the holder of the duties each second what was counted; into the store if that fails, less
+/// often while the store does not answer either: what is told next holds all that was counted.
 pub async fn tell(host: rc::Rc<host::Host>, writer: rc::Rc<roster::Writer>) {
     let mut link = None;
+    let mut skip = 0;
+    let mut skips = 0;
     loop {
         let entry = writer.entry(&host);
-        if tell_one(&host, &mut link, &entry).await.is_err() {
+        if tell_one(&host, &mut link, &entry).await.is_ok() {
+            skips = 0;
+        } else {
             link = None;
-            writer.write(&host, &entry).await;
+            if skip > 0 {
+                skip -= 1;
+            } else if writer.write(&host, &entry).await {
+                skips = 0;
+            } else {
+                skips = (2 * skips + 1).min(MAX_SKIPS);
+                skip = skips;
+            }
         }
         let part = clock::Millis(host.settings.times.late.0 / TELL_PART);
         time::sleep(TELL_EVERY.min(part).duration()).await;
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{host, ports, windows};
+use crate::{host, ports, retry, windows};
 
 /// The beginning of the keys that say where hosts are.
 const PRESENT: &str = "jacinthslip/hosts/";
@@ -22,8 +22,6 @@
 const TTL: clock::Millis = clock::Millis(6_000);
 /// How often the lease is renewed.
 const RENEW_EVERY: clock::Millis = clock::Millis(2_000);
-/// Pause after a failed call.
-const PAUSE: clock::Millis = clock::Millis(500);
 /// How often the keys of hosts are read, and how much longer for each host that is there.
 const READ_EVERY: clock::Millis = clock::Millis(4_000);
 const READ_EVERY_HOST: clock::Millis = clock::Millis(100);
@@ -263,17 +261,17 @@
         }
     }
 
-    /// Writes an entry into the store.
-    pub async fn write(&self, host: &host::Host, entry: &Entry) {
+    /// Writes an entry into the store; returns whether it stands there.
+    pub async fn write(&self, host: &host::Host, entry: &Entry) -> bool {
         let value = match serde_json::to_vec(entry) {
             Ok(value) => value,
             Err(e) => {
                 tracing::error!(event = "counts_unwritable", error = %e);
-                return;
+                return false;
             }
         };
         let Some(revision) = self.known(host).await else {
-            return;
+            return false;
         };
         let write = ports::Write {
             key: self.key.clone(),
@@ -286,9 +284,15 @@
             removes: Vec::new(),
         };
         match host.store.commit(&t).await {
-            Ok(revision) => self.revision.set(Some(revision)),
-            Err(ports::StoreError::Refused) => {}
-            Err(_) => self.revision.set(None),
+            Ok(revision) => {
+                self.revision.set(Some(revision));
+                true
+            }
+            Err(ports::StoreError::Refused) => false,
+            Err(_) => {
+                self.revision.set(None);
+                false
+            }
         }
     }
 
@@ -337,11 +341,13 @@
             return;
         }
     };
+    let mut retry = retry::Retry::default();
     loop {
         let Some(lease) = appear_once(&host, &value).await else {
-            time::sleep(PAUSE.duration()).await;
+            retry.pause(&host).await;
             continue;
         };
+        retry.reset();
         loop {
             time::sleep(RENEW_EVERY.duration()).await;
             if host.store.keep(lease).await == Err(ports::StoreError::NoLease) {
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -266,6 +266,7 @@
 pub struct Node {
     pub host: rc::Rc<host::Host>,
     pub mood: rc::Rc<cell::Cell<Mood>>,
+    pub refused: rc::Rc<cell::Cell<u32>>,
 }
 
 impl Node {
@@ -292,6 +293,7 @@
 /// A host whose usage windows have this length.
 pub fn node_with(world: &rc::Rc<World>, name: &str, peer: u16, window: clock::Millis) -> Node {
     let mood = rc::Rc::new(cell::Cell::new(Mood::Well));
+    let refused = rc::Rc::new(cell::Cell::new(0));
     let place = fleet::Place {
         dc: "a".into(),
         regions: [("a".into(), "r".into())].into(),
@@ -324,6 +326,7 @@
         store: Box::new(Store {
             world: world.clone(),
             mood: mood.clone(),
+            refused: refused.clone(),
         }),
         orders: Box::new(Orders {
             world: world.clone(),
@@ -351,6 +354,7 @@
     Node {
         host: rc::Rc::new(host),
         mood,
+        refused,
     }
 }
 
--- a/crates/router/tests/env/store.rs
+++ b/crates/router/tests/env/store.rs
@@ -24,11 +24,14 @@
 pub struct Store {
     pub world: rc::Rc<World>,
     pub mood: rc::Rc<cell::Cell<Mood>>,
+    /// Calls that were refused.
+    pub refused: rc::Rc<cell::Cell<u32>>,
 }
 
 impl Store {
     fn check(&self) -> Result<(), ports::StoreError> {
         if self.mood.get() == Mood::Down {
+            self.refused.set(self.refused.get() + 1);
             return Err(ports::StoreError::Refused);
         }
         Ok(())
--- a/crates/router/tests/follow.rs
+++ b/crates/router/tests/follow.rs
@@ -141,3 +141,37 @@
         assert_eq!(node.ready(), ["a"], "a removal before it was written");
     });
 }
+
+/// Refused calls cost as much as others: each host asked four times a second for each thing that it
+/// follows, all through an outage.
+#[test]
+fn an_outage_is_not_filled_with_calls() {
+    const OUTAGE_MS: u64 = 20_000;
+    /// Calls of a host: two things followed, each at most once a second but for the first few times.
+    const MOST: u32 = 2 * (OUTAGE_MS / 1_000 + 6) as u32;
+    /// Live upstreams' entries are back within this time.
+    const BACK_MS: u64 = 2_000;
+    env::run(|| async {
+        let world = env::World::new();
+        world.put("config", "3");
+        let nodes = ["h1", "h2", "h3"].map(|n| env::node(&world, n, 1));
+        for node in &nodes {
+            follow_all(node);
+        }
+        env::pass(2_000).await;
+        for node in &nodes {
+            node.mood.set(env::Mood::Down);
+        }
+        env::pass(OUTAGE_MS).await;
+        for node in &nodes {
+            let refused = node.refused.get();
+            assert!(refused <= MOST, "{refused} calls refused");
+            node.mood.set(env::Mood::Well);
+        }
+        world.put("config", "4");
+        env::pass(BACK_MS).await;
+        for node in &nodes {
+            assert_eq!(node.version(), Some(4));
+        }
+    });
+}
