The duties' key is not read while the store is away

The loop that takes the duties asked a store that was known not to answer as often as the two that find out; nothing can be taken until it answers. Hosts that don't watch it wait up to 4 s between two calls, not 2: they are fed as soon as one that watches is back, within 1.25 s.

Checked by tests/follow.rs and tests/duty.rs (outages, holders).

--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -124,7 +124,7 @@
 async fn acquire(host: &host::Host, acted: Option<clock::Millis>) -> Tenure {
     let mut retry = retry::Retry::default();
     loop {
-        follow::wait_unfed(host).await;
+        follow::wait_well(host).await;
         match host.store.get(KEY).await {
             Ok((Some(item), at)) => {
                 retry.reset();
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -113,12 +113,19 @@
 }
 
 /// Waits while another host tells this one what the store would.
-pub async fn wait_unfed(host: &host::Host) {
+async fn wait_unfed(host: &host::Host) {
     while host.is_fed() {
         time::sleep(LOOK_FED.duration()).await;
     }
 }
 
+/// Waits while another host tells this one what the store would, or the store does not answer.
+pub async fn wait_well(host: &host::Host) {
+    while host.is_fed() || host.health.is_lost() {
+        time::sleep(LOOK_FED.duration()).await;
+    }
+}
+
 fn watch_time(host: &host::Host) -> clock::Millis {
     clock::Millis((host.settings.times.change.0 as f64 * WATCH_PART) as u64)
 }
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -11,7 +11,7 @@
 /// The longest pause of a host that watches the store for others.
 const MAX_WATCHING: clock::Millis = clock::Millis(1_000);
 /// The longest pause of other hosts: they are fed as soon as one that watches is back.
-const MAX: clock::Millis = clock::Millis(2_000);
+const MAX: clock::Millis = clock::Millis(4_000);
 
 /// A call that is made until it is answered. Each failure doubles the pause before the next one:
 /// refused calls cost as much as others, and all hosts make them.
