A stream's silence is measured against the wait that is usual

Silence is no byte of any answer for 0.6 of the target; a host of 73 has rarely a second stream at an engine, so that it took every wait of 900 ms for silence (p90 of first events then: 1.5 s). Each move spent budget that crashes needed later and read the prompt anew elsewhere.

Now a stream waits at least three times as long as is likely: the time of an idle engine, times the delay seen lately there or usual in its band. One engine that is silent while others are well is left as before.

tests/fleet.rs: the likely wait is ten times the idle one if that is usual; it did not exist.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -12,6 +12,8 @@
 
 /// Tokens of a prompt that an engine reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 112.0;
+/// Time to the first event besides reading, in milliseconds.
+const FIRST_MS: f64 = 50.0;
 /// Weight of a request's own reading against waiting: it takes the engine's time from others.
 const OWN_READING: f64 = 2.0;
 /// Time that one running request adds to a request's first token, in milliseconds.
@@ -119,6 +121,10 @@
     pub address: std::net::SocketAddr,
     /// Tokens that it is expected to read.
     pub unread: u64,
+    /// Time to the first event at an engine without other work.
+    pub expected: clock::Millis,
+    /// The same at this one, as slow as it is taken to be now.
+    pub likely: clock::Millis,
     /// What decided.
     pub reasons: Reasons,
 }
@@ -313,11 +319,15 @@
             cost: cost as u64,
             band: m.band,
         };
+        let expected = FIRST_MS + unread as f64 / READ_TOKENS_PER_MS;
+        let likely = expected * m.delay.expect(&usual, m.band, now);
         Some(Pick {
             reasons,
             name: m.upstream.name.clone(),
             address: m.upstream.address,
             unread,
+            expected: clock::Millis(expected as u64),
+            likely: clock::Millis(likely as u64),
         })
     }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -14,10 +14,9 @@
 const QUEUE: usize = 16;
 /// The shortest silence of an upstream after which a stream goes on elsewhere.
 const MIN_SILENCE: clock::Millis = clock::Millis(500);
-/// Tokens that an engine reads in a millisecond, for the expected time to the first event.
-const READ_TOKENS_PER_MS: u64 = 112;
-/// Time to the first event besides reading, in milliseconds.
-const FIRST_MS: u64 = 50;
+/// How many times as long as is likely a stream waits for its first event at an upstream that gives
+/// no byte of any answer.
+const SILENT_TIMES: u64 = 3;
 
 /// A stream at an upstream, cut into events.
 struct Source {
@@ -136,10 +135,12 @@
     resume: Option<u64>,
 ) -> Result<Begun, refusal::Reason> {
     let pick = serve::next_pick(host, call, tries)?;
-    let unread = pick.unread;
+    let expected = pick.expected;
     let sent = host.now();
     let limit = serve::patience(host, call, tries);
-    let silence = serve::silence(host, call, tries);
+    // While all engines are behind, few of them are heard of by a host of many.
+    let slow = clock::Millis(pick.likely.0 * SILENT_TIMES);
+    let silence = serve::silence(host, call, tries).max(slow);
     let head = match attempt::send(host, call, pick, resume, limit, silence).await {
         attempt::Outcome::Head(head) => head,
         attempt::Outcome::NotRun(failure) => {
@@ -177,8 +178,7 @@
                 let now = host.now();
                 source.running.flight.read();
                 serve::count_begun(host, call, now);
-                let expected = FIRST_MS + unread / READ_TOKENS_PER_MS;
-                let ratio = now.since(sent).0 as f64 / expected as f64;
+                let ratio = now.since(sent).0 as f64 / expected.0 as f64;
                 let name = &source.running.flight.pick.name;
                 host.fleet.borrow_mut().succeed(name, ratio, now);
                 return Ok(Begun::Stream(Box::new((parts, source, event))));
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -148,6 +148,30 @@
     assert_eq!(moved, 0);
 }
 
+/// On a site of many hosts a wait that all engines made long was taken for silence of one of them.
+#[test]
+fn a_wait_is_likely_to_be_as_long_as_is_usual() {
+    let service = name::Service::from("llm");
+    let mut fleet = fleet(12);
+    let parts = parts(1, 2);
+    let pick = |fleet: &fleet::Fleet| {
+        let wish = wish(&service, &parts, band::Band::Other);
+        fleet
+            .choose(&wish, NOW)
+            .map(|p| (p.name, p.expected, p.likely))
+    };
+    let (home, expected, likely) = pick(&fleet).unwrap();
+    assert_eq!(expected, likely);
+    for _ in 0..20 {
+        for name in fleet.names().iter().filter(|n| **n != home) {
+            fleet.succeed(name, 10.0, NOW);
+        }
+    }
+    let (same, expected, likely) = pick(&fleet).unwrap();
+    assert_eq!(same, home, "which was not seen");
+    assert!(likely.0 >= 5 * expected.0, "{likely:?}");
+}
+
 /// What spills to engines of streams with short pauses was chosen without regard to its length.
 #[test]
 fn short_prompts_spill_to_engines_of_short_pauses_before_long_ones() {
@@ -214,6 +238,8 @@
         name: "u0".into(),
         address: ([10, 0, 0, 0], 80).into(),
         unread: 5,
+        expected: clock::Millis(50),
+        likely: clock::Millis(50),
         reasons: fleet::Reasons::default(),
     };
     fleet.begin(&pick, &[], NOW);
