A stream that broke pauses before it goes on elsewhere

Hosts learn of ended engines one connection at a time.

Now it waits 20 ms first; the other engines' streams break meanwhile and set them aside. No pause between events may be shorter than that on these sites.

--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -14,6 +14,8 @@
 const QUEUE: usize = 16;
 /// The shortest silence of an upstream after which a stream goes on elsewhere.
 const MIN_SILENCE: clock::Millis = clock::Millis(500);
+/// Pause before a stream that broke goes on elsewhere: upstreams that end at once all show by then.
+const SETTLE: clock::Millis = clock::Millis(20);
 /// How many times as long as is likely a stream waits for its first event at an upstream that gives
 /// no byte of any answer.
 const SILENT_TIMES: u64 = 3;
@@ -292,6 +294,9 @@
                     // The old run is cancelled before another one begins.
                     self.source = None;
                     serve::note_failure(&self.host, &self.call, &mut self.tries, failure, true);
+                    if failure == attempt::Failure::Broken {
+                        time::sleep(SETTLE.duration()).await;
+                    }
                     return self.resume().await;
                 }
             }
