A try that reached no upstream spends no budget

The second choice was charged to the budget of repeats, which the crash had used up. The bound counts arrivals beyond the first of each request; a connection that was refused is none.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -30,6 +30,8 @@
 pub struct Tries {
     /// Requests sent to upstreams.
     pub sends: u32,
+    /// Of these, those that may have reached one.
+    pub reached: u32,
     /// Of these, those that may have run.
     pub runs: u32,
     /// Where it has been.
@@ -256,10 +258,10 @@
     let Some(pick) = pick else {
         return Err(refusal::Reason::NoUpstream);
     };
+    if tries.reached > 0 && !host.spend(&call.service) {
+        return Err(refusal::Reason::UpstreamFailed);
+    }
     if tries.sends > 0 {
-        if !host.spend(&call.service) {
-            return Err(refusal::Reason::UpstreamFailed);
-        }
         let reason = tries.last.map_or("unknown", attempt::Failure::as_str);
         host.metrics.retried(reason);
     }
@@ -282,6 +284,9 @@
 ) {
     let now = host.now();
     tries.last = Some(failure);
+    if failure != attempt::Failure::Connect {
+        tries.reached += 1;
+    }
     if ran {
         tries.runs += 1;
     }
