A host is built in one place

The program and the tests each listed all 21 fields of a host; a new field had to be added twice. Host::new takes the settings and the surroundings (dialect, store, orders, clock). No behaviour changes.

--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -1,15 +1,12 @@
 //! The command that serves on the users' platform: settings, ports and runtime are put together.
 
-use std::cell;
-use std::collections;
 use std::env;
 use std::path;
 use std::rc;
 
 use adapter::{dialect, duties, settings, store};
 use base::clock;
-use router::{fleet, follow, host, lifecycle, metrics, relay, roster, windows, wire};
-use tokio::sync::watch;
+use router::{host, lifecycle};
 use tokio::task;
 
 use crate::{cli, exit_codes, logs};
@@ -62,28 +59,11 @@
 
 fn build(settings: settings::Settings) -> eyre::Result<host::Host> {
     let name = settings.host.host.clone();
-    let place = settings.host.place.clone();
-    Ok(host::Host {
-        settings: settings.host,
+    let around = host::Surroundings {
         dialect: Box::new(dialect::Dialect),
         store: Box::new(store::Store::new(settings.store)),
         orders: Box::new(duties::Duties::new(settings.duties, name.as_str())),
         clock: clock::Clock::System,
-        boot: rand::random(),
-        config: cell::RefCell::new(None),
-        fleet: cell::RefCell::new(fleet::Fleet::new(place)),
-        listed: cell::Cell::new(false),
-        pool: wire::Pool::default(),
-        budgets: cell::RefCell::new(collections::HashMap::new()),
-        windows: cell::RefCell::new(windows::Counter::default()),
-        demand: cell::RefCell::new(collections::HashMap::new()),
-        roster: cell::RefCell::new(roster::Roster::default()),
-        known: relay::Known::default(),
-        health: follow::Health::default(),
-        holder: cell::Cell::new(None),
-        holds: cell::Cell::new(false),
-        metrics: metrics::Metrics::new()?,
-        phase: watch::Sender::new(host::Phase::Serving),
-        serving: cell::Cell::new(0),
-    })
+    };
+    host::Host::new(settings.host, around)
 }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -61,6 +61,18 @@
     Refusing,
 }
 
+/// What a host is given of its surroundings.
+pub struct Surroundings {
+    /// How heads and entries are read.
+    pub dialect: Box<dyn ports::Dialect>,
+    /// The store.
+    pub store: Box<dyn ports::Store>,
+    /// Orders and reports.
+    pub orders: Box<dyn ports::Orders>,
+    /// Time.
+    pub clock: clock::Clock,
+}
+
 /// One host.
 pub struct Host {
     /// Its settings.
@@ -108,6 +120,38 @@
 }
 
 impl Host {
+    /// A host that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// The exporter of the metrics can't be built.
+    pub fn new(settings: Settings, around: Surroundings) -> eyre::Result<Self> {
+        let place = settings.place.clone();
+        Ok(Self {
+            settings,
+            dialect: around.dialect,
+            store: around.store,
+            orders: around.orders,
+            clock: around.clock,
+            boot: rand::random(),
+            config: cell::RefCell::default(),
+            fleet: cell::RefCell::new(fleet::Fleet::new(place)),
+            listed: cell::Cell::new(false),
+            pool: wire::Pool::default(),
+            budgets: cell::RefCell::default(),
+            windows: cell::RefCell::default(),
+            demand: cell::RefCell::default(),
+            roster: cell::RefCell::default(),
+            known: relay::Known::default(),
+            health: follow::Health::default(),
+            holder: cell::Cell::new(None),
+            holds: cell::Cell::new(false),
+            metrics: metrics::Metrics::new()?,
+            phase: watch::Sender::new(Phase::Serving),
+            serving: cell::Cell::new(0),
+        })
+    }
+
     /// Now.
     pub fn now(&self) -> clock::Millis {
         self.clock.now()
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -9,8 +9,7 @@
 use std::rc;
 
 use base::{clock, finding, name};
-use router::{budget, fleet, follow, host, metrics, model, ports, relay, roster, windows, wire};
-use tokio::sync::watch;
+use router::{budget, fleet, host, model, ports};
 use tokio::{task, time};
 
 pub use store::{Mood, Store};
@@ -301,7 +300,7 @@
     let any = ([127, 0, 0, 1], 0).into();
     let settings = host::Settings {
         host: name.into(),
-        place: place.clone(),
+        place,
         front: any,
         ready: any,
         peer: ([127, 0, 0, 1], peer).into(),
@@ -320,8 +319,7 @@
             late: clock::Millis(2 * window.0),
         },
     };
-    let host = host::Host {
-        settings,
+    let around = host::Surroundings {
         dialect: Box::new(Dialect),
         store: Box::new(Store {
             world: world.clone(),
@@ -334,23 +332,8 @@
             clock: world.clock.clone(),
         }),
         clock: world.clock.clone(),
-        boot: rand::random(),
-        config: cell::RefCell::new(None),
-        fleet: cell::RefCell::new(fleet::Fleet::new(place)),
-        listed: cell::Cell::new(false),
-        pool: wire::Pool::default(),
-        budgets: cell::RefCell::new(collections::HashMap::new()),
-        windows: cell::RefCell::new(windows::Counter::default()),
-        demand: cell::RefCell::new(collections::HashMap::new()),
-        roster: cell::RefCell::new(roster::Roster::default()),
-        known: relay::Known::default(),
-        health: follow::Health::default(),
-        holder: cell::Cell::new(None),
-        holds: cell::Cell::new(false),
-        metrics: metrics::Metrics::new().unwrap(),
-        phase: watch::Sender::new(host::Phase::Serving),
-        serving: cell::Cell::new(0),
     };
+    let host = host::Host::new(settings, around).unwrap();
     Node {
         host: rc::Rc::new(host),
         mood,
