--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -10,46 +10,16 @@
 
 const LEASE_MS: u64 = 3_000;
 
-/// Tokens never fall, two holders never share one, and nobody acts again within a lease after
-/// another one has.
-fn check(world: &env::World) {
-    let calls = world.calls.borrow();
-    let mut holders: collections::HashMap<u64, &str> = collections::HashMap::new();
-    let mut last = 0;
-    for (i, (at, who, token)) in calls.iter().enumerate() {
-        assert!(*token >= last, "token {token} after {last}");
-        last = *token;
-        let holder = holders.entry(*token).or_insert(who);
-        assert_eq!(*holder, who, "token {token} of two holders");
-        let since = calls[..i]
-            .iter()
-            .rev()
-            .take_while(|c| at.since(c.0).0 < LEASE_MS);
-        let others: Vec<&str> = since.map(|c| c.1.as_str()).collect();
-        let other = others.iter().position(|o| o != who);
-        if let Some(other) = other {
-            assert!(
-                !others[other..].contains(&who.as_str()),
-                "{who} acts around another"
-            );
-        }
-    }
-}
-
-fn start(node: &env::Node) -> task::JoinHandle<()> {
-    node.host
-        .windows
-        .borrow_mut()
-        .wall(node.host.now(), node.host.clock.unix());
-    task::spawn_local(duty::run(node.host.clone(), true))
-}
-
 #[test]
 fn the_next_holder_acts_only_after_the_last_one_cannot() {
     env::run(|| async {
         let world = env::World::new();
         let nodes = ["h1", "h2", "h3"].map(|n| env::node(&world, n, 1));
-        let _tasks = [start(&nodes[0]), start(&nodes[1]), start(&nodes[2])];
+        let _tasks = [
+            env::hold(&nodes[0]),
+            env::hold(&nodes[1]),
+            env::hold(&nodes[2]),
+        ];
         for round in 0..12 {
             env::pass(15_000).await;
             let holding: Vec<_> = nodes.iter().filter(|n| n.host.holds.get()).collect();
@@ -62,7 +32,7 @@
             holding[0].mood.set(env::Mood::Well);
         }
         assert!(world.calls.borrow().len() > 20);
-        check(&world);
+        env::check(&world, LEASE_MS);
     });
 }
 
@@ -74,7 +44,11 @@
         world.flight.set(clock::Millis(600));
         let window = clock::Millis(300);
         let nodes = ["h1", "h2", "h3"].map(|n| env::node_with(&world, n, 1, window));
-        let _tasks = [start(&nodes[0]), start(&nodes[1]), start(&nodes[2])];
+        let _tasks = [
+            env::hold(&nodes[0]),
+            env::hold(&nodes[1]),
+            env::hold(&nodes[2]),
+        ];
         for _ in 0..40 {
             env::pass(4_900).await;
             for node in &nodes {
@@ -82,13 +56,13 @@
                     node.host.phase.send_replace(host::Phase::Leaving);
                     env::pass(3_500).await;
                     node.host.phase.send_replace(host::Phase::Serving);
-                    start(node);
+                    env::hold(node);
                     break;
                 }
             }
         }
         assert!(world.calls.borrow().len() > 200);
-        check(&world);
+        env::check(&world, LEASE_MS);
     });
 }
 
@@ -98,7 +72,7 @@
     env::run(|| async {
         let world = env::World::new();
         let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
-        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        let _tasks = [env::hold(&nodes[0]), env::hold(&nodes[1])];
         env::pass(15_000).await;
         let first = usize::from(!nodes[0].host.holds.get());
         world.hold_leases(true);
@@ -114,7 +88,7 @@
         assert!(nodes[first].host.holds.get());
         world.hold_leases(false);
         env::pass(15_000).await;
-        check(&world);
+        env::check(&world, LEASE_MS);
     });
 }
 
@@ -165,14 +139,14 @@
     env::run(|| async {
         let world = env::World::new();
         let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
-        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        let _tasks = [env::hold(&nodes[0]), env::hold(&nodes[1])];
         for round in 0..10 {
             nodes[round % 2].mood.set(env::Mood::LosesAnswers);
             env::pass(6_000).await;
             nodes[round % 2].mood.set(env::Mood::Well);
             env::pass(9_000).await;
         }
-        check(&world);
+        env::check(&world, LEASE_MS);
     });
 }
 
@@ -181,14 +155,14 @@
     env::run(|| async {
         let world = env::World::new();
         let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
-        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        let _tasks = [env::hold(&nodes[0]), env::hold(&nodes[1])];
         env::pass(15_000).await;
         let first = usize::from(!nodes[0].host.holds.get());
         nodes[first].host.phase.send_replace(host::Phase::Leaving);
         env::pass(1_500).await;
         assert!(nodes[1 - first].host.holds.get());
         env::pass(20_000).await;
-        check(&world);
+        env::check(&world, LEASE_MS);
     });
 }
 
@@ -197,7 +171,7 @@
     env::run(|| async {
         let world = env::World::new();
         let nodes = ["h1", "h2"].map(|n| env::node(&world, n, 1));
-        let _tasks = [start(&nodes[0]), start(&nodes[1])];
+        let _tasks = [env::hold(&nodes[0]), env::hold(&nodes[1])];
         let team = name::Team::from("t");
         let writers: Vec<_> = nodes.iter().map(|n| roster::Writer::new(&n.host)).collect();
         for step in 0..240 {
@@ -226,7 +200,7 @@
                 "window {window}"
             );
         }
-        check(&world);
+        env::check(&world, LEASE_MS);
     });
 }
 
@@ -239,7 +213,7 @@
         let team = name::Team::from("t");
         node.host.windows.borrow_mut().counts.count(0, &team);
         env::pass(5_500).await;
-        let _task = start(&node);
+        let _task = env::hold(&node);
         let writer = roster::Writer::new(&node.host);
         for _ in 0..30 {
             env::pass(500).await;
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -9,7 +9,7 @@
 use std::rc;
 
 use base::{clock, finding, name};
-use router::{budget, fleet, host, model, ports};
+use router::{budget, duty, fleet, host, model, ports};
 use tokio::{task, time};
 
 pub use store::{Mood, Store};
@@ -365,3 +365,38 @@
 pub async fn pass(ms: u64) {
     time::sleep(time::Duration::from_millis(ms)).await;
 }
+
+/// Tokens never fall, two holders never share one, and nobody acts again within a lease after
+/// another one has.
+pub fn check(world: &World, lease_ms: u64) {
+    let calls = world.calls.borrow();
+    let mut holders: collections::HashMap<u64, &str> = collections::HashMap::new();
+    let mut last = 0;
+    for (i, (at, who, token)) in calls.iter().enumerate() {
+        assert!(*token >= last, "token {token} after {last}");
+        last = *token;
+        let holder = holders.entry(*token).or_insert(who);
+        assert_eq!(*holder, who, "token {token} of two holders");
+        let since = calls[..i]
+            .iter()
+            .rev()
+            .take_while(|c| at.since(c.0).0 < lease_ms);
+        let others: Vec<&str> = since.map(|c| c.1.as_str()).collect();
+        let other = others.iter().position(|o| o != who);
+        if let Some(other) = other {
+            assert!(
+                !others[other..].contains(&who.as_str()),
+                "{who} acts around another"
+            );
+        }
+    }
+}
+
+/// Lets a host take the duties.
+pub fn hold(node: &Node) -> task::JoinHandle<()> {
+    node.host
+        .windows
+        .borrow_mut()
+        .wall(node.host.now(), node.host.clock.unix());
+    task::spawn_local(duty::run(node.host.clone(), true))
+}
