--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -5,8 +5,7 @@
 use std::collections;
 
 use base::{clock, name};
-use router::{duty, host, roster, usage};
-use tokio::task;
+use router::{host, roster, usage};
 
 const LEASE_MS: u64 = 3_000;
 
