--- a/crates/router/tests/band.rs
+++ b/crates/router/tests/band.rs
@@ -1,26 +1,15 @@
 //! Which engines a route's streams have first claim on.
 
-use base::{clock, name};
+mod env;
+
+use base::clock;
 use router::{band, model};
-use smallvec::smallvec;
 
 fn route(gap_ms: u64, resumable: bool) -> model::Route {
     model::Route {
-        name: "r".to_owned(),
-        host: "h.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: model::Kind::Stream,
         resumable,
-        target: clock::Millis(500),
         gap: Some(clock::Millis(gap_ms)),
-        timeout: clock::Millis(8_000),
-        tier: 0,
-        attempts: 2,
-        public: false,
-        shares: smallvec![model::Share {
-            service: name::Service::from("s"),
-            weight: 1,
-        }],
+        ..env::route()
     }
 }
 
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -10,6 +10,7 @@
 
 use base::{clock, finding, name};
 use router::{budget, duty, fleet, host, model, ports};
+use smallvec::smallvec;
 use tokio::{task, time};
 
 pub use store::{Mood, Store};
@@ -400,3 +401,24 @@
         .wall(node.host.now(), node.host.clock.unix());
     task::spawn_local(duty::run(node.host.clone(), true))
 }
+
+/// A route of streams to the service `s` that may run at two upstreams.
+pub fn route() -> model::Route {
+    model::Route {
+        name: "r".to_owned(),
+        host: "h.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: model::Kind::Stream,
+        resumable: true,
+        target: clock::Millis(500),
+        gap: None,
+        timeout: clock::Millis(8_000),
+        tier: 0,
+        attempts: 2,
+        public: false,
+        shares: smallvec![model::Share {
+            service: name::Service::from("s"),
+            weight: 1,
+        }],
+    }
+}
--- a/crates/router/tests/tiers.rs
+++ b/crates/router/tests/tiers.rs
@@ -1,12 +1,13 @@
 //! How urgent a request is: its team's tier, then its route's.
 
+mod env;
+
 use std::collections;
 use std::rc;
 
 use base::clock;
 use base::name;
 use router::model;
-use smallvec::smallvec;
 
 const LIMITS: model::Limits = model::Limits {
     head: 1_000,
@@ -17,21 +18,9 @@
 
 fn route(tier: u8) -> model::Route {
     model::Route {
-        name: format!("r{tier}"),
-        host: "h.example".to_owned(),
         prefix: format!("/{tier}/"),
-        kind: model::Kind::Stream,
-        resumable: true,
-        target: clock::Millis(500),
-        gap: None,
-        timeout: clock::Millis(8_000),
         tier,
-        attempts: 2,
-        public: false,
-        shares: smallvec![model::Share {
-            service: name::Service::from("s"),
-            weight: 1,
-        }],
+        ..env::route()
     }
 }
 
--- a/crates/router/tests/tries.rs
+++ b/crates/router/tests/tries.rs
@@ -4,27 +4,16 @@
 
 use std::rc;
 
-use base::{clock, name, refusal};
+use base::{clock, refusal};
 use router::{attempt, band, model, ports, serve};
 use smallvec::smallvec;
 
 fn call() -> attempt::Call {
     let route = model::Route {
-        name: "r".to_owned(),
-        host: "h.example".to_owned(),
-        prefix: "/".to_owned(),
         kind: model::Kind::Once,
         resumable: false,
-        target: clock::Millis(500),
-        gap: None,
-        timeout: clock::Millis(2_000),
-        tier: 0,
         attempts: 1,
-        public: false,
-        shares: smallvec![model::Share {
-            service: name::Service::from("s"),
-            weight: 1,
-        }],
+        ..env::route()
     };
     attempt::Call {
         ask: ports::Ask {
