--- a/crates/router/src/band.rs
+++ b/crates/router/src/band.rs
@@ -28,7 +28,7 @@
 const READING_STEP_MS: u64 = 50;
 
 /// A kind of stream, and the engines that it has first claim on.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Band {
     /// Its pauses are too short for an engine that reads long prompts meanwhile.
     Quick,
