--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -9,7 +9,7 @@
 use crate::{document, item, key, log};
 
 /// Configuration items indexed for lookups on the request path.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct View {
     /// Revision of the configuration in the view.
     pub revision: u64,
@@ -21,7 +21,7 @@
 }
 
 /// API key of a team, indexed by digest.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct KeyEntry {
     team: name::Team,
     withdrawn: bool,
--- a/crates/host/src/config_sync.rs
+++ b/crates/host/src/config_sync.rs
@@ -62,7 +62,7 @@
     /// Applies a log entry if it is the next one; returns whether it was applied.
     pub fn advance(&self, context: &context::Context, entry: log::Entry) -> bool {
         let mut state = self.lock();
-        if !context.view_mut().advance(&entry) {
+        if !context.view.update(|view| view.advance(&entry)) {
             return false;
         }
         let revision = entry.revision;
@@ -81,12 +81,16 @@
     pub fn replace(&self, context: &context::Context, new_state: &log::State) {
         let new_view = view::View::new(new_state);
         let mut state = self.lock();
-        let mut view = context.view_mut();
-        if new_view.revision <= view.revision {
+        let replaced = context.view.update(|view| {
+            let newer = new_view.revision > view.revision;
+            if newer {
+                *view = new_view;
+            }
+            newer
+        });
+        if !replaced {
             return;
         }
-        *view = new_view;
-        drop(view);
         state.recent.clear();
         drop(state);
         tracing::info!(event = "config_replaced", revision = new_state.revision);
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -9,7 +9,7 @@
 use policy::usage;
 use ports::store;
 
-use crate::{admission, blocked_keys, directory, ledger, metrics, settings, upstream};
+use crate::{active_view, admission, blocked_keys, directory, ledger, metrics, settings, upstream};
 
 /// Phase of a host for new requests: serving, draining (still serving, but not ready for the load
 /// balancer) or closed.
@@ -52,7 +52,7 @@
     /// Random number that distinguishes this run of the host from its other runs.
     pub incarnation: u64,
     /// Active configuration, indexed for lookups by requests.
-    pub view: sync::RwLock<view::View>,
+    pub view: active_view::ActiveView,
     /// Keys that are blocked and not yet withdrawn in the configuration.
     pub blocked_keys: blocked_keys::BlockedKeys,
     /// Client of the key-value store.
@@ -90,18 +90,9 @@
         self.ready.load(atomic::Ordering::SeqCst)
     }
 
-    /// Locks the active configuration for reading.
-    pub fn view(&self) -> sync::RwLockReadGuard<'_, view::View> {
-        self.view
-            .read()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-    }
-
-    /// Locks the active configuration for a change.
-    pub fn view_mut(&self) -> sync::RwLockWriteGuard<'_, view::View> {
-        self.view
-            .write()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+    /// Snapshot of the active configuration.
+    pub fn view(&self) -> sync::Arc<view::View> {
+        self.view.snapshot()
     }
 
     /// Records a successful contact with the store or a peer.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! Host process of jacinthslip as a library, used by the `jacinthslip` binary, the tests and the
 //! `quickstart` example.
 
+pub mod active_view;
 pub mod admission;
 pub mod autoscaler;
 pub mod blocked_keys;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -12,8 +12,8 @@
 use ports::{accept, hosts, orders, reports, store_http};
 
 use crate::{
-    admission, autoscaler, blocked_keys, cluster, config_sync, context, directory, exit_codes,
-    ledger, metrics, report, server, settings, stop, supervisor, upstream,
+    active_view, admission, autoscaler, blocked_keys, cluster, config_sync, context, directory,
+    exit_codes, ledger, metrics, report, server, settings, stop, supervisor, upstream,
 };
 
 /// Interval at which a draining host checks whether all requests have ended.
@@ -109,7 +109,7 @@
         metrics: metrics::Metrics::new()?,
         upstreams: upstream::HttpClient::new(durations.stall_timeout, durations.response_timeout),
         directory,
-        view: sync::RwLock::default(),
+        view: active_view::ActiveView::default(),
         phase: context::Phase::default(),
         ready: atomic::AtomicBool::new(false),
         last_contact: atomic::AtomicU64::new(clock.now().0),
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -166,7 +166,6 @@
         }
     }
     if model_names.is_empty() {
-        drop(view);
         let refusal = refusal::Refusal::not_run(refusal::Reason::BadKey);
         return responder.refuse(&refusal, &context.metrics);
     }
--- a/crates/host/tests/config.rs
+++ b/crates/host/tests/config.rs
@@ -7,6 +7,8 @@
 use std::fs;
 use std::thread;
 
+use standin::address;
+
 fn apply(site: &env::Site, name: &str, document: &str) -> (i32, String, String) {
     let file = site.dir.join(format!("{name}.yaml"));
     fs::write(&file, document).expect("document");
@@ -151,7 +153,7 @@
     site.apply(&site.document());
     // Nothing listens on the store address of the second host, so it never reaches the store.
     site.start(0);
-    let unused_address = env::free_port().to_string();
+    let unused_address = address::free_address().to_string();
     let file = site.write_settings(1);
     let text = fs::read_to_string(&file).expect("settings");
     let edited = text.replace(&site.store.address.to_string(), &unused_address);
@@ -307,7 +309,7 @@
 fn changes_arrive_although_both_watching_hosts_are_disconnected_from_the_store() {
     let mut site = env::Site::new(&["lalitpur", "lalitpur", "lalitpur"], 1);
     site.apply(&site.document());
-    let unused_address = env::free_port().to_string();
+    let unused_address = address::free_address().to_string();
     for n in 0..2 {
         let file = site.write_settings(n);
         let text = fs::read_to_string(&file).expect("settings");
--- a/crates/host/tests/env/mod.rs
+++ b/crates/host/tests/env/mod.rs
@@ -8,10 +8,11 @@
 use std::net;
 use std::path;
 use std::process;
-use std::sync::atomic;
 use std::thread;
 use std::time;
 
+use standin::address;
+
 /// Shared secret in the settings of every test host; `jacinthctl block` needs it too.
 pub const SECRET: &str = "the-secret-of-the-tests";
 
@@ -98,22 +99,6 @@
     }
 }
 
-/// Unused loopback port below the ephemeral port range of the system. The system could assign a
-/// port of that range to an outgoing connection before the host binds it.
-pub fn free_port() -> net::SocketAddr {
-    static NEXT_OFFSET: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-    const FIRST_PORT: u32 = 15_000;
-    const PORT_COUNT: u32 = 15_000;
-    loop {
-        let n = NEXT_OFFSET.fetch_add(1, atomic::Ordering::SeqCst);
-        let port = FIRST_PORT + (process::id() * 61 + n) % PORT_COUNT;
-        let address = net::SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Path of a program of this workspace, built in the same target folder as the host.
 fn binary_path(name: &str) -> path::PathBuf {
     let host_binary = path::Path::new(env!("CARGO_BIN_EXE_jacinthslip"));
@@ -187,16 +172,19 @@
 impl Site {
     /// Starts the stand-ins. `dcs` has one entry for each host, the name of its data centre.
     pub fn new(dcs: &[&str], engine_count: usize) -> Self {
-        let dir =
-            std::env::temp_dir().join(format!("jacinth-{}-{}", process::id(), free_port().port()));
+        let dir = std::env::temp_dir().join(format!(
+            "jacinth-{}-{}",
+            process::id(),
+            address::free_address().port()
+        ));
         fs::create_dir_all(&dir).expect("folder");
         let mut host_configs = Vec::new();
         for (n, dc) in dcs.iter().enumerate() {
             host_configs.push(HostConfig {
                 name: format!("h{}", n + 1),
                 dc: (*dc).to_owned(),
-                listen: free_port(),
-                peer: free_port(),
+                listen: address::free_address(),
+                peer: address::free_address(),
             });
         }
         Self {
--- a/crates/host/tests/faults.rs
+++ b/crates/host/tests/faults.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time;
 
-use standin::engine;
+use standin::{address, engine};
 
 const MAX_TOKENS: u64 = 40;
 
@@ -329,7 +329,7 @@
 #[test]
 fn request_that_reached_an_upstream_never_reports_not_run() {
     let mut site = env::Site::new(&["lalitpur"], 1);
-    let unreachable = env::free_port();
+    let unreachable = address::free_address();
     let document = site.document();
     let engine_line = document
         .lines()
--- a/crates/host/tests/path.rs
+++ b/crates/host/tests/path.rs
@@ -3,7 +3,7 @@
 
 mod env;
 
-use standin::engine;
+use standin::{address, engine};
 
 #[test]
 fn streamed_response_is_forwarded_and_an_unknown_key_is_refused() {
@@ -98,6 +98,32 @@
     assert_eq!(refused.status, 401);
 }
 
+/// Listing the models once read the configuration twice under one lock, and a change between the
+/// two reads stopped the host for good.
+#[test]
+fn models_are_listed_while_the_configuration_changes() {
+    const CLIENTS: usize = 12;
+    const LISTINGS: usize = 60;
+    const CHANGES: usize = 40;
+    let (site, key) = env::Site::ready(&["lalitpur"], 1);
+    let bearer = format!("Bearer {key}");
+    let url = site.url(0, "/v1/models");
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            scope.spawn(|| {
+                for _ in 0..LISTINGS {
+                    let headers = [("Authorization", bearer.as_str())];
+                    let listed = env::call("GET", &url, &headers, "").expect("models");
+                    assert_eq!(listed.json()["data"][0]["id"], "drafter-7b", "{listed:?}");
+                }
+            });
+        }
+        for _ in 0..CHANGES {
+            site.issue_key("crews");
+        }
+    });
+}
+
 #[test]
 fn public_service_needs_no_key_and_other_services_do() {
     let (site, _key) = env::Site::ready(&["lalitpur"], 1);
@@ -121,7 +147,7 @@
 fn quickstart_serves_the_request_that_it_prints() {
     use std::io::Read as _;
 
-    let listen = env::free_port().to_string();
+    let listen = address::free_address().to_string();
     let host_binary = std::path::Path::new(env!("CARGO_BIN_EXE_jacinthslip"));
     let example = host_binary
         .parent()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! They are used by tests, benchmarks and the quickstart; the router does not depend on them.
 
+pub mod address;
 pub mod engine;
 pub mod faults;
 pub mod http;
