Removed hosts lose their connections; a delta keeps its text; start-up errors name their way out

Links::remove dropped the entry of a host, but the connection held its own send queue and stayed open until its time-out: connections now hold a weak reference, and all queues of a host end with its entry. An older connection of a host still lives on beside a newer one, because two hosts may open one to each other at the same time. A delta with text and other fields was sent without its text: both are sent. Every start-up error advised to free an address: only a failed bind does, with the name of its setting.

--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -395,7 +395,7 @@
     fn client_chunk<'a>(
         &'a self,
         text: &'a str,
-        extra_delta: Option<&'a serde_json::Value>,
+        extra_delta: Option<&'a chunk::ExtraDelta>,
         finish_reason: Option<&'a str>,
         usage: Option<chunk::Usage>,
     ) -> chunk::ClientChunk<'a> {
--- a/crates/host/src/chunk.rs
+++ b/crates/host/src/chunk.rs
@@ -5,7 +5,7 @@
 
 use serde::de;
 use serde::ser;
-use serde::ser::SerializeStruct as _;
+use serde::ser::{SerializeMap as _, SerializeStruct as _};
 
 /// Token counts of a completion as reported by the engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -18,6 +18,9 @@
     pub completion_tokens: u64,
 }
 
+/// Fields of a delta other than `content` and `role`, by name.
+pub type ExtraDelta = serde_json::Map<String, serde_json::Value>;
+
 /// One chunk of a streamed chat completion from an upstream.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Chunk {
@@ -29,9 +32,8 @@
     pub finish_reason: Option<String>,
     /// Token counts; set only in the last chunk, if the engine reports them.
     pub usage: Option<Usage>,
-    /// Fields of the delta other than `content` and `role`, such as tool calls; `None` if there are
-    /// none.
-    pub extra_delta: Option<serde_json::Value>,
+    /// Further fields of the delta, such as tool calls; `None` if there are none.
+    pub extra_delta: Option<ExtraDelta>,
 }
 
 impl<'de> de::Deserialize<'de> for Chunk {
@@ -120,7 +122,7 @@
 #[derive(Default)]
 struct Delta {
     text: String,
-    extra_delta: Option<serde_json::Value>,
+    extra_delta: Option<ExtraDelta>,
 }
 
 impl<'de> de::Deserialize<'de> for Delta {
@@ -154,7 +156,7 @@
         }
         extra_delta.retain(|_, v| !v.is_null());
         if !extra_delta.is_empty() {
-            out.extra_delta = Some(serde_json::Value::Object(extra_delta));
+            out.extra_delta = Some(extra_delta);
         }
         Ok(out)
     }
@@ -168,8 +170,8 @@
     pub model: &'a str,
     /// Text to append to the completion; may be empty.
     pub text: &'a str,
-    /// Delta to send unchanged instead of `text`, for example a tool call.
-    pub extra_delta: Option<&'a serde_json::Value>,
+    /// Fields to send unchanged in the delta beside `text`, for example a tool call.
+    pub extra_delta: Option<&'a ExtraDelta>,
     /// Reason why the completion ended (`finish_reason`); `None` before the last chunk.
     pub finish_reason: Option<&'a str>,
     /// Token counts of the whole completion; `None` before the last chunk.
@@ -197,23 +199,22 @@
     fn serialize<S: ser::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
         let mut out = s.serialize_struct("choice", 3)?;
         out.serialize_field("index", &0)?;
-        match self.0.extra_delta {
-            Some(extra_delta) => out.serialize_field("delta", extra_delta)?,
-            None => out.serialize_field("delta", &ClientDelta(self.0.text))?,
-        }
+        out.serialize_field("delta", &ClientDelta(self.0))?;
         out.serialize_field("finish_reason", &self.0.finish_reason)?;
         out.end()
     }
 }
 
-struct ClientDelta<'a>(&'a str);
+struct ClientDelta<'a>(&'a ClientChunk<'a>);
 
 impl ser::Serialize for ClientDelta<'_> {
     fn serialize<S: ser::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
-        let fields = usize::from(!self.0.is_empty());
-        let mut out = s.serialize_struct("delta", fields)?;
-        if fields > 0 {
-            out.serialize_field("content", self.0)?;
+        let mut out = s.serialize_map(None)?;
+        if !self.0.text.is_empty() {
+            out.serialize_entry("content", self.0.text)?;
+        }
+        for (name, value) in self.0.extra_delta.into_iter().flatten() {
+            out.serialize_entry(name, value)?;
         }
         out.end()
     }
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -57,7 +57,7 @@
     pub fn start(self) -> eyre::Result<Serving> {
         let settings = self.settings;
         let listener = server::Listener::bind(settings.listen)
-            .wrap_err_with(|| format!("can't listen for clients on {}", settings.listen))?;
+            .wrap_err_with(|| bind_failure("clients", settings.listen, "listen"))?;
         let address = listener.address()?;
         let peer = settings.peer_listen;
         let platform = hosts::Http::new(settings.platform_address);
@@ -68,7 +68,7 @@
         let cluster = sync::Arc::new(cluster);
         cluster
             .connect()
-            .wrap_err_with(|| format!("can't listen for other hosts on {peer}"))?;
+            .wrap_err_with(|| bind_failure("other hosts", peer, "peer"))?;
         let root = start_background(&context, &config_sync, &cluster);
         let mut server_threads = supervisor::Supervisor::new("callers");
         let serving = context.clone();
@@ -89,6 +89,13 @@
     }
 }
 
+/// Describes an address that can't be bound; `setting` is the name of its setting.
+fn bind_failure(peers: &str, address: std::net::SocketAddr, setting: &str) -> String {
+    format!(
+        "can't listen for {peers} on {address}; free the address or change '{setting}' in the settings"
+    )
+}
+
 /// Builds the state that all threads of a host share.
 fn new_context(settings: settings::Settings) -> eyre::Result<context::Context> {
     let clock = clock::Clock::System;
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -60,8 +60,6 @@
 }
 
 fn fail(e: &eyre::Report) -> exit_codes::ExitCode {
-    eprintln!(
-        "jacinthslip: {e:#}. Free the address or change it in the settings, then start again."
-    );
+    eprintln!("jacinthslip: {e:#}");
     exit_codes::ExitCode::Failure
 }
--- a/crates/host/tests/path.rs
+++ b/crates/host/tests/path.rs
@@ -124,6 +124,28 @@
     });
 }
 
+/// Every start-up error once advised to free an address, whatever its cause.
+#[test]
+fn a_taken_address_is_reported_with_its_setting() {
+    let site = env::Site::new(&["lalitpur"], 0);
+    let taken = std::net::TcpListener::bind(site.host_configs[0].listen).expect("bind");
+    let file = site.write_settings(0);
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_jacinthslip"));
+    let out = std::process::Command::new(program)
+        .args(["serve", "--settings"])
+        .arg(file)
+        .output()
+        .expect("host");
+    drop(taken);
+    let error = String::from_utf8_lossy(&out.stderr);
+    assert_eq!(out.status.code(), Some(1), "{error}");
+    let address = site.host_configs[0].listen.to_string();
+    assert!(
+        error.contains(&address) && error.contains("'listen'"),
+        "{error}"
+    );
+}
+
 #[test]
 fn public_service_needs_no_key_and_other_services_do() {
     let (site, _key) = env::Site::ready(&["lalitpur"], 1);
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -58,10 +58,14 @@
     dc: name::Dc,
     /// Whether this host opens the connection; otherwise it only accepts one.
     keep_connected: bool,
-    /// Send queue of the open connection; `None` while disconnected.
-    outgoing: Option<mpsc::Sender<message::Message>>,
+    /// Send queues of the open connections, the newest last. A connection ends once its queue is
+    /// dropped. A host that restarted may connect again before its old connection is detected as
+    /// dead.
+    queues: Queues,
 }
 
+type Queues = smallvec::SmallVec<[mpsc::Sender<message::Message>; 2]>;
+
 struct Shared {
     identity: Identity,
     handler: sync::Weak<dyn MessageHandler>,
@@ -137,7 +141,7 @@
             address,
             dc: dc.clone(),
             keep_connected: false,
-            outgoing: None,
+            queues: Queues::new(),
         });
         let address_changed = peer.address != address;
         peer.address = address;
@@ -149,8 +153,7 @@
         self.shared.peers_changed.notify_one();
     }
 
-    /// Stops sending to `host` and reconnecting to it. An open connection is not closed at once; it
-    /// ends when one side has received no data for 6 s.
+    /// Closes the connections to `host` and stops reconnecting to it.
     pub fn remove(&self, host: &name::Host) {
         self.shared.lock().remove(host);
     }
@@ -159,16 +162,16 @@
     /// full; the message is dropped then.
     pub fn send(&self, host: &name::Host, message: message::Message) -> bool {
         let peers = self.shared.lock();
-        let Some(outgoing) = peers.get(host).and_then(|p| p.outgoing.as_ref()) else {
+        let Some(queue) = peers.get(host).and_then(|p| p.queues.last()) else {
             return false;
         };
-        outgoing.try_send(message).is_ok()
+        queue.try_send(message).is_ok()
     }
 
     /// Hosts that are connected at the moment, with their data centres.
     pub fn connected(&self) -> Vec<(name::Host, name::Dc)> {
         let peers = self.shared.lock();
-        let connected = peers.iter().filter(|(_, p)| p.outgoing.is_some());
+        let connected = peers.iter().filter(|(_, p)| !p.queues.is_empty());
         connected
             .map(|(host, p)| (host.clone(), p.dc.clone()))
             .collect()
@@ -221,7 +224,7 @@
     fn hosts_to_dial(&self) -> Vec<(name::Host, net::SocketAddr)> {
         let mut out = Vec::new();
         for (host, peer) in self.lock().iter() {
-            if peer.keep_connected && peer.outgoing.is_none() {
+            if peer.keep_connected && peer.queues.is_empty() {
                 out.push((host.clone(), peer.address));
             }
         }
@@ -429,7 +432,9 @@
 /// Sends and receives messages until the connection ends.
 async fn run_connection(shared: &sync::Arc<Shared>, channel: Channel, hello: auth::Hello) {
     let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
-    register(shared, &hello, sender.clone());
+    // The connection holds no strong reference to its queue, so that [`Links::remove`] ends it.
+    let weak_sender = sender.downgrade();
+    register(shared, &hello, sender);
     let Some(handler) = shared.handler.upgrade() else {
         return;
     };
@@ -442,7 +447,7 @@
         () = writing => {}
         () = reading => {}
     }
-    unregister(shared, &hello.host, &sender);
+    unregister(shared, &hello.host, &weak_sender);
     tracing::info!(event = "peer_closed", host = %hello.host);
     handler.closed(&hello.host);
 }
@@ -453,25 +458,18 @@
         address: net::SocketAddr::from(([0, 0, 0, 0], 0)),
         dc: hello.dc.clone(),
         keep_connected: false,
-        outgoing: None,
+        queues: Queues::new(),
     });
     peer.dc = hello.dc.clone();
-    // Replaces an older connection: a host that restarted may connect again before its old
-    // connection is detected as dead.
-    peer.outgoing = Some(sender);
+    peer.queues.push(sender);
 }
 
-fn unregister(shared: &Shared, host: &name::Host, sender: &mpsc::Sender<message::Message>) {
-    let mut peers = shared.lock();
-    let Some(peer) = peers.get_mut(host) else {
+fn unregister(shared: &Shared, host: &name::Host, sender: &mpsc::WeakSender<message::Message>) {
+    let Some(sender) = sender.upgrade() else {
         return;
     };
-    if peer
-        .outgoing
-        .as_ref()
-        .is_some_and(|queue| queue.same_channel(sender))
-    {
-        peer.outgoing = None;
+    if let Some(peer) = shared.lock().get_mut(host) {
+        peer.queues.retain(|queue| !queue.same_channel(&sender));
     }
 }
 
