Engine stand-in: a slot is free before the end of its response is sent

Cause of '9 answers at once on 8 slots': the stand-in counted a slot as taken until its thread had written the end of the response. The host had the end by then, gave the slot to the next request, and the engine counted nine. Change: the slot is freed before the last bytes are written.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -202,6 +202,17 @@
     fault: Fault,
 }
 
+/// Slot of a running request, free again when dropped. It is dropped before the end of the response
+/// is sent: a client that has the end may send the next request at once.
+struct Slot<'a>(&'a Inner);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.lock().stats.running -= 1;
+        self.0.slot_freed.notify_all();
+    }
+}
+
 impl Inner {
     fn lock(&self) -> sync::MutexGuard<'_, State> {
         self.state
@@ -246,13 +257,18 @@
             .unwrap_or("none")
             .to_owned();
         let generation = start_generation(&chat, id, fault);
-        self.acquire_slot(chat.priority);
+        let slot = self.acquire_slot(chat.priority);
         let completed = if chat.stream {
-            self.respond_stream(request, generation)
+            self.respond_stream(request, generation, slot)
         } else {
-            self.respond_complete(request, generation)
+            self.respond_complete(request, generation, slot)
         };
-        self.release_slot(completed);
+        let mut state = self.lock();
+        match completed {
+            Ok(true) => state.stats.finished += 1,
+            Ok(false) => {}
+            Err(_) => state.stats.cancelled += 1,
+        }
     }
 
     fn record(&self, request: &tiny_http::Request, body: &[u8]) {
@@ -283,7 +299,7 @@
         state.fault
     }
 
-    fn acquire_slot(&self, priority: i64) {
+    fn acquire_slot(&self, priority: i64) -> Slot<'_> {
         let mut state = self.lock();
         state.arrivals += 1;
         let position = (priority, state.arrivals);
@@ -305,18 +321,7 @@
         state.stats.started += 1;
         drop(state);
         self.slot_freed.notify_all();
-    }
-
-    fn release_slot(&self, completed: io::Result<bool>) {
-        let mut state = self.lock();
-        state.stats.running -= 1;
-        match completed {
-            Ok(true) => state.stats.finished += 1,
-            Ok(false) => {}
-            Err(_) => state.stats.cancelled += 1,
-        }
-        drop(state);
-        self.slot_freed.notify_all();
+        Slot(self)
     }
 
     fn pause(&self, generation: &Generation, ms: u64) {
@@ -332,6 +337,7 @@
         &self,
         request: tiny_http::Request,
         generation: Generation,
+        slot: Slot<'_>,
     ) -> io::Result<bool> {
         self.pause(
             &generation,
@@ -348,6 +354,7 @@
                 "message": {"role": "assistant", "content": text}}],
             "usage": usage_json(&generation),
         });
+        drop(slot);
         http::respond_json(request, 200, &response);
         Ok(true)
     }
@@ -356,6 +363,7 @@
         &self,
         request: tiny_http::Request,
         mut generation: Generation,
+        slot: Slot<'_>,
     ) -> io::Result<bool> {
         let peer = request.remote_addr().copied();
         let mut out = request.into_writer();
@@ -377,6 +385,7 @@
             self.lock().stats.tokens += 1;
             self.pause(&generation, self.settings.token_gap_ms);
         }
+        drop(slot);
         http::write_chunk(&mut out, final_event(&generation).as_bytes())?;
         if generation.fault.mode == Mode::CutEnd {
             http::shutdown_connection(peer);
