Grant rates ignore pauses and cancelled queues; missing entries are dropped on time

Cause of the 503 after a dispatcher was frozen: the thawed dispatcher took the time from its last grant before the pause to its first one after it, or to the first one after all waiting requests had been cancelled by their hosts, as the time that a slot takes to become free. It then expected 15 s of wait with free slots and refused requests with 10 s to go. Change: a call more than 500 ms after the last one forgets the rates; a queue that becomes empty by cancelling ends the measured interval.

Cause of the entry that was still listed 3.3 s after an outage: the time for which a missing entry is kept began at the host's first call after the outage, up to 1.25 s after the store's return, and again at each further task that regained the store. Test: 200 outage lengths in virtual time, fails before.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -2,8 +2,11 @@
 //!
 //! A slot request goes to the host that dispatches the service. If that host does not respond
 //! within `DISPATCHER_TIMEOUT`, this host grants slots from its own share of the upstreams. A grant
-//! that arrives too late is returned at once, so two dispatchers that are active at the same time
-//! can delay requests but break no guarantee.
+//! that arrives too late is returned at once.
+//!
+//! While a dispatcher responds, an upstream gets at most as many requests as it has slots. While it
+//! is silent but its grants still run, each other host may add up to its share; the upstream queues
+//! the excess until the next digest of running requests.
 
 use std::collections;
 use std::sync;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -37,6 +37,9 @@
 const REJECTED_DEMAND_PERIOD: clock::Millis = clock::Millis(3_000);
 /// Retry delay sent to clients if no upstream runs; one may have been started by then.
 const NO_UPSTREAM_RETRY_DELAY: clock::Millis = clock::Millis(5_000);
+/// Time between two calls of the dispatcher above which its process was paused. A running host
+/// calls [`Dispatcher::tick`] every few milliseconds.
+const PAUSE_THRESHOLD: clock::Millis = clock::Millis(500);
 /// Maximum number of requests that may wait for one service.
 const MAX_WAITING_REQUESTS: usize = 20_000;
 
@@ -87,6 +90,7 @@
     mean_total_ms: f64,
     mean_ttft_ms: f64,
     counts: DecisionCounts,
+    last_call: clock::Millis,
 }
 
 impl Dispatcher {
@@ -187,6 +191,7 @@
         now: clock::Millis,
         out: &mut Vec<request::Decision>,
     ) {
+        self.record_call(now);
         self.update_class(&request, now);
         if let Some(refusal) = self.refusal_on_arrival(&request, now) {
             self.counts.refused_early += 1;
@@ -219,7 +224,7 @@
 
     /// Removes a waiting request, for example after its client disconnected.
     pub fn cancel(&mut self, ticket: request::Ticket) {
-        let Some(removed) = self.queue.remove(ticket) else {
+        let Some(removed) = self.queue.cancel(ticket) else {
             return;
         };
         if let Some(class) = self.classes.get_mut(&removed.request.class.name) {
@@ -227,6 +232,15 @@
         }
     }
 
+    /// Records a call at `now`. While the process is paused no slot is granted, and a wait that is
+    /// estimated from that time would refuse requests for which there is room.
+    fn record_call(&mut self, now: clock::Millis) {
+        if now.since(self.last_call) > PAUSE_THRESHOLD {
+            self.queue.forget_grant_rates();
+        }
+        self.last_call = now;
+    }
+
     /// Handles the end of a granted request.
     pub fn finish(
         &mut self,
@@ -235,6 +249,7 @@
         now: clock::Millis,
         out: &mut Vec<request::Decision>,
     ) {
+        self.record_call(now);
         let Some(run) = self.running.remove(&ticket) else {
             return;
         };
@@ -306,6 +321,7 @@
     /// Applies the passage of time: refuses overdue requests, grants slots that minimum shares now
     /// claim, and preempts for requests that are about to miss their target.
     pub fn tick(&mut self, now: clock::Millis, out: &mut Vec<request::Decision>) {
+        self.record_call(now);
         self.refuse_overdue(now, out);
         self.grant(now, out);
         self.preempt(now, out);
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -57,6 +57,12 @@
         self.had_waiting = has_waiting;
     }
 
+    /// Records that no request waits any more although none was granted: the time until the next
+    /// grant says nothing about how fast slots become free.
+    fn interrupt(&mut self) {
+        self.had_waiting = false;
+    }
+
     /// Expected time for `count` grants, in milliseconds; 0 if the rate is unknown.
     fn expected_ms(&self, count: usize, now: clock::Millis) -> f64 {
         if now.since(self.last_grant) > GRANT_RATE_TTL {
@@ -233,6 +239,32 @@
         self.tiers.get_mut(&tier)?.remove(&team, ticket)
     }
 
+    /// Removes a request that is not granted; returns `None` if it is not in the queue.
+    pub fn cancel(&mut self, ticket: request::Ticket) -> Option<QueuedRequest> {
+        let (tier, team) = self.locations.get(&ticket)?.clone();
+        let removed = self.remove(ticket);
+        let tier = self.tiers.get_mut(&tier)?;
+        if tier.len == 0 {
+            tier.grant_rate.interrupt();
+        }
+        if let Some(queue) = tier.find(&team)
+            && queue.waiting.is_empty()
+        {
+            queue.grant_rate.interrupt();
+        }
+        removed
+    }
+
+    /// Forgets the grant rates, which a pause of the process has made meaningless.
+    pub fn forget_grant_rates(&mut self) {
+        for tier in self.tiers.values_mut() {
+            tier.grant_rate = GrantRate::default();
+            for queue in tier.active.values_mut().chain(tier.idle.values_mut()) {
+                queue.grant_rate = GrantRate::default();
+            }
+        }
+    }
+
     /// Records that a request of `team` was granted: raises the minimum virtual time of the tier,
     /// updates the grant rates and removes idle teams if there are too many.
     pub fn record_grant(&mut self, tier: u8, team: &name::Team, now: clock::Millis) {
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -5,7 +5,7 @@
 use std::rc;
 
 use base::{clock, name};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::{task, time};
 
 use crate::{backoff, host, model, ports};
@@ -43,7 +43,9 @@
 #[derive(Debug)]
 pub struct StoreHealth {
     lost: [cell::Cell<bool>; 2],
+    /// Time of the first successful call since the latest loss of the store.
     regained_at: cell::Cell<Option<clock::Millis>>,
+    regained: Notify,
     following: cell::Cell<bool>,
     changes: watch::Sender<u64>,
 }
@@ -53,6 +55,7 @@
         Self {
             lost: Default::default(),
             regained_at: cell::Cell::new(None),
+            regained: Notify::new(),
             following: cell::Cell::new(false),
             changes: watch::Sender::new(0),
         }
@@ -70,13 +73,15 @@
         match result {
             Ok(_) => {
                 if lost.replace(false) {
-                    self.regained_at.set(Some(now));
+                    self.regained_at.set(self.regained_at.get().or(Some(now)));
+                    self.regained.notify_waiters();
                     tracing::info!(event = "store_regained", what = target.as_str());
                 }
             }
             Err(ports::StoreError::Compacted) => {}
             Err(e) => {
                 if !lost.replace(true) {
+                    self.regained_at.set(None);
                     tracing::warn!(event = "store_lost", what = target.as_str(), error = %e);
                     self.notify_change();
                 }
@@ -113,13 +118,21 @@
         let _ = time::timeout(CHECK_INTERVAL.duration(), changes.changed()).await;
     }
 
-    /// Whether a missing entry may have expired because of an outage of the store.
-    fn may_reappear(&self, now: clock::Millis) -> bool {
-        self.is_lost()
-            || self
-                .regained_at
-                .get()
-                .is_some_and(|at| now.since(at) < REAPPEAR_PERIOD)
+    /// Waits until the store answers after a loss.
+    pub async fn regained(&self) {
+        self.regained.notified().await;
+    }
+
+    /// Time until which an entry that is missing now may reappear, because it may have expired in an
+    /// outage of the store; `None` if there was no recent outage.
+    fn reappear_deadline(&self, now: clock::Millis) -> Option<clock::Millis> {
+        let regained_at = match self.regained_at.get() {
+            Some(at) => at,
+            None if self.is_lost() => now,
+            None => return None,
+        };
+        let deadline = regained_at + REAPPEAR_PERIOD;
+        (now < deadline).then_some(deadline)
     }
 }
 
@@ -210,7 +223,7 @@
 /// Watches the list of upstreams and applies its changes.
 pub async fn watch_upstreams(host: rc::Rc<host::Host>) {
     let prefix = host.protocol.upstream_prefix().to_owned();
-    let mut backoff = backoff::Backoff::default();
+    let mut backoff = backoff::Backoff::probe();
     loop {
         wait_while_relying_on_peer(&host).await;
         let list = host.store.list(&prefix, false).await;
@@ -276,9 +289,10 @@
 /// removed at once if the store was available, otherwise after the time within which the entry may
 /// reappear.
 fn handle_missing(host: &rc::Rc<host::Host>, key: &str, at: u64) {
-    if !host.store_health.may_reappear(host.now()) {
+    let now = host.now();
+    let Some(deadline) = host.store_health.reappear_deadline(now) else {
         return apply_removal(host, key, at);
-    }
+    };
     let Some(name) = upstream_name(host, key) else {
         return;
     };
@@ -286,7 +300,7 @@
     let host = host.clone();
     let key = key.to_owned();
     task::spawn_local(async move {
-        time::sleep(REAPPEAR_PERIOD.duration()).await;
+        time::sleep(deadline.since(now).duration()).await;
         if host.fleet.borrow().is_missing_since(&name, absence) {
             apply_removal(&host, &key, at);
         }
--- a/crates/router/tests/follow.rs
+++ b/crates/router/tests/follow.rs
@@ -2,6 +2,8 @@
 
 mod env;
 
+use std::ops;
+
 use router::store_watch;
 use tokio::task;
 
@@ -110,6 +112,36 @@
     });
 }
 
+/// Waits of a host drawn at random decide when it first calls the store after an outage. The time
+/// for which it kept a missing entry once began with that call, and ended too late in one run of a
+/// hundred.
+#[test]
+fn entries_missing_after_an_outage_of_any_length_are_dropped_in_time() {
+    const OUTAGES_MS: ops::Range<u64> = 4_000..5_000;
+    const STEP_MS: usize = 5;
+    /// Time after the return of the store within which a live upstream has written its entry.
+    const REAPPEAR_MS: u64 = 1_800;
+    /// Time after the return of the store at which a missing entry is no longer listed.
+    const GONE_MS: u64 = 3_300;
+    for outage_ms in OUTAGES_MS.step_by(STEP_MS) {
+        env::run(|| async move {
+            let cluster = env::Cluster::new();
+            cluster.put("up/a", "ready 1 1");
+            let node = env::node(&cluster, "h", 1);
+            start_watches(&node);
+            env::sleep_ms(50).await;
+            node.store_mode.set(env::StoreMode::Unavailable);
+            cluster.remove("up/a");
+            env::sleep_ms(outage_ms).await;
+            node.store_mode.set(env::StoreMode::Available);
+            env::sleep_ms(REAPPEAR_MS).await;
+            assert_eq!(node.ready_upstreams(), ["a"], "outage of {outage_ms} ms");
+            env::sleep_ms(GONE_MS - REAPPEAR_MS).await;
+            assert_eq!(node.ready_upstreams(), [""; 0], "outage of {outage_ms} ms");
+        });
+    }
+}
+
 #[test]
 fn invalid_entry_does_not_affect_other_upstreams() {
     env::run(|| async {
