Hosts that start together make few calls to the store

Each of the 95 hosts watched the list of upstreams itself until its second read of the registered hosts, 4 s after the start, while the upstreams registered (1,508 calls); each claimed the leadership (three writes and a read) and wrote a report without counts. Change: the first reads of the hosts follow after 0.4, 0.8, 1.6 s; a new host waits 1 s after a batch of changes and before it takes part in the election; a claim comes after a short random watch of the key, so that most see the first one; a process without counts writes none.

--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -37,6 +37,9 @@
     pub timing: Timing,
 }
 
+/// Time after the start within which a host learns of the others and whether to follow one of them.
+pub const DISCOVERY_PERIOD: clock::Millis = clock::Millis(1_000);
+
 /// Deadlines and periods of a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Timing {
@@ -91,6 +94,8 @@
     pub clock: clock::Clock,
     /// Random number that identifies this run of the process.
     pub boot_id: u64,
+    /// When this run of the process began.
+    pub started_at: clock::Millis,
     /// Current configuration; `None` until one has been read.
     pub config: cell::RefCell<Option<rc::Rc<model::Config>>>,
     /// Known upstreams and their load.
@@ -136,6 +141,7 @@
             protocol: dependencies.protocol,
             store: dependencies.store,
             orders: dependencies.orders,
+            started_at: dependencies.clock.now(),
             clock: dependencies.clock,
             boot_id: rand::random(),
             config: cell::RefCell::default(),
@@ -198,6 +204,12 @@
         membership.is_watcher(&self.settings.host, &self.settings.location.dc)
     }
 
+    /// Whether this run began so recently that the host may not know the other hosts yet: all hosts
+    /// of a system may start at the same time.
+    pub fn is_new(&self) -> bool {
+        self.now().since(self.started_at) < DISCOVERY_PERIOD
+    }
+
     /// Whether this host leaves watching the store to others and follows one of them.
     pub fn relies_on_peer(&self) -> bool {
         !self.is_watcher() && self.store_health.is_following()
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -9,6 +9,7 @@
 use std::rc;
 
 use base::{clock, name};
+use rand::Rng as _;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
@@ -25,6 +26,8 @@
 const RENEW_INTERVAL: clock::Millis = clock::Millis(600);
 /// Longest time that one watch call waits for the leader key to be removed.
 const WATCH_TIMEOUT: clock::Millis = clock::Millis(8_000);
+/// Longest random wait before a claim, so that of many hosts one claims and the others see its key.
+const MAX_CLAIM_DELAY: clock::Millis = clock::Millis(400);
 /// Delay after a failed call to the store, or a failed claim, before the next attempt.
 const RETRY_DELAY: clock::Millis = clock::Millis(400);
 /// Safety margin before the end of the lease: this long before it, the lease is treated as expired.
@@ -130,6 +133,9 @@
 /// and gone in that time.
 async fn acquire(host: &host::Host, last_acted: Option<clock::Millis>) -> Leadership {
     let mut backoff = backoff::Backoff::default();
+    while host.is_new() {
+        time::sleep(RETRY_DELAY.duration()).await;
+    }
     loop {
         store_watch::wait_for_store(host).await;
         match host.store.get(STORE_KEY).await {
@@ -139,13 +145,16 @@
                 // After an error the loop reads the key again.
                 let _ = host.store.watch(STORE_KEY, at, WATCH_TIMEOUT).await;
             }
-            Ok((None, _)) => {
+            Ok((None, at)) => {
                 host.leader.set(None);
                 let earliest_claim = last_acted.map_or(clock::Millis::ZERO, |a| {
                     a + host.settings.timing.platform_lease
                 });
                 let wait = CALL_DRAIN_DELAY.max(earliest_claim.since(host.now()));
                 time::sleep(wait.duration()).await;
+                if has_key_within(host, at, random_delay(MAX_CLAIM_DELAY)).await {
+                    continue;
+                }
                 if let Some(leadership) = claim(host).await {
                     return leadership;
                 }
@@ -156,6 +165,19 @@
     }
 }
 
+fn random_delay(max: clock::Millis) -> clock::Millis {
+    clock::Millis(rand::rng().random_range(0..=max.0))
+}
+
+/// Waits for `wait` whether a host creates the leader key after the store's revision `at`. Without
+/// an answer from the store the claim decides.
+async fn has_key_within(host: &host::Host, at: u64, wait: clock::Millis) -> bool {
+    let changes = host.store.watch(STORE_KEY, at, wait).await;
+    changes.is_ok_and(|(events, _)| {
+        matches!(events.last(), Some(ports::WatchEvent::Put(item)) if item.key == STORE_KEY)
+    })
+}
+
 fn record_leader(host: &host::Host, value: &[u8]) {
     match serde_json::from_slice::<LeaderRecord>(value) {
         Ok(record) => host.leader.set(Some(record.peer_address)),
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -25,6 +25,9 @@
 const RENEW_INTERVAL: clock::Millis = clock::Millis(2_000);
 /// Base time between two reads of the registered hosts.
 const READ_INTERVAL: clock::Millis = clock::Millis(4_000);
+/// Time between the first two reads after the start. It doubles with each read: hosts that start at
+/// the same time must learn of each other soon, and none of them is registered at the first read.
+const FIRST_READ_INTERVAL: clock::Millis = clock::Millis(400);
 /// Additional time between two reads for each registered host.
 const READ_INTERVAL_PER_HOST: clock::Millis = clock::Millis(100);
 /// Time for which an observed number of hosts counts: the window of the retry budget, and the same
@@ -396,6 +399,7 @@
 /// Reads the registered hosts repeatedly, for the retry budget and for the choice of the host to
 /// follow.
 pub async fn refresh(host: rc::Rc<host::Host>) {
+    let mut early_pause = FIRST_READ_INTERVAL;
     loop {
         if let Ok((items, _)) = host.store.list(HOSTS_PREFIX, true).await {
             let now = host.now();
@@ -404,6 +408,7 @@
         }
         let hosts = u64::from(host.membership.borrow().host_count());
         let pause = READ_INTERVAL + clock::Millis(READ_INTERVAL_PER_HOST.0 * hosts);
-        time::sleep(pause.duration()).await;
+        time::sleep(pause.min(early_pause).duration()).await;
+        early_pause = early_pause + early_pause;
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -382,6 +382,9 @@
             link = None;
             if remaining_skips > 0 {
                 remaining_skips -= 1;
+            } else if report.windows.0.is_empty() {
+                // A process without counts loses nothing, and at the start of a system no host
+                // knows the leader.
             } else if writer.write(&host, &report).await {
                 skip_count = 0;
             } else {
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -150,6 +150,16 @@
     }
 }
 
+/// Delay after a change before the next watch call. A new host will mostly follow another host soon,
+/// and upstreams that start with it change all the time.
+fn batch_delay(host: &host::Host) -> clock::Millis {
+    if host.is_new() {
+        host::DISCOVERY_PERIOD
+    } else {
+        BATCH_DELAY
+    }
+}
+
 fn watch_timeout(host: &host::Host) -> clock::Millis {
     clock::Millis((host.settings.timing.change_deadline.0 as f64 * WATCH_TIMEOUT_SHARE) as u64)
 }
@@ -248,7 +258,7 @@
                     }
                     host.store_cache.advance_to(at);
                     if changed {
-                        time::sleep(BATCH_DELAY.duration()).await;
+                        time::sleep(batch_delay(&host).duration()).await;
                     }
                 }
                 Err(ports::StoreError::Compacted) => break,
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -50,6 +50,16 @@
         cluster
     }
 
+    /// Number of changes so far.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Whether there is a key with this prefix.
+    pub fn has_prefix(&self, prefix: &str) -> bool {
+        self.items.borrow().keys().any(|k| k.starts_with(prefix))
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -277,6 +287,7 @@
     pub host: rc::Rc<host::Host>,
     pub store_mode: rc::Rc<cell::Cell<StoreMode>>,
     pub refused_calls: rc::Rc<cell::Cell<u32>>,
+    pub watch_calls: rc::Rc<cell::Cell<u32>>,
 }
 
 impl Node {
@@ -309,6 +320,7 @@
 ) -> Node {
     let store_mode = rc::Rc::new(cell::Cell::new(StoreMode::Available));
     let refused_calls = rc::Rc::new(cell::Cell::new(0));
+    let watch_calls = rc::Rc::new(cell::Cell::new(0));
     let location = fleet::Location {
         dc: "a".into(),
         regions: [("a".into(), "r".into())].into(),
@@ -341,6 +353,7 @@
             cluster: cluster.clone(),
             mode: store_mode.clone(),
             refused_calls: refused_calls.clone(),
+            watch_calls: watch_calls.clone(),
         }),
         orders: Box::new(Orders {
             cluster: cluster.clone(),
@@ -354,6 +367,7 @@
         host: rc::Rc::new(host),
         store_mode,
         refused_calls,
+        watch_calls,
     }
 }
 
--- a/crates/router/tests/env/store.rs
+++ b/crates/router/tests/env/store.rs
@@ -26,6 +26,8 @@
     pub mode: rc::Rc<cell::Cell<StoreMode>>,
     /// Number of calls refused to this host.
     pub refused_calls: rc::Rc<cell::Cell<u32>>,
+    /// Number of watch calls of this host.
+    pub watch_calls: rc::Rc<cell::Cell<u32>>,
 }
 
 impl Store {
@@ -105,6 +107,7 @@
         wait: clock::Millis,
     ) -> ports::LocalFuture<'a, Result<(Vec<ports::WatchEvent>, u64), ports::StoreError>> {
         Box::pin(async move {
+            self.watch_calls.set(self.watch_calls.get() + 1);
             let end = self.cluster.clock.now() + wait;
             loop {
                 self.check_available()?;
