One host per data centre watches the store where there are six or more

Change: each data centre has one watching host once that makes six or more, two before. A follower may follow any of them, so the loss of one costs its followers a reconnect. Test: five sizes up to 22 data centres.

--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -35,8 +35,12 @@
 const HOST_COUNT_PERIOD: clock::Millis = clock::Millis(20_000);
 /// Time for which a reported demand counts.
 const DEMAND_TTL: clock::Millis = clock::Millis(3_500);
-/// Number of hosts of a data centre that watch the store; the other hosts of it follow them.
-const WATCHERS_PER_DC: usize = 2;
+/// Largest number of hosts of a data centre that watch the store; the other hosts follow a watching
+/// host of any data centre.
+const MAX_WATCHERS_PER_DC: usize = 2;
+/// Number of watching hosts in all data centres above which each data centre has only one. A
+/// watching host makes the same calls whatever the number of hosts that follow it.
+const ENOUGH_WATCHERS: usize = 6;
 /// The newest interval has a weight of one part in this many in the moving averages of the demand.
 const SMOOTHING_DIVISOR: f64 = 3.0;
 
@@ -130,6 +134,7 @@
 #[derive(Debug, Default)]
 pub struct Membership {
     registered: Vec<Registration>,
+    watchers_per_dc: usize,
     host_counts: collections::VecDeque<(clock::Millis, u32)>,
     reports: collections::HashMap<(name::Host, u64), (HostReport, clock::Millis)>,
 }
@@ -147,6 +152,10 @@
             }
         }
         self.registered.sort_by(|a, b| a.host.cmp(&b.host));
+        let dcs: collections::HashSet<_> = self.registered.iter().map(|r| &r.dc).collect();
+        self.watchers_per_dc = ENOUGH_WATCHERS
+            .div_ceil(dcs.len().max(1))
+            .clamp(1, MAX_WATCHERS_PER_DC);
         self.host_counts
             .push_back((now, self.registered.len() as u32));
         while self
@@ -169,11 +178,11 @@
             .max(1)
     }
 
-    /// Whether `host` watches the store itself: the first `WATCHERS_PER_DC` hosts of each data
-    /// centre in the order of their names do, and every host that is not registered.
+    /// Whether `host` watches the store itself: the first one or two hosts of each data centre in the
+    /// order of their names do, and every host that is not registered.
     pub fn is_watcher(&self, host: &name::Host, dc: &name::Dc) -> bool {
         let in_dc = self.registered.iter().filter(|p| p.dc == *dc);
-        !in_dc.skip(WATCHERS_PER_DC).any(|p| p.host == *host)
+        !in_dc.skip(self.watchers_per_dc).any(|p| p.host == *host)
     }
 
     /// Addresses at which all registered hosts accept connections from other hosts.
--- a/crates/router/tests/start.rs
+++ b/crates/router/tests/start.rs
@@ -5,8 +5,8 @@
 
 use std::rc;
 
-use base::name;
-use router::{host, membership, relay, store_watch};
+use base::{clock, name};
+use router::{host, membership, ports, relay, store_watch};
 use tokio::task;
 
 const HOSTS: u16 = 40;
@@ -58,6 +58,41 @@
     });
 }
 
+/// Every watching host makes the same calls, so their number must not grow with that of the hosts.
+#[test]
+fn watching_hosts_are_few_and_spread_over_the_data_centres() {
+    for (dcs, hosts_per_dc, watchers_per_dc) in
+        [(1, 4, 2), (3, 2, 2), (3, 9, 2), (6, 16, 1), (22, 18, 1)]
+    {
+        let mut items = Vec::new();
+        for dc in 0..dcs {
+            for n in 0..hosts_per_dc {
+                let registration = membership::Registration {
+                    host: format!("h{dc}-{n}").as_str().into(),
+                    dc: format!("dc{dc}").as_str().into(),
+                    peer_address: ([127, 0, 0, 1], 1).into(),
+                };
+                items.push(ports::Item {
+                    key: format!("hosts/{dc}-{n}"),
+                    value: serde_json::to_vec(&registration).expect("json"),
+                    revision: 1,
+                    created: 1,
+                });
+            }
+        }
+        let mut membership = membership::Membership::default();
+        membership.update_hosts(&items, clock::Millis::ZERO);
+        for dc in 0..dcs {
+            let is_watcher = |n: &i32| {
+                let host = name::Host::from(format!("h{dc}-{n}").as_str());
+                membership.is_watcher(&host, &format!("dc{dc}").as_str().into())
+            };
+            let watchers = (0..hosts_per_dc).filter(is_watcher).count();
+            assert_eq!(watchers, watchers_per_dc, "{dcs} data centres");
+        }
+    }
+}
+
 /// Upstreams that start with the hosts change their entries all the time, and a new host once made
 /// a watch call for each batch of changes before it knew whether another host watches for it.
 #[test]
