A new leader waits for all registered hosts before it seals a window

The new leader knew the reports of the few hosts that had written theirs into the store and took them for all; nothing made it wait for the others. Ruled out: lost reports (each repeats all counts), a second report of the window. Change: every registered host must have reported, or the window waits until it must be sealed. Test: fails before.

--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -239,17 +239,20 @@
         self.reports.values().map(|(e, _)| e.clone()).collect()
     }
 
-    /// Whether every host with a report since `since` has reported its counts up to `at`. Of a host
-    /// that restarted, the latest report of any of its processes decides.
+    /// Whether every registered host, and every host with a report since `since`, has reported its
+    /// counts up to `at`. Of a host that restarted, the latest report of any of its processes
+    /// decides. A new leader has the reports of few hosts, so it must not go by them alone.
     pub fn is_reported_up_to(&self, since: u64, at: u64) -> bool {
         let mut latest: collections::HashMap<&name::Host, u64> = collections::HashMap::new();
         for (report, _) in self.reports.values() {
             let reported_up_to = latest.entry(&report.host).or_default();
             *reported_up_to = report.counted_until.max(*reported_up_to);
         }
-        latest
-            .values()
-            .all(|reported_up_to| *reported_up_to >= at || *reported_up_to < since)
+        let is_reported = |p: &Registration| latest.get(&p.host).is_some_and(|at| *at >= since);
+        self.registered.iter().all(is_reported)
+            && latest
+                .values()
+                .all(|reported_up_to| *reported_up_to >= at || *reported_up_to < since)
     }
 
     /// Forgets processes that counted no request since this window.
--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -5,7 +5,7 @@
 use std::collections;
 
 use base::{clock, name};
-use router::{host, membership, usage};
+use router::{host, membership, ports, usage};
 
 const LEASE_MS: u64 = 3_000;
 
@@ -140,6 +140,38 @@
     );
 }
 
+/// A new leader had the reports of two hosts of ninety-five, took them for all, and sealed a window
+/// with half of its requests 40 ms after its election (incident 1877 of the large deployment).
+#[test]
+fn a_window_waits_for_registered_hosts_that_a_new_leader_has_not_heard_of() {
+    let registration = |host: &str| ports::Item {
+        key: format!("hosts/{host}"),
+        value: serde_json::to_vec(&membership::Registration {
+            host: host.into(),
+            dc: "a".into(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+        })
+        .expect("json"),
+        revision: 1,
+        created: 1,
+    };
+    let report = |host: &str| membership::HostReport {
+        host: host.into(),
+        boot_id: 1,
+        counted_until: 12,
+        windows: router::windows::WindowCounts::default(),
+        demand: collections::BTreeMap::new(),
+    };
+    let mut membership = membership::Membership::default();
+    membership.update_hosts(&["h1", "h2"].map(registration), clock::Millis(1));
+    membership.record_report(report("h1"), clock::Millis(1));
+    assert!(!membership.is_reported_up_to(0, 11));
+    membership.record_report(report("h2"), clock::Millis(2));
+    assert!(membership.is_reported_up_to(0, 11));
+    membership.record_report(report("h3"), clock::Millis(2));
+    assert!(!membership.is_reported_up_to(0, 13));
+}
+
 #[test]
 fn lost_responses_leave_one_leader() {
     env::run(|| async {
