A stopping host hands over its counts to all hosts at once and ends in time

Cause: after its last connection, or 500 ms before the kill, a stopping host wrote its counts and then connected to each watching host in turn; one that was down cost 400 ms, one that was silent 1,200 ms, so hosts that stopped while others were down were killed at the end of the grace time. Change: the write and all hand-overs run side by side and are left unfinished 100 ms before the kill, with a line.

--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -16,8 +16,11 @@
 /// closed.
 const CLOSING_PERIOD: clock::Millis = clock::Millis(500);
 /// Safety margin before the process is killed: this long before it, the process stops waiting for
-/// requests and ends by itself.
+/// requests and passes on what others need of it.
 const KILL_MARGIN: clock::Millis = clock::Millis(500);
+/// Time before the process is killed at which it ends by itself, whether or not the store and other
+/// hosts have answered.
+const EXIT_MARGIN: clock::Millis = clock::Millis(100);
 /// Time between checks whether all connections have ended during shutdown.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(50);
 /// Time between two removals of expired idle connections from the pool.
@@ -139,10 +142,19 @@
     while host.open_connections.get() > 0 && host.now() < deadline {
         time::sleep(CHECK_INTERVAL.duration()).await;
     }
-    if host.now() > written_at {
-        writer.write(host, &writer.report(host)).await;
+    let exit_at = begin + clock::Millis(host.settings.timing.shutdown_grace.since(EXIT_MARGIN).0);
+    let farewell = async {
+        let write = async {
+            if host.now() > written_at {
+                writer.write(host, &writer.report(host)).await;
+            }
+        };
+        tokio::join!(write, relay::hand_over(host, writer));
+    };
+    let time_left = exit_at.since(host.now());
+    if time::timeout(time_left.duration(), farewell).await.is_err() {
+        tracing::warn!(event = "farewell_unfinished", time_left_ms = time_left.0);
     }
-    relay::hand_over(host, writer).await;
     let remaining = host.open_connections.get();
     tracing::info!(event = "stopped", connections = remaining);
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -398,24 +398,26 @@
 }
 
 /// Sends this host's counts, and all reports that it received, to the hosts that may become leader
-/// next.
+/// next, to all of them at once: a stopping host has no time to wait for each that does not answer.
 pub async fn hand_over(host: &host::Host, writer: &membership::ReportWriter) {
     host.membership
         .borrow_mut()
         .record_report(writer.report(host), host.now());
-    let reports = host.membership.borrow().reports();
-    let mut receivers = 0;
+    let reports = rc::Rc::new(host.membership.borrow().reports());
     let watchers = host.membership.borrow().watcher_addresses();
+    let mut sending = task::JoinSet::new();
     for address in watchers {
-        if address != host.settings.peer_address && send_reports_to(address, &reports).await.is_ok()
-        {
-            receivers += 1;
+        if address == host.settings.peer_address {
+            continue;
         }
+        let reports = reports.clone();
+        sending.spawn_local(async move { send_reports_to(address, &reports).await });
     }
+    let results = sending.join_all().await;
     tracing::info!(
         event = "counts_handed_over",
         entries = reports.len(),
-        hosts = receivers
+        hosts = results.iter().filter(|r| r.is_ok()).count()
     );
 }
 
--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay.rs
@@ -130,6 +130,46 @@
     });
 }
 
+/// Hosts that were down at the same time once cost a stopping host a time-out each, one after the
+/// other, and it was killed before it ended.
+#[test]
+fn hosts_that_do_not_answer_delay_the_hand_over_once() {
+    const SILENT_HOSTS: usize = 6;
+    /// The longest wait for one host: its connection and its acknowledgement.
+    const MAX_WAIT_MS: u64 = 1_300;
+    env::run(|| async {
+        let cluster = env::Cluster::new();
+        let stopping = env::node(&cluster, "stopping", 1);
+        // The system accepts the connections, and no process answers on them.
+        let silent: Vec<_> = (0..SILENT_HOSTS)
+            .map(|_| net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port"))
+            .collect();
+        let item = |(n, listener): (usize, &net::TcpListener)| ports::Item {
+            key: format!("hosts/s{n}"),
+            value: serde_json::to_vec(&membership::Registration {
+                host: format!("s{n}").as_str().into(),
+                dc: format!("dc{n}").as_str().into(),
+                peer_address: listener.local_addr().expect("local address"),
+            })
+            .expect("serialize"),
+            revision: 1,
+            created: 1,
+        };
+        let items: Vec<_> = silent.iter().enumerate().map(item).collect();
+        let now = stopping.host.now();
+        stopping
+            .host
+            .membership
+            .borrow_mut()
+            .update_hosts(&items, now);
+        let writer = membership::ReportWriter::new(&stopping.host);
+        let begin = time::Instant::now();
+        relay::hand_over(&stopping.host, &writer).await;
+        let waited = begin.elapsed().as_millis() as u64;
+        assert!(waited <= MAX_WAIT_MS, "{waited} ms of simulated time");
+    });
+}
+
 #[test]
 fn stopping_host_hands_over_its_counts_and_received_reports() {
     env::run_real_time(|| async {
