Streams at working engines are not given up for stalled

Cause: a stream that waited 0.6 of its latency target for data was given up, although a host among many hears from an engine rarely. Change: an attempt is given up as stalled only while the budget allows another; a stream waits 1.5 of its target and eight times the likely latency for its first event; dead peers are found by the kernel (user time-out 1 s instead of 3, keep-alive probes each second). Pattern of load: a burst under which engines answer late and the budget is spent (router/tests/tries.rs, fails before); the two constants have no test of their own.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -176,6 +176,7 @@
 /// accounts.
 pub struct InFlight {
     host: rc::Rc<host::Host>,
+    service: name::Service,
     /// Upstream that the request was sent to.
     pub selection: fleet::Selection,
     /// When the request was sent.
@@ -192,6 +193,7 @@
             .record_sent(&selection, &call.meta.prompt_parts, now);
         Self {
             host: host.clone(),
+            service: call.service.clone(),
             selection,
             sent_at: now,
             prompt_pending: cell::Cell::new(true),
@@ -216,13 +218,17 @@
     }
 
     /// Waits until no response bytes of any request have arrived from the upstream for
-    /// `stall_timeout`.
+    /// `stall_timeout` and the retry budget allows another attempt. Without one the request is
+    /// better off where it is: an upstream under load may still send its response.
     pub async fn wait_for_stall(&self, stall_timeout: clock::Millis) {
         loop {
             let since = self.host.now();
             time::sleep(stall_timeout.duration()).await;
-            let fleet = self.host.fleet.borrow();
-            if !fleet.has_data_since(&self.selection.name, since) {
+            let has_data = {
+                let fleet = self.host.fleet.borrow();
+                fleet.has_data_since(&self.selection.name, since)
+            };
+            if !has_data && self.host.can_retry(&self.service) {
                 return;
             }
         }
--- a/crates/router/src/http_client.rs
+++ b/crates/router/src/http_client.rs
@@ -14,7 +14,9 @@
 use tokio::{net as tokio_net, task, time};
 
 /// Time for which sent bytes may stay unacknowledged before the kernel resets the connection.
-const TCP_USER_TIMEOUT: clock::Millis = clock::Millis(3_000);
+const TCP_USER_TIMEOUT: clock::Millis = clock::Millis(1_000);
+/// Time without bytes after which the kernel probes a connection, and time between two probes.
+const KEEPALIVE_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// Safety margin before the idle timeout announced by the server: a connection that is this close
 /// to it is not used any more.
 const IDLE_MARGIN: clock::Millis = clock::Millis(500);
@@ -118,6 +120,10 @@
     // Discards unsent bytes when the connection is dropped, so that they do not arrive after the
     // request was cancelled.
     socket.set_linger(Some(std::time::Duration::ZERO))?;
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL.duration())
+        .with_interval(KEEPALIVE_INTERVAL.duration());
+    socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT.duration()))
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -19,9 +19,9 @@
 const NOT_READY_RETRY_DELAY: clock::Millis = clock::Millis(1_000);
 /// Share of the route's latency target after which a plain request is retried at another upstream.
 const PLAIN_TIMEOUT_SHARE: f64 = 0.6;
-/// Share of the route's latency target after which an upstream that sends no data counts as
-/// stalled.
-const STALL_TIMEOUT_SHARE: f64 = 0.6;
+/// Share of the route's latency target after which an upstream that sends no data for a plain
+/// request counts as stalled.
+const PLAIN_STALL_SHARE: f64 = 0.6;
 /// Time that a client is assumed to wait if the request states no deadline.
 const DEFAULT_CLIENT_TIMEOUT: clock::Millis = clock::Millis(60_000);
 /// Time before the client's deadline at which a response ends, so that it can reach the client.
@@ -414,17 +414,18 @@
     ))
 }
 
-/// How long the upstream may send no data before the attempt is aborted. The route's timeout if the
-/// request can't be retried.
+/// How long the upstream may send no data before the attempt is aborted: `share` of the route's
+/// latency target, or the route's timeout if the request can't be retried.
 pub fn stall_timeout(
     host: &host::Host,
     call: &attempt::Call,
     history: &AttemptHistory,
+    share: f64,
 ) -> clock::Millis {
     if !may_retry(host, call, history) {
         return call.route.timeout;
     }
-    clock::Millis((call.route.latency_target.0 as f64 * STALL_TIMEOUT_SHARE) as u64)
+    clock::Millis((call.route.latency_target.0 as f64 * share) as u64)
 }
 
 /// Serves a request whose response is buffered and then sent as a whole.
@@ -441,7 +442,7 @@
         };
         let sent_at = host.now();
         let timeout = attempt_timeout(host, call, &history);
-        let stall_timeout = stall_timeout(host, call, &history);
+        let stall_timeout = stall_timeout(host, call, &history, PLAIN_STALL_SHARE);
         let attempt = attempt::send(
             host,
             call,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -18,9 +18,11 @@
 /// Delay before a broken stream is resumed, so that other upstreams that fail at the same moment
 /// are known by then.
 const RESUME_DELAY: clock::Millis = clock::Millis(20);
-/// An upstream counts as stalled if it sends no data for this multiple of its likely latency while
-/// a stream waits for its first event.
-const STALL_TIMEOUT_FACTOR: u64 = 3;
+/// An upstream counts as stalled if it sends no data for this share of the route's latency target
+/// and this multiple of its likely latency while a stream waits for its first event. A dead upstream
+/// is found earlier, by the kernel.
+const FIRST_EVENT_STALL_SHARE: f64 = 1.5;
+const FIRST_EVENT_STALL_FACTOR: u64 = 8;
 
 /// A stream from an upstream, parsed into events.
 struct EventSource {
@@ -156,8 +158,9 @@
     let timeout = serve::attempt_timeout(host, call, history);
     // Under general load, a host among many receives data from few of the engines, so a wait that
     // is as long as the likely latency does not indicate a stall.
-    let slow_start = clock::Millis(selection.likely_latency.0 * STALL_TIMEOUT_FACTOR);
-    let stall_timeout = serve::stall_timeout(host, call, history).max(slow_start);
+    let slow_start = clock::Millis(selection.likely_latency.0 * FIRST_EVENT_STALL_FACTOR);
+    let stall_timeout =
+        serve::stall_timeout(host, call, history, FIRST_EVENT_STALL_SHARE).max(slow_start);
     let head =
         match attempt::send(host, call, selection, last_event_id, timeout, stall_timeout).await {
             attempt::Outcome::Response(head) => head,
--- a/crates/router/tests/tries.rs
+++ b/crates/router/tests/tries.rs
@@ -2,10 +2,11 @@
 
 mod env;
 
+use std::net;
 use std::rc;
 
 use base::{clock, refusal};
-use router::{attempt, model, ports, serve, stream_class};
+use router::{attempt, fleet, model, ports, serve, stream_class};
 use smallvec::smallvec;
 
 fn call() -> attempt::Call {
@@ -68,6 +69,42 @@
     serve::select_upstream(&node.host, &call, &mut history).map(|_| ())
 }
 
+/// Failure of an attempt at an upstream that accepts the request and never answers.
+async fn attempt_at_silent_upstream(is_budget_spent: bool) -> Option<attempt::Failure> {
+    const STALL_TIMEOUT_MS: u64 = 900;
+    const TIMEOUT_MS: u64 = 5_000;
+    let node = node();
+    let call = call();
+    // The system accepts the connection, and no process answers on it.
+    let silent = net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    if is_budget_spent {
+        while node.host.spend_retry(&call.service) {}
+    }
+    let mut history = serve::AttemptHistory::default();
+    let selection = serve::select_upstream(&node.host, &call, &mut history).expect("upstream");
+    let selection = fleet::Selection {
+        address: silent.local_addr().expect("local address"),
+        ..selection
+    };
+    let (timeout, stall) = (clock::Millis(TIMEOUT_MS), clock::Millis(STALL_TIMEOUT_MS));
+    match attempt::send(&node.host, &call, selection, None, timeout, stall).await {
+        attempt::Outcome::MayHaveRun(failure) => Some(failure),
+        attempt::Outcome::NotRun(_) | attempt::Outcome::Response(_) => None,
+    }
+}
+
+/// Load of the pattern: a burst under which engines answer late and the retry budget is spent. Each
+/// request that had waited for the stall time-out was then cancelled at its engine and refused.
+#[test]
+fn a_silent_attempt_is_given_up_only_while_another_is_possible() {
+    env::run(|| async {
+        let failure = attempt_at_silent_upstream(false).await;
+        assert_eq!(failure, Some(attempt::Failure::Stalled));
+        let failure = attempt_at_silent_upstream(true).await;
+        assert_eq!(failure, Some(attempt::Failure::Timeout));
+    });
+}
+
 /// Guards against refused connections spending the retry budget. When several upstreams stopped,
 /// the budget was then used up, and requests that had reached no upstream were refused.
 #[test]
