The first leader of a system is elected without a wait

Change: no wait before the election; at the first start of a system, within its first second, no wait for calls of an earlier leader either, since its lease of 2 s would still hold.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -81,7 +81,7 @@
     let mut last_acted = (!first_start).then(|| host.now());
     loop {
         let leadership = tokio::select! {
-            leadership = acquire(&host, last_acted) => leadership,
+            leadership = acquire(&host, last_acted, first_start) => leadership,
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
         };
         let token = leadership.token;
@@ -131,11 +131,12 @@
 /// Waits until no host is leader, then claims the leadership. It does not claim within the
 /// platform's lease time since this host last acted as leader, because another leader may have come
 /// and gone in that time.
-async fn acquire(host: &host::Host, last_acted: Option<clock::Millis>) -> Leadership {
+async fn acquire(
+    host: &host::Host,
+    last_acted: Option<clock::Millis>,
+    first_start: bool,
+) -> Leadership {
     let mut backoff = backoff::Backoff::default();
-    while host.is_new() {
-        time::sleep(RETRY_DELAY.duration()).await;
-    }
     loop {
         store_watch::wait_for_store(host).await;
         match host.store.get(STORE_KEY).await {
@@ -150,7 +151,14 @@
                 let earliest_claim = last_acted.map_or(clock::Millis::ZERO, |a| {
                     a + host.settings.timing.platform_lease
                 });
-                let wait = CALL_DRAIN_DELAY.max(earliest_claim.since(host.now()));
+                // The lease of a leader that came and went since this first start of the system
+                // would still hold, so no calls can be in flight.
+                let drain_delay = if first_start && host.is_new() {
+                    clock::Millis::ZERO
+                } else {
+                    CALL_DRAIN_DELAY
+                };
+                let wait = drain_delay.max(earliest_claim.since(host.now()));
                 time::sleep(wait.duration()).await;
                 if has_key_within(host, at, random_delay(MAX_CLAIM_DELAY)).await {
                     continue;
