A leader that stops in its first second leaves its key until its calls have arrived

Cause: since new hosts of a first start do not wait for calls of an earlier leader, one that is stopped within a second of the start could release its key with a call in flight, and the next leader's call could arrive before it. Change: such a leader waits the time of its calls before it releases the key. Test: the key is still there 50 ms before that time and gone 50 ms after it; fails before.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -97,6 +97,10 @@
         host.is_leader.set(false);
         host.leader.set(None);
         tracing::info!(event = "duties_left", token, why);
+        if host.is_new() {
+            // Hosts that are as new do not wait for calls in flight, see `acquire`.
+            time::sleep(CALL_DRAIN_DELAY.duration()).await;
+        }
         let released = host.store.release_lease(leadership.lease).await;
         if let Err(e) = released {
             tracing::warn!(event = "lease_not_released", token, error = e.as_str());
@@ -151,8 +155,8 @@
                 let earliest_claim = last_acted.map_or(clock::Millis::ZERO, |a| {
                     a + host.settings.timing.platform_lease
                 });
-                // The lease of a leader that came and went since this first start of the system
-                // would still hold, so no calls can be in flight.
+                // The key of a leader that was lost since this first start of the system would still
+                // be there, and one that stopped has waited for its calls.
                 let drain_delay = if first_start && host.is_new() {
                     clock::Millis::ZERO
                 } else {
--- a/crates/router/tests/start.rs
+++ b/crates/router/tests/start.rs
@@ -6,7 +6,7 @@
 use std::rc;
 
 use base::{clock, name};
-use router::{host, membership, ports, relay, store_watch};
+use router::{host, leader, membership, ports, relay, store_watch};
 use tokio::task;
 
 const HOSTS: u16 = 40;
@@ -135,3 +135,23 @@
         assert!(stored());
     });
 }
+
+/// New hosts do not wait for calls of an earlier leader, so a new leader that stops must leave the
+/// key in place until its calls have arrived.
+#[test]
+fn a_new_leader_that_stops_releases_its_key_after_its_calls() {
+    env::run(|| async {
+        let cluster = env::Cluster::new();
+        let node = env::node(&cluster, "h", 1);
+        env::run_leader_election(&node);
+        while !node.host.is_leader.get() {
+            env::sleep_ms(5).await;
+        }
+        assert!(node.host.is_new());
+        node.host.phase.send_replace(host::Phase::Unready);
+        env::sleep_ms(leader::CALL_DRAIN_DELAY.0 - 50).await;
+        assert!(cluster.has_prefix(leader::STORE_KEY));
+        env::sleep_ms(100).await;
+        assert!(!cluster.has_prefix(leader::STORE_KEY));
+    });
+}
