Logs: bytes relayed to followers, followers that are slow to take updates

The lines told neither what a host relays nor how long a follower waits for it, so a full link could not be told from a source that does not know the change. follower_slow has both, peer_lost and peer_left the bytes of that connection, config_in_force the size of the configuration; the counter relayed_bytes_total the sum. No decision changes.

--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -21,12 +21,18 @@
 pub struct Closed;
 
 /// Sending half of a stream.
-pub struct Sender(h2::SendStream<Bytes>);
+pub struct Sender {
+    stream: h2::SendStream<Bytes>,
+    /// Bytes of all messages sent so far.
+    pub sent_bytes: u64,
+}
 
 /// Receiving half of a stream.
 pub struct Receiver {
     body: h2::RecvStream,
     reader: frame::Reader,
+    /// Bytes received so far.
+    pub received_bytes: u64,
 }
 
 /// Message stream to or from another host. Dropping it closes the stream.
@@ -47,6 +53,13 @@
 }
 
 impl Sender {
+    fn new(stream: h2::SendStream<Bytes>) -> Self {
+        Self {
+            stream,
+            sent_bytes: 0,
+        }
+    }
+
     /// Sends one message, as fast as the other host's flow control allows.
     ///
     /// # Errors
@@ -55,27 +68,36 @@
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), Closed> {
         let mut bytes = Vec::new();
         frame::write(message, &mut bytes).map_err(|_| Closed)?;
+        self.sent_bytes += bytes.len() as u64;
         let mut unsent = Bytes::from(bytes);
         while !unsent.is_empty() {
-            self.0.reserve_capacity(unsent.len());
-            let mut capacity = self.0.capacity();
+            self.stream.reserve_capacity(unsent.len());
+            let mut capacity = self.stream.capacity();
             if capacity == 0 {
                 // `poll_capacity` wakes only for capacity that is assigned after this point, so the
                 // capacity at hand is used first.
-                let assigned = std::future::poll_fn(|cx| self.0.poll_capacity(cx)).await;
+                let assigned = std::future::poll_fn(|cx| self.stream.poll_capacity(cx)).await;
                 let Some(Ok(assigned)) = assigned else {
                     return Err(Closed);
                 };
                 capacity = assigned;
             }
             let chunk = unsent.split_to(capacity.min(unsent.len()));
-            self.0.send_data(chunk, false).map_err(|_| Closed)?;
+            self.stream.send_data(chunk, false).map_err(|_| Closed)?;
         }
         Ok(())
     }
 }
 
 impl Receiver {
+    fn new(body: h2::RecvStream) -> Self {
+        Self {
+            body,
+            reader: frame::Reader::default(),
+            received_bytes: 0,
+        }
+    }
+
     /// Receives one message within `limit`.
     ///
     /// # Errors
@@ -97,6 +119,7 @@
             let Some(Ok(bytes)) = self.body.data().await else {
                 return Err(Closed);
             };
+            self.received_bytes += bytes.len() as u64;
             self.reader.push(&bytes);
             let flow_control = self.body.flow_control();
             flow_control
@@ -137,11 +160,8 @@
     let (response, sender) = requests.send_request(request, false).map_err(|_| Closed)?;
     let response = response.await.map_err(|_| Closed)?;
     Ok(Link {
-        sender: Sender(sender),
-        receiver: Receiver {
-            body: response.into_body(),
-            reader: frame::Reader::default(),
-        },
+        sender: Sender::new(sender),
+        receiver: Receiver::new(response.into_body()),
         task: Some(abort),
     })
 }
@@ -170,11 +190,8 @@
         return;
     };
     let link = Link {
-        sender: Sender(sender),
-        receiver: Receiver {
-            body: request.into_body(),
-            reader: frame::Reader::default(),
-        },
+        sender: Sender::new(sender),
+        receiver: Receiver::new(request.into_body()),
         task: None,
     };
     tokio::select! {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -18,6 +18,7 @@
     refusals: metrics::Counter<u64>,
     retries: metrics::Counter<u64>,
     responses: metrics::Counter<u64>,
+    relayed_bytes: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -48,6 +49,7 @@
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
             responses: meter.u64_counter("answers").build(),
+            relayed_bytes: meter.u64_counter("relayed_bytes").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -72,6 +74,11 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts bytes of the store's contents that were sent to followers.
+    pub fn record_relayed(&self, bytes: u64) {
+        self.relayed_bytes.add(bytes, &[]);
+    }
+
     /// Counts a finished response and records its times to the first byte and to the end, in
     /// milliseconds.
     pub fn record_response(&self, route: &str, end: &'static str, first: Option<f64>, total: f64) {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -169,9 +169,11 @@
 pub async fn serve_peers(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let host = host.clone();
-                task::spawn_local(link::accept(stream, |link| handle_stream(host, link)));
+                task::spawn_local(link::accept(stream, move |link| {
+                    handle_stream(host, link, peer)
+                }));
             }
             Err(e) => {
                 tracing::warn!(event = "accept_failed", error = %e);
@@ -181,11 +183,11 @@
     }
 }
 
-async fn handle_stream(host: rc::Rc<host::Host>, mut link: link::Link) {
+async fn handle_stream(host: rc::Rc<host::Host>, mut link: link::Link, peer: net::SocketAddr) {
     let handshake = link.receiver.receive(HEARTBEAT_TIMEOUT).await;
     // On an error the other host sees the end of the stream and connects again.
     let _ = match handshake {
-        Ok(Handshake::Follow) => send_updates(&host, &mut link).await,
+        Ok(Handshake::Follow) => send_updates(&host, &mut link, peer).await,
         Ok(Handshake::Report) => receive_reports(&host, &mut link).await,
         Err(link::Closed) => Err(link::Closed),
     };
@@ -200,14 +202,27 @@
     leader: Option<net::SocketAddr>,
 }
 
-async fn send_updates(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
+async fn send_updates(
+    host: &host::Host,
+    link: &mut link::Link,
+    follower: net::SocketAddr,
+) -> Result<(), link::Closed> {
     let mut changes = host.store_cache.changes.subscribe();
     let mut sent = FollowerState::default();
     loop {
         changes.mark_unchanged();
+        let (begin, sent_before) = (host.now(), link.sender.sent_bytes);
         for update in pending_updates(host, &mut sent) {
             link.sender.send(&update).await?;
         }
+        let (took, bytes) = (
+            host.now().since(begin),
+            link.sender.sent_bytes - sent_before,
+        );
+        host.metrics.record_relayed(bytes);
+        if took >= HEARTBEAT_INTERVAL {
+            tracing::warn!(event = "follower_slow", %follower, bytes, took_ms = took.0);
+        }
         let healthy = !host.relies_on_peer() && !host.store_health.is_lost();
         link.sender.send(&Update::Heartbeat(healthy)).await?;
         // A heartbeat is due after a timeout, an update after a change.
@@ -320,7 +335,8 @@
     while needs_peer(host) {
         let update = link.receiver.receive(HEARTBEAT_TIMEOUT).await;
         let Ok(update) = update else {
-            tracing::info!(event = "peer_lost", peer = %address);
+            let bytes = link.receiver.received_bytes;
+            tracing::info!(event = "peer_lost", peer = %address, bytes);
             return Err(link::Closed);
         };
         match update {
@@ -343,7 +359,11 @@
             }
             Update::Leader(leader) => host.leader.set(leader),
             // A host that the store does not answer either has no newer information.
-            Update::Heartbeat(false) => return Ok(()),
+            Update::Heartbeat(false) => {
+                let bytes = link.receiver.received_bytes;
+                tracing::info!(event = "peer_left", peer = %address, bytes);
+                return Ok(());
+            }
             Update::Heartbeat(true) => {
                 if host.upstreams_listed.get() && !host.store_health.set_following(true) {
                     tracing::info!(event = "peer_followed", peer = %address);
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -224,7 +224,8 @@
         event = "config_in_force",
         from,
         version = config.version,
-        old
+        old,
+        bytes = bytes.len(),
     );
     *host.config.borrow_mut() = Some(rc::Rc::new(config));
     host.store_cache.set_config(bytes);
