--- /dev/null
+++ b/crates/router/tests/env/hosts.rs
@@ -0,0 +1,81 @@
+//! Hosts of a test that accept connections from each other on loopback.
+
+use std::net;
+use std::rc;
+
+use base::clock;
+use router::{fleet, listeners, membership, ports, relay, store_watch};
+use tokio::{task, time};
+
+use super::{Cluster, Node};
+
+/// Starts hosts of one data centre that know and accept connections from each other.
+pub fn start_hosts<const N: usize>(cluster: &rc::Rc<Cluster>, names: [&str; N]) -> [Node; N] {
+    let places = names.map(|name| (name, "a"));
+    let nodes = start_hosts_at(cluster, &places);
+    nodes
+        .try_into()
+        .unwrap_or_else(|_| unreachable!("as many hosts as names"))
+}
+
+/// Starts hosts, given by name and data centre, that know and accept connections from each other.
+/// The region of a data centre has the first letter of its name.
+pub fn start_hosts_at(cluster: &rc::Rc<Cluster>, places: &[(&str, &str)]) -> Vec<Node> {
+    let regions = places.iter().map(|(_, dc)| ((*dc).into(), dc[..1].into()));
+    let regions: std::collections::HashMap<_, _> = regions.collect();
+    let mut nodes = Vec::new();
+    for (name, dc) in places {
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+        let port = listener.local_addr().expect("local address").port();
+        let location = fleet::Location {
+            dc: (*dc).into(),
+            regions: regions.clone(),
+        };
+        let window = clock::Millis(5_000);
+        nodes.push(super::node_at(cluster, name, port, window, location));
+    }
+    for node in &nodes {
+        let listener =
+            listeners::listen(node.host.settings.peer_address).expect("listen on the peer address");
+        task::spawn_local(relay::serve_peers(node.host.clone(), rc::Rc::new(listener)));
+    }
+    let items: Vec<ports::Item> = nodes.iter().map(registration).collect();
+    for node in &nodes {
+        let now = node.host.now();
+        node.host.membership.borrow_mut().update_hosts(&items, now);
+    }
+    nodes
+}
+
+fn registration(node: &Node) -> ports::Item {
+    let settings = &node.host.settings;
+    let registration = membership::Registration {
+        host: settings.host.clone(),
+        dc: settings.location.dc.clone(),
+        peer_address: settings.peer_address,
+    };
+    ports::Item {
+        key: format!("hosts/{}", settings.host),
+        value: serde_json::to_vec(&registration).expect("serialize"),
+        revision: 1,
+        created: 1,
+    }
+}
+
+/// Starts the tasks by which a host learns of changes in the store.
+pub fn start_tasks(node: &Node) {
+    task::spawn_local(store_watch::watch_config(node.host.clone()));
+    task::spawn_local(store_watch::watch_upstreams(node.host.clone()));
+    task::spawn_local(relay::follow_peers(node.host.clone()));
+}
+
+/// Waits until `condition` holds; panics after 15 seconds.
+pub async fn wait_for(event: &str, condition: impl Fn() -> bool) {
+    for _ in 0..1_500 {
+        if condition() {
+            return;
+        }
+        time::sleep(time::Duration::from_millis(10)).await;
+    }
+    panic!("timed out waiting for: {event}");
+}
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod hosts;
 pub mod store;
 
 use std::cell;
@@ -208,8 +209,8 @@
     }
 }
 
-/// Protocol with entries as text: a configuration is its version number, an upstream is `STATE PORT
-/// BORN`.
+/// Protocol with entries as text: a configuration starts with a line that is its version number, an
+/// upstream is `STATE PORT BORN`.
 pub struct TestProtocol;
 
 impl ports::Protocol for TestProtocol {
@@ -232,7 +233,8 @@
     }
 
     fn parse_config(&self, bytes: &[u8]) -> Result<model::Config, diagnostic::Diagnostics> {
-        let Ok(version) = String::from_utf8_lossy(bytes).parse() else {
+        let text = String::from_utf8_lossy(bytes);
+        let Ok(version) = text.lines().next().unwrap_or_default().parse() else {
             let mut diagnostics = diagnostic::Diagnostics::default();
             diagnostics.add(
                 diagnostic::Location::default(),
@@ -305,6 +307,17 @@
     pub fn config_version(&self) -> Option<u64> {
         self.host.current_config().map(|c| c.version)
     }
+
+    /// Bytes of the store's contents that this host has sent to its followers.
+    pub fn relayed_bytes(&self) -> u64 {
+        let metrics = self.host.metrics.render();
+        let value = metrics
+            .lines()
+            .find_map(|l| l.strip_prefix("relayed_bytes_total"));
+        value
+            .and_then(|v| v.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0)
+    }
 }
 
 pub fn node(cluster: &rc::Rc<Cluster>, name: &str, peer: u16) -> Node {
@@ -318,13 +331,24 @@
     peer: u16,
     window: clock::Millis,
 ) -> Node {
-    let store_mode = rc::Rc::new(cell::Cell::new(StoreMode::Available));
-    let refused_calls = rc::Rc::new(cell::Cell::new(0));
-    let watch_calls = rc::Rc::new(cell::Cell::new(0));
     let location = fleet::Location {
         dc: "a".into(),
         regions: [("a".into(), "r".into())].into(),
     };
+    node_at(cluster, name, peer, window, location)
+}
+
+/// Creates a host at `location` with usage windows of length `window`.
+pub fn node_at(
+    cluster: &rc::Rc<Cluster>,
+    name: &str,
+    peer: u16,
+    window: clock::Millis,
+    location: fleet::Location,
+) -> Node {
+    let store_mode = rc::Rc::new(cell::Cell::new(StoreMode::Available));
+    let refused_calls = rc::Rc::new(cell::Cell::new(0));
+    let watch_calls = rc::Rc::new(cell::Cell::new(0));
     let any_address = ([127, 0, 0, 1], 0).into();
     let settings = host::Settings {
         host: name.into(),
--- a/crates/router/tests/env/store.rs
+++ b/crates/router/tests/env/store.rs
@@ -9,6 +9,11 @@
 
 use super::Cluster;
 
+/// Time limit of a call other than a watch.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Time added to the wait of a watch before its client gives up.
+const WATCH_MARGIN: time::Duration = time::Duration::from_millis(400);
+
 /// How the store answers one host.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreMode {
@@ -18,6 +23,8 @@
     Unavailable,
     /// Writes are done, but the responses to them are lost.
     LosesResponses,
+    /// Calls have no effect and end at the client's time limit, as behind a partition.
+    Silent,
 }
 
 /// Client of the store for one host.
@@ -31,6 +38,14 @@
 }
 
 impl Store {
+    async fn check_reached(&self) -> Result<(), ports::StoreError> {
+        if self.mode.get() == StoreMode::Silent {
+            time::sleep(CALL_TIMEOUT).await;
+            return Err(ports::StoreError::Unknown);
+        }
+        self.check_available()
+    }
+
     fn check_available(&self) -> Result<(), ports::StoreError> {
         if self.mode.get() == StoreMode::Unavailable {
             self.refused_calls.set(self.refused_calls.get() + 1);
@@ -80,7 +95,7 @@
         key: &'a str,
     ) -> ports::LocalFuture<'a, Result<(Option<ports::Item>, u64), ports::StoreError>> {
         Box::pin(async move {
-            self.check_available()?;
+            self.check_reached().await?;
             let item = self.cluster.items.borrow().get(key).map(|(i, _)| i.clone());
             Ok((item, self.cluster.revision.get()))
         })
@@ -92,7 +107,7 @@
         _: bool,
     ) -> ports::LocalFuture<'a, Result<(Vec<ports::Item>, u64), ports::StoreError>> {
         Box::pin(async move {
-            self.check_available()?;
+            self.check_reached().await?;
             let items = self.cluster.items.borrow();
             let items = items.iter().filter(|(k, _)| k.starts_with(prefix));
             let items = items.map(|(_, (i, _))| i.clone()).collect();
@@ -110,6 +125,11 @@
             self.watch_calls.set(self.watch_calls.get() + 1);
             let end = self.cluster.clock.now() + wait;
             loop {
+                if self.mode.get() == StoreMode::Silent {
+                    let remaining = end.since(self.cluster.clock.now());
+                    time::sleep(remaining.duration() + WATCH_MARGIN).await;
+                    return Err(ports::StoreError::Unknown);
+                }
                 self.check_available()?;
                 if after + 1 < self.cluster.oldest_revision.get() {
                     return Err(ports::StoreError::Compacted);
@@ -128,7 +148,7 @@
         transaction: &'a ports::Transaction,
     ) -> ports::LocalFuture<'a, Result<u64, ports::StoreError>> {
         Box::pin(async move {
-            self.check_available()?;
+            self.check_reached().await?;
             let revision = self.do_commit(transaction)?;
             self.respond(revision)
         })
@@ -139,7 +159,7 @@
         ttl: clock::Millis,
     ) -> ports::LocalFuture<'_, Result<u64, ports::StoreError>> {
         Box::pin(async move {
-            self.check_available()?;
+            self.check_reached().await?;
             let lease = self.cluster.next_revision();
             let end = self.cluster.clock.now() + ttl;
             self.cluster.leases.borrow_mut().insert(lease, (end, ttl));
@@ -149,7 +169,7 @@
 
     fn renew_lease(&self, lease: u64) -> ports::LocalFuture<'_, Result<(), ports::StoreError>> {
         Box::pin(async move {
-            self.check_available()?;
+            self.check_reached().await?;
             let now = self.cluster.clock.now();
             let mut leases = self.cluster.leases.borrow_mut();
             let Some((end, ttl)) = leases.get_mut(&lease) else {
@@ -162,7 +182,7 @@
 
     fn release_lease(&self, lease: u64) -> ports::LocalFuture<'_, Result<(), ports::StoreError>> {
         Box::pin(async move {
-            self.check_available()?;
+            self.check_reached().await?;
             self.cluster.revoke_lease(lease);
             Ok(())
         })
--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay.rs
@@ -3,66 +3,11 @@
 mod env;
 
 use std::net;
-use std::rc;
 
 use base::{clock, name};
-use router::{listeners, membership, ports, relay, store_watch};
-use tokio::{task, time};
-
-/// Starts hosts that accept connections from each other on loopback.
-fn start_hosts<const N: usize>(cluster: &rc::Rc<env::Cluster>, names: [&str; N]) -> [env::Node; N] {
-    let nodes = names.map(|n| {
-        let listener = net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
-        env::node(
-            cluster,
-            n,
-            listener.local_addr().expect("local address").port(),
-        )
-    });
-    for node in &nodes {
-        let listener =
-            listeners::listen(node.host.settings.peer_address).expect("listen on the peer address");
-        task::spawn_local(relay::serve_peers(node.host.clone(), rc::Rc::new(listener)));
-    }
-    let items: Vec<ports::Item> = nodes.iter().map(registration).collect();
-    for node in &nodes {
-        let now = node.host.now();
-        node.host.membership.borrow_mut().update_hosts(&items, now);
-    }
-    nodes
-}
-
-fn registration(node: &env::Node) -> ports::Item {
-    let settings = &node.host.settings;
-    let registration = membership::Registration {
-        host: settings.host.clone(),
-        dc: settings.location.dc.clone(),
-        peer_address: settings.peer_address,
-    };
-    ports::Item {
-        key: format!("hosts/{}", settings.host),
-        value: serde_json::to_vec(&registration).expect("serialize"),
-        revision: 1,
-        created: 1,
-    }
-}
-
-fn start_tasks(node: &env::Node) {
-    task::spawn_local(store_watch::watch_config(node.host.clone()));
-    task::spawn_local(store_watch::watch_upstreams(node.host.clone()));
-    task::spawn_local(relay::follow_peers(node.host.clone()));
-}
-
-/// Waits until `condition` holds; panics after 15 seconds.
-async fn wait_for(event: &str, condition: impl Fn() -> bool) {
-    for _ in 0..1_500 {
-        if condition() {
-            return;
-        }
-        time::sleep(time::Duration::from_millis(10)).await;
-    }
-    panic!("timed out waiting for: {event}");
-}
+use env::hosts::{start_hosts, start_tasks, wait_for};
+use router::{membership, ports, relay};
+use tokio::time;
 
 #[test]
 fn host_without_store_follows_another_host() {
