--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,7 +10,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    budget, fleet, http_client, membership, metrics, model, ports, relay, store_watch, windows,
+    budget, fleet, http_client, membership, metrics, model, ports, store_cache, store_watch,
+    windows,
 };
 
 /// Checked settings of a host.
@@ -113,7 +114,7 @@
     /// Registered hosts and their reports.
     pub membership: cell::RefCell<membership::Membership>,
     /// Entries of the store as last read or relayed by another host.
-    pub store_cache: relay::StoreCache,
+    pub store_cache: store_cache::StoreCache,
     /// Availability of the store to this host.
     pub store_health: store_watch::StoreHealth,
     /// Peer address of the leader, if known.
@@ -152,7 +153,7 @@
             usage_counter: cell::RefCell::default(),
             demand: cell::RefCell::default(),
             membership: cell::RefCell::default(),
-            store_cache: relay::StoreCache::default(),
+            store_cache: store_cache::StoreCache::default(),
             store_health: store_watch::StoreHealth::default(),
             leader: cell::Cell::new(None),
             is_leader: cell::Cell::new(false),
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix;
 use tokio::{net, time};
 
-use crate::{host, leader, listeners, membership, ports, relay, store_watch, supervisor};
+use crate::{follower, host, leader, listeners, membership, ports, relay, store_watch, supervisor};
 
 /// Time after the stop signal for which client connections stay open and new ones are accepted as
 /// usual: the load balancer probes readiness twice in it.
@@ -92,7 +92,7 @@
     };
     spawn("config", |h| Box::pin(store_watch::watch_config(h)));
     spawn("upstreams", |h| Box::pin(store_watch::watch_upstreams(h)));
-    spawn("peer_news", |h| Box::pin(relay::follow_peers(h)));
+    spawn("peer_news", |h| Box::pin(follower::follow_peers(h)));
     spawn("presence", |h| Box::pin(membership::keep_registered(h)));
     spawn("roster", |h| Box::pin(membership::refresh(h)));
     spawn("sweep", |h| Box::pin(clean_pool(h)));
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,27 +1,20 @@
 //! Messages between hosts: the configuration and the list of upstreams for hosts that the store
 //! does not answer, counts and demand for the leader.
 
-use std::cell;
 use std::collections;
 use std::net;
 use std::rc;
 
 use base::clock;
-use rand::seq::IndexedRandom as _;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
 use tokio::{net as tokio_net, task, time};
 
-use crate::{host, link, membership, store_watch};
+use crate::{host, link, membership};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
 /// Time without a message after which another host is followed.
-const HEARTBEAT_TIMEOUT: clock::Millis = clock::Millis(1_500);
-/// Delay before another host is tried after the connection to one was lost.
-const RETRY_DELAY: clock::Millis = clock::Millis(200);
-/// Longest delay while no other host has newer information than this one.
-const MAX_RETRY_DELAY: clock::Millis = clock::Millis(1_600);
+pub const HEARTBEAT_TIMEOUT: clock::Millis = clock::Millis(1_500);
 /// Longest time between two reports of counts and demand.
 const REPORT_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// Counts and demand are reported at least this many times per report deadline.
@@ -31,15 +24,12 @@
 const MAX_SKIPPED_WRITES: u32 = 3;
 /// Time within which a report must be acknowledged.
 const ACK_TIMEOUT: clock::Millis = clock::Millis(800);
-/// Number of keys of removed entries that are remembered, so that delayed messages do not restore
-/// these entries.
-const MAX_REMOVED_KEYS: usize = 4_096;
 /// Delay after a connection from another host could not be accepted.
 const ACCEPT_RETRY_DELAY: clock::Millis = clock::Millis(50);
 
 /// First message of a stream: the purpose of the stream.
 #[derive(Debug, Serialize, Deserialize)]
-enum Handshake {
+pub enum Handshake {
     /// The sender wants to receive the store's contents and their updates.
     Follow,
     /// The sender will send reports of counts and demand.
@@ -49,7 +39,7 @@
 
 /// Update from a host to its followers.
 #[derive(Debug, Serialize, Deserialize)]
-enum Update {
+pub enum Update {
     /// Configuration in the format of the store.
     Config(Vec<u8>),
     /// Entry of an upstream that was added or changed.
@@ -68,101 +58,15 @@
     Heartbeat(bool),
 }
 
-/// Key and value in the store, with the revision of the last write.
+/// Entry of an upstream in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct StoreEntry {
-    key: String,
-    revision: u64,
-    value: Vec<u8>,
-}
-
-/// Store revision of a write, and the bytes written.
-type VersionedValue = (u64, rc::Rc<[u8]>);
-
-/// Contents of the store as last read by this host or relayed to it.
-pub struct StoreCache {
-    config: cell::RefCell<Option<rc::Rc<[u8]>>>,
-    upstreams: cell::RefCell<collections::BTreeMap<String, VersionedValue>>,
-    removed: cell::RefCell<collections::HashMap<String, u64>>,
-    revision: cell::Cell<u64>,
-    changes: watch::Sender<u64>,
-}
-
-impl Default for StoreCache {
-    fn default() -> Self {
-        Self {
-            config: cell::RefCell::default(),
-            upstreams: cell::RefCell::default(),
-            removed: cell::RefCell::default(),
-            revision: cell::Cell::new(0),
-            changes: watch::Sender::new(0),
-        }
-    }
-}
-
-impl StoreCache {
-    fn notify_change(&self) {
-        self.changes.send_modify(|n| *n += 1);
-    }
-
-    /// Stores the current configuration.
-    pub fn set_config(&self, bytes: &[u8]) {
-        *self.config.borrow_mut() = Some(bytes.into());
-        self.notify_change();
-    }
-
-    /// Stores an upstream's entry. Returns whether it is at least as new as the known one: other
-    /// hosts may lag behind the store.
-    pub fn put(&self, key: &str, revision: u64, value: &[u8]) -> bool {
-        if self
-            .removed
-            .borrow()
-            .get(key)
-            .is_some_and(|at| *at >= revision)
-        {
-            return false;
-        }
-        let mut upstreams = self.upstreams.borrow_mut();
-        match upstreams.get(key) {
-            Some((known, _)) if *known > revision => return false,
-            Some((known, _)) if *known == revision => return true,
-            _ => {}
-        }
-        upstreams.insert(key.to_owned(), (revision, value.into()));
-        drop(upstreams);
-        self.notify_change();
-        true
-    }
-
-    /// Whether the entry of `key` was written after revision `at`.
-    pub fn is_newer(&self, key: &str, at: u64) -> bool {
-        self.upstreams
-            .borrow()
-            .get(key)
-            .is_some_and(|(r, _)| *r > at)
-    }
-
-    /// Removes an upstream's entry that is missing at store revision `at`, and remembers the
-    /// removal.
-    pub fn remove(&self, key: &str, at: u64) {
-        self.upstreams.borrow_mut().remove(key);
-        let mut removed = self.removed.borrow_mut();
-        if removed.len() >= MAX_REMOVED_KEYS {
-            removed.clear();
-        }
-        removed.insert(key.to_owned(), at);
-        drop(removed);
-        self.notify_change();
-    }
-
-    /// Advances the store revision up to which the list of upstreams is complete.
-    pub fn advance_to(&self, revision: u64) {
-        self.revision.set(self.revision.get().max(revision));
-    }
-
-    fn keys(&self) -> Vec<String> {
-        self.upstreams.borrow().keys().cloned().collect()
-    }
+pub struct StoreEntry {
+    /// Key of the entry.
+    pub key: String,
+    /// Store revision of the last write.
+    pub revision: u64,
+    /// Bytes written.
+    pub value: Vec<u8>,
 }
 
 /// Accepts connections from other hosts and serves their streams.
@@ -207,7 +111,7 @@
     link: &mut link::Link,
     follower: net::SocketAddr,
 ) -> Result<(), link::Closed> {
-    let mut changes = host.store_cache.changes.subscribe();
+    let mut changes = host.store_cache.subscribe();
     let mut sent = FollowerState::default();
     loop {
         changes.mark_unchanged();
@@ -234,7 +138,7 @@
 fn pending_updates(host: &host::Host, sent: &mut FollowerState) -> Vec<Update> {
     let cache = &host.store_cache;
     let mut updates = Vec::new();
-    let config = cache.config.borrow().clone();
+    let config = cache.config();
     let is_sent = match (&config, &sent.config) {
         (Some(a), Some(b)) => rc::Rc::ptr_eq(a, b),
         (None, _) => true,
@@ -251,7 +155,7 @@
     if !host.upstreams_listed.get() {
         return updates;
     }
-    let upstreams = cache.upstreams.borrow();
+    let upstreams = cache.upstreams();
     for (key, (revision, value)) in upstreams.iter() {
         if sent.upstreams.get(key) == Some(revision) {
             continue;
@@ -263,7 +167,7 @@
         }));
         sent.upstreams.insert(key.clone(), *revision);
     }
-    let at = cache.revision.get();
+    let at = cache.revision();
     sent.upstreams.retain(|key, _| {
         let exists = upstreams.contains_key(key);
         if !exists {
@@ -278,102 +182,6 @@
     updates
 }
 
-/// Follows another host while the store does not answer this one, or while other hosts watch the
-/// store on its behalf.
-pub async fn follow_peers(host: rc::Rc<host::Host>) {
-    let mut delay = RETRY_DELAY;
-    loop {
-        if !needs_peer(&host) {
-            host.store_health.wait_for_change().await;
-            delay = RETRY_DELAY;
-            continue;
-        }
-        // If no watching host has newer information, any host may be tried: the store may answer
-        // it.
-        if let Some(address) = choose_peer(&host, delay > RETRY_DELAY) {
-            // A lost connection is logged by `follow_peer`; the loop tries the next host.
-            let _ = follow_peer(&host, address).await;
-        }
-        let was_following = host.store_health.set_following(false);
-        delay = if was_following {
-            RETRY_DELAY
-        } else {
-            MAX_RETRY_DELAY.min(delay + delay)
-        };
-        time::sleep(delay.duration()).await;
-    }
-}
-
-fn needs_peer(host: &host::Host) -> bool {
-    host.store_health.is_lost() || !host.is_watcher()
-}
-
-/// Picks a random other host to follow: one that watches the store, any registered host if `any` is
-/// set, or a seed from the settings.
-fn choose_peer(host: &host::Host, any: bool) -> Option<net::SocketAddr> {
-    let own_address = host.settings.peer_address;
-    let membership = host.membership.borrow();
-    let mut addresses = if any {
-        membership.peer_addresses()
-    } else {
-        membership.watcher_addresses()
-    };
-    drop(membership);
-    addresses.extend(host.settings.seeds.iter().copied());
-    addresses.retain(|a| *a != own_address);
-    addresses.choose(&mut rand::rng()).copied()
-}
-
-async fn follow_peer(
-    host: &rc::Rc<host::Host>,
-    address: net::SocketAddr,
-) -> Result<(), link::Closed> {
-    let mut link = link::open(address).await?;
-    link.sender.send(&Handshake::Follow).await?;
-    let mut listed = collections::HashSet::new();
-    let mut is_first_list = true;
-    while needs_peer(host) {
-        let update = link.receiver.receive(HEARTBEAT_TIMEOUT).await;
-        let Ok(update) = update else {
-            let bytes = link.receiver.received_bytes;
-            tracing::info!(event = "peer_lost", peer = %address, bytes);
-            return Err(link::Closed);
-        };
-        match update {
-            Update::Config(bytes) => store_watch::apply_config(host, &bytes, "peer"),
-            Update::Put(entry) => {
-                listed.insert(entry.key.clone());
-                store_watch::apply_entry(host, &entry.key, entry.revision, &entry.value);
-            }
-            Update::Removed(key, at) => store_watch::apply_removal(host, &key, at),
-            Update::Complete(at) => {
-                if std::mem::take(&mut is_first_list) {
-                    for key in host.store_cache.keys() {
-                        if !listed.contains(&key) {
-                            store_watch::apply_removal(host, &key, at);
-                        }
-                    }
-                }
-                host.store_cache.advance_to(at);
-                host.upstreams_listed.set(true);
-            }
-            Update::Leader(leader) => host.leader.set(leader),
-            // A host that the store does not answer either has no newer information.
-            Update::Heartbeat(false) => {
-                let bytes = link.receiver.received_bytes;
-                tracing::info!(event = "peer_left", peer = %address, bytes);
-                return Ok(());
-            }
-            Update::Heartbeat(true) => {
-                if host.upstreams_listed.get() && !host.store_health.set_following(true) {
-                    tracing::info!(event = "peer_followed", peer = %address);
-                }
-            }
-        }
-    }
-    Ok(())
-}
-
 /// Receives the reports of another host.
 async fn receive_reports(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
     loop {
--- /dev/null
+++ b/crates/router/src/store_cache.rs
@@ -0,0 +1,121 @@
+//! Contents of the store as this host knows them, for the hosts that follow it.
+
+use std::cell;
+use std::collections;
+use std::rc;
+
+use tokio::sync::watch;
+
+/// Number of keys of removed entries that are remembered, so that delayed messages do not restore
+/// these entries.
+const MAX_REMOVED_KEYS: usize = 4_096;
+
+/// Store revision of a write, and the bytes written.
+type VersionedValue = (u64, rc::Rc<[u8]>);
+
+/// Contents of the store as last read by this host or relayed to it.
+pub struct StoreCache {
+    config: cell::RefCell<Option<rc::Rc<[u8]>>>,
+    upstreams: cell::RefCell<collections::BTreeMap<String, VersionedValue>>,
+    removed: cell::RefCell<collections::HashMap<String, u64>>,
+    revision: cell::Cell<u64>,
+    changes: watch::Sender<u64>,
+}
+
+impl Default for StoreCache {
+    fn default() -> Self {
+        Self {
+            config: cell::RefCell::default(),
+            upstreams: cell::RefCell::default(),
+            removed: cell::RefCell::default(),
+            revision: cell::Cell::new(0),
+            changes: watch::Sender::new(0),
+        }
+    }
+}
+
+impl StoreCache {
+    fn notify_change(&self) {
+        self.changes.send_modify(|n| *n += 1);
+    }
+
+    /// Stores the current configuration.
+    pub fn set_config(&self, bytes: &[u8]) {
+        *self.config.borrow_mut() = Some(bytes.into());
+        self.notify_change();
+    }
+
+    /// Stores an upstream's entry. Returns whether it is at least as new as the known one: other
+    /// hosts may lag behind the store.
+    pub fn put(&self, key: &str, revision: u64, value: &[u8]) -> bool {
+        if self
+            .removed
+            .borrow()
+            .get(key)
+            .is_some_and(|at| *at >= revision)
+        {
+            return false;
+        }
+        let mut upstreams = self.upstreams.borrow_mut();
+        match upstreams.get(key) {
+            Some((known, _)) if *known > revision => return false,
+            Some((known, _)) if *known == revision => return true,
+            _ => {}
+        }
+        upstreams.insert(key.to_owned(), (revision, value.into()));
+        drop(upstreams);
+        self.notify_change();
+        true
+    }
+
+    /// Whether the entry of `key` was written after revision `at`.
+    pub fn is_newer(&self, key: &str, at: u64) -> bool {
+        self.upstreams
+            .borrow()
+            .get(key)
+            .is_some_and(|(r, _)| *r > at)
+    }
+
+    /// Removes an upstream's entry that is missing at store revision `at`, and remembers the
+    /// removal.
+    pub fn remove(&self, key: &str, at: u64) {
+        self.upstreams.borrow_mut().remove(key);
+        let mut removed = self.removed.borrow_mut();
+        if removed.len() >= MAX_REMOVED_KEYS {
+            removed.clear();
+        }
+        removed.insert(key.to_owned(), at);
+        drop(removed);
+        self.notify_change();
+    }
+
+    /// Advances the store revision up to which the list of upstreams is complete.
+    pub fn advance_to(&self, revision: u64) {
+        self.revision.set(self.revision.get().max(revision));
+    }
+
+    /// Subscribes to changes of the contents.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Current configuration as stored; `None` until one has been read.
+    pub fn config(&self) -> Option<rc::Rc<[u8]>> {
+        self.config.borrow().clone()
+    }
+
+    /// Known entries of upstreams by key.
+    pub fn upstreams(&self) -> cell::Ref<'_, collections::BTreeMap<String, VersionedValue>> {
+        self.upstreams.borrow()
+    }
+
+    /// Store revision up to which the list of upstreams is complete.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Keys of the known entries of upstreams.
+    pub fn keys(&self) -> Vec<String> {
+        self.upstreams.borrow().keys().cloned().collect()
+    }
+}
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -5,7 +5,7 @@
 use std::rc;
 
 use base::clock;
-use router::{fleet, membership, ports, relay, store_watch};
+use router::{fleet, follower, membership, ports, relay, store_watch};
 use tokio::{net as tokio_net, task, time};
 
 use super::{Cluster, Node};
@@ -69,7 +69,7 @@
 pub fn start_tasks(node: &Node) {
     task::spawn_local(store_watch::watch_config(node.host.clone()));
     task::spawn_local(store_watch::watch_upstreams(node.host.clone()));
-    task::spawn_local(relay::follow_peers(node.host.clone()));
+    task::spawn_local(follower::follow_peers(node.host.clone()));
 }
 
 /// Waits until `condition` holds; panics after 15 seconds.
