Followers take the store's contents from the nearest host that watches it

Cause: a follower drew one of the watching hosts, or a seed, at random. Five of six drew one of another data centre, and half one of another region, so each version crossed the link between the regions some thirty times. Change: the order is watching hosts before others, then own data centre, own region, the rest; a host that failed is tried last for 20 s, and a follower returns to a nearer host after that. Membership works out once a read which hosts watch.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -169,15 +169,35 @@
     pub regions: collections::HashMap<name::Dc, name::Region>,
 }
 
+/// How far a data centre is from a host.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// The host's own data centre.
+    SameDc,
+    /// Another data centre of the host's region.
+    SameRegion,
+    /// A data centre of another region, or an unknown one.
+    OtherRegion,
+}
+
 impl Location {
-    fn distance_cost_ms(&self, dc: &name::Dc) -> f64 {
+    /// Returns the distance of the data centre `dc`.
+    pub fn distance(&self, dc: &name::Dc) -> Distance {
         if *dc == self.dc {
-            return 0.0;
+            return Distance::SameDc;
         }
         if self.regions.get(dc) == self.regions.get(&self.dc) {
-            return SAME_REGION_COST_MS;
+            return Distance::SameRegion;
+        }
+        Distance::OtherRegion
+    }
+
+    fn distance_cost_ms(&self, dc: &name::Dc) -> f64 {
+        match self.distance(dc) {
+            Distance::SameDc => 0.0,
+            Distance::SameRegion => SAME_REGION_COST_MS,
+            Distance::OtherRegion => OTHER_REGION_COST_MS,
         }
-        OTHER_REGION_COST_MS
     }
 }
 
--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -1,14 +1,12 @@
 //! Following another host, which relays the configuration and the list of upstreams from the store.
 
 use std::collections;
-use std::net;
 use std::rc;
 
 use base::clock;
-use rand::seq::IndexedRandom as _;
 use tokio::time;
 
-use crate::{host, link, relay, store_watch};
+use crate::{host, link, relay, sources, store_watch};
 
 /// Delay before another host is tried after the connection to one was lost.
 const RETRY_DELAY: clock::Millis = clock::Millis(200);
@@ -19,17 +17,24 @@
 /// store on its behalf.
 pub async fn follow_peers(host: rc::Rc<host::Host>) {
     let mut delay = RETRY_DELAY;
+    let mut sources = sources::Sources::default();
     loop {
         if !needs_peer(&host) {
             host.store_health.wait_for_change().await;
             delay = RETRY_DELAY;
             continue;
         }
-        // If no watching host has newer information, any host may be tried: the store may answer
-        // it.
-        if let Some(address) = choose_peer(&host, delay > RETRY_DELAY) {
-            // A lost connection is logged by `follow_peer`; the loop tries the next host.
-            let _ = follow_peer(&host, address).await;
+        let source = sources.choose(
+            &host.settings,
+            &host.membership.borrow(),
+            host.now(),
+            rand::random,
+        );
+        if let Some(source) = source
+            && follow_peer(&host, &source, &sources).await == Err(link::Closed)
+        {
+            // The loop tries the next host.
+            sources.record_failure(source.address, host.now());
         }
         let was_following = host.store_health.set_following(false);
         delay = if was_following {
@@ -45,26 +50,17 @@
     host.store_health.is_lost() || !host.is_watcher()
 }
 
-/// Picks a random other host to follow: one that watches the store, any registered host if `any` is
-/// set, or a seed from the settings.
-fn choose_peer(host: &host::Host, any: bool) -> Option<net::SocketAddr> {
-    let own_address = host.settings.peer_address;
-    let membership = host.membership.borrow();
-    let mut addresses = if any {
-        membership.peer_addresses()
-    } else {
-        membership.watcher_addresses()
-    };
-    drop(membership);
-    addresses.extend(host.settings.seeds.iter().copied());
-    addresses.retain(|a| *a != own_address);
-    addresses.choose(&mut rand::rng()).copied()
-}
-
+/// Follows `source` until this host needs no other one or a better suited one is there.
+///
+/// # Errors
+///
+/// The connection failed or ended, or the store does not answer `source` either.
 async fn follow_peer(
     host: &rc::Rc<host::Host>,
-    address: net::SocketAddr,
+    source: &sources::Source,
+    sources: &sources::Sources,
 ) -> Result<(), link::Closed> {
+    let address = source.address;
     let mut link = link::open(address).await?;
     link.sender.send(&relay::Handshake::Follow).await?;
     let mut listed = collections::HashSet::new();
@@ -99,12 +95,16 @@
             relay::Update::Heartbeat(false) => {
                 let bytes = link.receiver.received_bytes;
                 tracing::info!(event = "peer_left", peer = %address, bytes);
-                return Ok(());
+                return Err(link::Closed);
             }
             relay::Update::Heartbeat(true) => {
                 if host.upstreams_listed.get() && !host.store_health.set_following(true) {
                     tracing::info!(event = "peer_followed", peer = %address);
                 }
+                let membership = host.membership.borrow();
+                if sources.has_better(&host.settings, &membership, source, host.now()) {
+                    return Ok(());
+                }
             }
         }
     }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -202,7 +202,7 @@
     /// Whether this host watches the store itself.
     pub fn is_watcher(&self) -> bool {
         let membership = self.membership.borrow();
-        membership.is_watcher(&self.settings.host, &self.settings.location.dc)
+        membership.is_watcher(&self.settings.host)
     }
 
     /// Whether this run began so recently that the host may not know the other hosts yet: all hosts
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod scale;
 pub mod serve;
 pub mod slowdown;
+pub mod sources;
 pub mod sse;
 pub mod store_cache;
 pub mod store_watch;
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -133,8 +133,8 @@
 /// Registered hosts as last read from the store, and the latest report of each process.
 #[derive(Debug, Default)]
 pub struct Membership {
-    registered: Vec<Registration>,
-    watchers_per_dc: usize,
+    /// Registered hosts in the order of their names, and whether each watches the store.
+    registered: Vec<(Registration, bool)>,
     host_counts: collections::VecDeque<(clock::Millis, u32)>,
     reports: collections::HashMap<(name::Host, u64), (HostReport, clock::Millis)>,
 }
@@ -142,20 +142,31 @@
 impl Membership {
     /// Replaces the registered hosts by those in `items`.
     pub fn update_hosts(&mut self, items: &[ports::Item], now: clock::Millis) {
-        self.registered.clear();
+        let mut registered: Vec<Registration> = Vec::with_capacity(items.len());
         for item in items {
             match serde_json::from_slice(&item.value) {
-                Ok(registration) => self.registered.push(registration),
+                Ok(registration) => registered.push(registration),
                 Err(e) => {
                     tracing::warn!(event = "host_unreadable", key = item.key, error = %e)
                 }
             }
         }
-        self.registered.sort_by(|a, b| a.host.cmp(&b.host));
-        let dcs: collections::HashSet<_> = self.registered.iter().map(|r| &r.dc).collect();
-        self.watchers_per_dc = ENOUGH_WATCHERS
-            .div_ceil(dcs.len().max(1))
+        registered.sort_by(|a, b| a.host.cmp(&b.host));
+        let mut hosts_by_dc: collections::HashMap<name::Dc, usize> = collections::HashMap::new();
+        for registration in &registered {
+            *hosts_by_dc.entry(registration.dc.clone()).or_default() += 1;
+        }
+        let watchers_per_dc = ENOUGH_WATCHERS
+            .div_ceil(hosts_by_dc.len().max(1))
             .clamp(1, MAX_WATCHERS_PER_DC);
+        hosts_by_dc.clear();
+        self.registered.clear();
+        for registration in registered {
+            let rank = hosts_by_dc.entry(registration.dc.clone()).or_default();
+            *rank += 1;
+            self.registered
+                .push((registration, *rank <= watchers_per_dc));
+        }
         self.host_counts
             .push_back((now, self.registered.len() as u32));
         while self
@@ -180,24 +191,20 @@
 
     /// Whether `host` watches the store itself: the first one or two hosts of each data centre in the
     /// order of their names do, and every host that is not registered.
-    pub fn is_watcher(&self, host: &name::Host, dc: &name::Dc) -> bool {
-        let in_dc = self.registered.iter().filter(|p| p.dc == *dc);
-        !in_dc.skip(self.watchers_per_dc).any(|p| p.host == *host)
+    pub fn is_watcher(&self, host: &name::Host) -> bool {
+        let found = self.registered.binary_search_by(|(r, _)| r.host.cmp(host));
+        found.is_err() || found.is_ok_and(|i| self.registered[i].1)
     }
 
-    /// Addresses at which all registered hosts accept connections from other hosts.
-    pub fn peer_addresses(&self) -> Vec<net::SocketAddr> {
-        self.registered.iter().map(|p| p.peer_address).collect()
+    /// Registered hosts in the order of their names, and whether each watches the store.
+    pub fn registered(&self) -> &[(Registration, bool)] {
+        &self.registered
     }
 
     /// Peer addresses of the hosts that watch the store.
     pub fn watcher_addresses(&self) -> Vec<net::SocketAddr> {
-        let is_watcher = |p: &&Registration| self.is_watcher(&p.host, &p.dc);
-        self.registered
-            .iter()
-            .filter(is_watcher)
-            .map(|p| p.peer_address)
-            .collect()
+        let watchers = self.registered.iter().filter(|(_, watches)| *watches);
+        watchers.map(|(r, _)| r.peer_address).collect()
     }
 
     /// Records the report of a host unless a later one of the same process is known.
@@ -249,7 +256,7 @@
             *reported_up_to = report.counted_until.max(*reported_up_to);
         }
         let is_reported = |p: &Registration| latest.get(&p.host).is_some_and(|at| *at >= since);
-        self.registered.iter().all(is_reported)
+        self.registered.iter().all(|(r, _)| is_reported(r))
             && latest
                 .values()
                 .all(|reported_up_to| *reported_up_to >= at || *reported_up_to < since)
--- a/crates/router/tests/start.rs
+++ b/crates/router/tests/start.rs
@@ -85,7 +85,7 @@
         for dc in 0..dcs {
             let is_watcher = |n: &i32| {
                 let host = name::Host::from(format!("h{dc}-{n}").as_str());
-                membership.is_watcher(&host, &format!("dc{dc}").as_str().into())
+                membership.is_watcher(&host)
             };
             let watchers = (0..hosts_per_dc).filter(is_watcher).count();
             assert_eq!(watchers, watchers_per_dc, "{dcs} data centres");
