Followers are sent differences between versions of the configuration

Cause: relays sent the document, not the change. One change of a route in 1,400 cost 280 kB a follower. Change: documents are cut at the ends of their entries; pieces that the follower has are copied, with a hash of the result. A follower says which configuration it has when it connects. A host of an earlier build does not know the new handshake; beside it followers watch the store themselves. Tests: change_of_a_large_configuration_costs_followers_few_bytes (2,217,880 bytes before, limit 270,000) and follower_that_connects_again_does_not_get_a_known_configuration (443,651 before, limit 54,000) failed before.

--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::rc;
 
-use base::clock;
+use base::{clock, hash};
 use tokio::time;
 
 use crate::{host, link, relay, sources, store_watch};
@@ -62,7 +62,13 @@
 ) -> Result<(), link::Closed> {
     let address = source.address;
     let mut link = link::open(address).await?;
-    link.sender.send(&relay::Handshake::Follow).await?;
+    // Configuration that later differences on this connection refer to.
+    let mut config = host.store_cache.config();
+    let handshake = match &config {
+        Some(bytes) => relay::Handshake::FollowFrom(hash::stable_hash(bytes)),
+        None => relay::Handshake::Follow,
+    };
+    link.sender.send(&handshake).await?;
     let mut listed = collections::HashSet::new();
     let mut is_first_list = true;
     while needs_peer(host) {
@@ -73,7 +79,19 @@
             return Err(link::Closed);
         };
         match update {
-            relay::Update::Config(bytes) => store_watch::apply_config(host, &bytes, "peer"),
+            relay::Update::Config(bytes) => {
+                store_watch::apply_config(host, &bytes, "peer");
+                config = Some(bytes.into());
+            }
+            relay::Update::ConfigDelta(delta) => {
+                let bytes = config.as_deref().and_then(|old| delta.apply(old));
+                let Some(bytes) = bytes else {
+                    tracing::warn!(event = "delta_unusable", peer = %address);
+                    return Err(link::Closed);
+                };
+                store_watch::apply_config(host, &bytes, "peer");
+                config = Some(bytes.into());
+            }
             relay::Update::Put(entry) => {
                 listed.insert(entry.key.clone());
                 store_watch::apply_entry(host, &entry.key, entry.revision, &entry.value);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod backoff;
 pub mod budget;
+pub mod delta;
 pub mod fleet;
 pub mod follower;
 pub mod framing;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,11 +5,11 @@
 use std::net;
 use std::rc;
 
-use base::clock;
+use base::{clock, hash};
 use serde::{Deserialize, Serialize};
 use tokio::{net as tokio_net, task, time};
 
-use crate::{host, link, membership};
+use crate::{delta, host, link, membership};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
@@ -35,6 +35,8 @@
     /// The sender will send reports of counts and demand.
     #[serde(rename = "Tell")]
     Report,
+    /// Like `Follow`; the sender has the configuration with this hash, by [`hash::stable_hash`].
+    FollowFrom(u64),
 }
 
 /// Update from a host to its followers.
@@ -56,6 +58,8 @@
     /// Heartbeat; true if the store responds to the sender.
     #[serde(rename = "Pulse")]
     Heartbeat(bool),
+    /// Difference from the configuration that the follower had at the handshake or was sent last.
+    ConfigDelta(delta::Delta),
 }
 
 /// Entry of an upstream in the store.
@@ -91,7 +95,17 @@
     let handshake = link.receiver.receive(HEARTBEAT_TIMEOUT).await;
     // On an error the other host sees the end of the stream and connects again.
     let _ = match handshake {
-        Ok(Handshake::Follow) => send_updates(&host, &mut link, peer).await,
+        Ok(Handshake::Follow) => {
+            send_updates(&host, &mut link, peer, FollowerState::default()).await
+        }
+        Ok(Handshake::FollowFrom(config_hash)) => {
+            let config = host.store_cache.config();
+            let sent = FollowerState {
+                config: config.filter(|bytes| hash::stable_hash(bytes) == config_hash),
+                ..FollowerState::default()
+            };
+            send_updates(&host, &mut link, peer, sent).await
+        }
         Ok(Handshake::Report) => receive_reports(&host, &mut link).await,
         Err(link::Closed) => Err(link::Closed),
     };
@@ -110,9 +124,9 @@
     host: &host::Host,
     link: &mut link::Link,
     follower: net::SocketAddr,
+    mut sent: FollowerState,
 ) -> Result<(), link::Closed> {
     let mut changes = host.store_cache.subscribe();
-    let mut sent = FollowerState::default();
     loop {
         changes.mark_unchanged();
         let (begin, sent_before) = (host.now(), link.sender.sent_bytes);
@@ -134,19 +148,30 @@
     }
 }
 
+/// Returns the update that brings a follower with the configuration `sent` to `config`, if it needs
+/// one.
+fn config_update(config: &rc::Rc<[u8]>, sent: Option<&rc::Rc<[u8]>>) -> Option<Update> {
+    let Some(sent) = sent else {
+        return Some(Update::Config(config.to_vec()));
+    };
+    if rc::Rc::ptr_eq(config, sent) {
+        return None;
+    }
+    let delta = delta::Delta::between(sent, config);
+    Some(if delta.inserted_bytes() < config.len() / 2 {
+        Update::ConfigDelta(delta)
+    } else {
+        Update::Config(config.to_vec())
+    })
+}
+
 /// Returns the updates that have not been sent to the follower yet, and marks them as sent.
 fn pending_updates(host: &host::Host, sent: &mut FollowerState) -> Vec<Update> {
     let cache = &host.store_cache;
     let mut updates = Vec::new();
-    let config = cache.config();
-    let is_sent = match (&config, &sent.config) {
-        (Some(a), Some(b)) => rc::Rc::ptr_eq(a, b),
-        (None, _) => true,
-        (Some(_), None) => false,
-    };
-    if !is_sent {
-        updates.extend(config.iter().map(|bytes| Update::Config(bytes.to_vec())));
-        sent.config = config;
+    if let Some(config) = cache.config() {
+        updates.extend(config_update(&config, sent.config.as_ref()));
+        sent.config = Some(config);
     }
     if sent.leader != host.leader.get() {
         sent.leader = host.leader.get();
