A follower relies on another host only while that one's knowledge is recent

Cause: a heartbeat said yes or no about the last call of its sender. A watch call may be silent for half of the deadline; a host that had just lost its source said yes before it had called the store; others followed that one. Nothing bounded the sum. Change: a follower asks its source now and then, and the answer says how old the source's knowledge was, as a length of time; counted from the question, so delays on the way count as well. The age adds up along hosts. A host whose source is lost goes on with what it relayed while it tries the next, so the loss of a source costs no read of the store. The outer format: two messages more, appended; a host of an earlier build gets heartbeats as before.

--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -13,6 +13,18 @@
 /// Longest delay while no other host has newer information than this one.
 const MAX_RETRY_DELAY: clock::Millis = clock::Millis(1_600);
 
+/// Why a host stopped following another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// This host needs no other one, or a better suited one is there.
+    Replaced,
+    /// The connection ended, or the other host does not know the store's contents.
+    Failed {
+        /// Whether the other host knew the contents up to a recent time before.
+        was_followed: bool,
+    },
+}
+
 /// Follows another host while the store does not answer this one, or while other hosts watch the
 /// store on its behalf.
 pub async fn follow_peers(host: rc::Rc<host::Host>) {
@@ -20,6 +32,7 @@
     let mut sources = sources::Sources::default();
     loop {
         if !needs_peer(&host) {
+            host.store_health.set_following(false);
             host.store_health.wait_for_change().await;
             delay = RETRY_DELAY;
             continue;
@@ -30,18 +43,23 @@
             host.now(),
             rand::random,
         );
-        if let Some(source) = source
-            && follow_peer(&host, &source, &sources).await == Err(link::Closed)
-        {
-            // The loop tries the next host.
-            sources.record_failure(source.address, host.now());
-        }
-        let was_following = host.store_health.set_following(false);
-        delay = if was_following {
-            RETRY_DELAY
-        } else {
-            MAX_RETRY_DELAY.min(delay + delay)
+        let was_followed = match source {
+            Some(source) => match follow(&host, &source, &sources).await {
+                End::Replaced => continue,
+                End::Failed { was_followed } => {
+                    sources.record_failure(source.address, host.now());
+                    was_followed
+                }
+            },
+            None => false,
         };
+        if was_followed {
+            // What it relayed stays recent enough for the time in which the next host is tried.
+            delay = RETRY_DELAY;
+        } else {
+            host.store_health.set_following(false);
+            delay = MAX_RETRY_DELAY.min(delay + delay);
+        }
         time::sleep(delay.duration()).await;
     }
 }
@@ -50,81 +68,166 @@
     host.store_health.is_lost() || !host.is_watcher()
 }
 
-/// Follows `source` until this host needs no other one or a better suited one is there.
-///
-/// # Errors
-///
-/// The connection failed or ended, or the store does not answer `source` either.
-async fn follow_peer(
+async fn follow(
     host: &rc::Rc<host::Host>,
     source: &sources::Source,
     sources: &sources::Sources,
-) -> Result<(), link::Closed> {
-    let address = source.address;
-    let mut link = link::open(address).await?;
-    // Configuration that later differences on this connection refer to.
-    let mut config = host.store_cache.config();
-    let handshake = match &config {
-        Some(bytes) => relay::Handshake::FollowFrom(hash::stable_hash(bytes)),
-        None => relay::Handshake::Follow,
+) -> End {
+    let mut session = match Session::open(host, source).await {
+        Ok(session) => session,
+        Err(link::Closed) => {
+            return End::Failed {
+                was_followed: false,
+            };
+        }
     };
-    link.sender.send(&handshake).await?;
-    let mut listed = collections::HashSet::new();
-    let mut is_first_list = true;
-    while needs_peer(host) {
-        let update = link.receiver.receive(relay::HEARTBEAT_TIMEOUT).await;
-        let Ok(update) = update else {
-            let bytes = link.receiver.received_bytes;
-            tracing::info!(event = "peer_lost", peer = %address, bytes);
-            return Err(link::Closed);
+    let result = session.run(sources).await;
+    let bytes = session.link.receiver.received_bytes;
+    if result.is_ok() {
+        return End::Replaced;
+    }
+    tracing::info!(event = "peer_lost", peer = %source.address, bytes);
+    End::Failed {
+        was_followed: session.was_followed,
+    }
+}
+
+/// Connection to a host that is followed.
+struct Session<'a> {
+    host: &'a rc::Rc<host::Host>,
+    source: &'a sources::Source,
+    link: link::Link,
+    /// Configuration that differences refer to: the one known at the handshake or received last.
+    config: Option<rc::Rc<[u8]>>,
+    /// Keys of the entries in the first list.
+    listed: collections::HashSet<String>,
+    is_first_list: bool,
+    was_followed: bool,
+}
+
+impl<'a> Session<'a> {
+    async fn open(
+        host: &'a rc::Rc<host::Host>,
+        source: &'a sources::Source,
+    ) -> Result<Self, link::Closed> {
+        let mut link = link::open(source.address).await?;
+        let config = host.store_cache.config();
+        let handshake = match &config {
+            Some(bytes) => relay::Handshake::FollowFrom(hash::stable_hash(bytes)),
+            None => relay::Handshake::Follow,
         };
-        match update {
-            relay::Update::Config(bytes) => {
-                store_watch::apply_config(host, &bytes, "peer");
-                config = Some(bytes.into());
+        link.sender.send(&handshake).await?;
+        Ok(Self {
+            host,
+            source,
+            link,
+            config,
+            listed: collections::HashSet::new(),
+            is_first_list: true,
+            was_followed: false,
+        })
+    }
+
+    /// Applies updates until this host needs no other one or a better suited one is there.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed or ended, or the source does not know the store's contents up to a
+    /// recent time.
+    async fn run(&mut self, sources: &sources::Sources) -> Result<(), link::Closed> {
+        let mut questions = time::interval(self.host.freshness.ask_interval().duration());
+        questions.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut heard_at = self.host.now();
+        while needs_peer(self.host) {
+            let now = self.host.now();
+            if now.since(heard_at) >= relay::HEARTBEAT_TIMEOUT {
+                return Err(link::Closed);
+            }
+            tokio::select! {
+                _ = questions.tick() => self.link.sender.send(&now).await?,
+                update = self.link.receiver.next() => {
+                    heard_at = self.host.now();
+                    self.apply(update?)?;
+                    if self.was_followed && self.has_better(sources) {
+                        return Ok(());
+                    }
+                }
             }
+        }
+        Ok(())
+    }
+
+    fn has_better(&self, sources: &sources::Sources) -> bool {
+        let membership = self.host.membership.borrow();
+        let now = self.host.now();
+        sources.has_better(&self.host.settings, &membership, self.source, now)
+    }
+
+    fn apply(&mut self, update: relay::Update) -> Result<(), link::Closed> {
+        let host = self.host;
+        match update {
+            relay::Update::Config(bytes) => self.apply_config(bytes),
             relay::Update::ConfigDelta(delta) => {
-                let bytes = config.as_deref().and_then(|old| delta.apply(old));
+                let bytes = self.config.as_deref().and_then(|old| delta.apply(old));
                 let Some(bytes) = bytes else {
-                    tracing::warn!(event = "delta_unusable", peer = %address);
+                    tracing::warn!(event = "delta_unusable", peer = %self.source.address);
                     return Err(link::Closed);
                 };
-                store_watch::apply_config(host, &bytes, "peer");
-                config = Some(bytes.into());
+                self.apply_config(bytes);
             }
             relay::Update::Put(entry) => {
-                listed.insert(entry.key.clone());
                 store_watch::apply_entry(host, &entry.key, entry.revision, &entry.value);
-            }
-            relay::Update::Removed(key, at) => store_watch::apply_removal(host, &key, at),
-            relay::Update::Complete(at) => {
-                if std::mem::take(&mut is_first_list) {
-                    for key in host.store_cache.keys() {
-                        if !listed.contains(&key) {
-                            store_watch::apply_removal(host, &key, at);
-                        }
-                    }
+                if self.is_first_list {
+                    self.listed.insert(entry.key);
                 }
-                host.store_cache.advance_to(at);
-                host.upstreams_listed.set(true);
             }
+            relay::Update::Removed(key, at) => store_watch::apply_removal(host, &key, at),
+            relay::Update::Complete(at) => self.complete_list(at),
             relay::Update::Leader(leader) => host.leader.set(leader),
-            // A host that the store does not answer either has no newer information.
-            relay::Update::Heartbeat(false) => {
-                let bytes = link.receiver.received_bytes;
-                tracing::info!(event = "peer_left", peer = %address, bytes);
-                return Err(link::Closed);
-            }
-            relay::Update::Heartbeat(true) => {
-                if host.upstreams_listed.get() && !host.store_health.set_following(true) {
-                    tracing::info!(event = "peer_followed", peer = %address);
-                }
-                let membership = host.membership.borrow();
-                if sources.has_better(&host.settings, &membership, source, host.now()) {
-                    return Ok(());
+            relay::Update::Known { asked_at, age } => return self.record_known(asked_at, age),
+            // Hosts of earlier builds go by the heartbeat; `Known` says more.
+            relay::Update::Heartbeat(_) => {}
+        }
+        Ok(())
+    }
+
+    fn apply_config(&mut self, bytes: Vec<u8>) {
+        store_watch::apply_config(self.host, &bytes, "peer");
+        self.config = Some(bytes.into());
+    }
+
+    fn complete_list(&mut self, at: u64) {
+        if std::mem::take(&mut self.is_first_list) {
+            let listed = std::mem::take(&mut self.listed);
+            for key in self.host.store_cache.keys() {
+                if !listed.contains(&key) {
+                    store_watch::apply_removal(self.host, &key, at);
                 }
             }
         }
+        self.host.store_cache.advance_to(at);
+        self.host.upstreams_listed.set(true);
+    }
+
+    /// Records that the source knew the store's contents until `age` before `asked_at`.
+    fn record_known(
+        &mut self,
+        asked_at: clock::Millis,
+        age: clock::Millis,
+    ) -> Result<(), link::Closed> {
+        let host = self.host;
+        let now = host.now();
+        let until = clock::Millis(asked_at.min(now).since(age).0);
+        if !host.freshness.is_recent(until, now) || !host.upstreams_listed.get() {
+            let age_ms = now.since(until).0;
+            tracing::info!(event = "peer_behind", peer = %self.source.address, age_ms);
+            return Err(link::Closed);
+        }
+        host.freshness.record_relayed(until);
+        self.was_followed = true;
+        if !host.store_health.set_following(true) {
+            tracing::info!(event = "peer_followed", peer = %self.source.address);
+        }
+        Ok(())
     }
-    Ok(())
 }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,8 +10,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    budget, fleet, http_client, membership, metrics, model, ports, store_cache, store_watch,
-    windows,
+    budget, fleet, freshness, http_client, membership, metrics, model, ports, store_cache,
+    store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -115,6 +115,8 @@
     pub membership: cell::RefCell<membership::Membership>,
     /// Entries of the store as last read or relayed by another host.
     pub store_cache: store_cache::StoreCache,
+    /// Times up to which the store's contents are known.
+    pub freshness: freshness::Freshness,
     /// Availability of the store to this host.
     pub store_health: store_watch::StoreHealth,
     /// Peer address of the leader, if known.
@@ -137,6 +139,7 @@
     /// The exporter of the metrics cannot be built.
     pub fn new(settings: Settings, dependencies: Dependencies) -> eyre::Result<Self> {
         let location = settings.location.clone();
+        let change_deadline = settings.timing.change_deadline;
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
@@ -154,6 +157,7 @@
             demand: cell::RefCell::default(),
             membership: cell::RefCell::default(),
             store_cache: store_cache::StoreCache::default(),
+            freshness: freshness::Freshness::new(change_deadline),
             store_health: store_watch::StoreHealth::default(),
             leader: cell::Cell::new(None),
             is_leader: cell::Cell::new(false),
@@ -211,9 +215,12 @@
         self.now().since(self.started_at) < DISCOVERY_PERIOD
     }
 
-    /// Whether this host leaves watching the store to others and follows one of them.
+    /// Whether this host leaves watching the store to others, and follows one of them that knows
+    /// the store's contents up to a recent time.
     pub fn relies_on_peer(&self) -> bool {
-        !self.is_watcher() && self.store_health.is_following()
+        !self.is_watcher()
+            && self.store_health.is_following()
+            && self.freshness.has_recent_relayed(self.now())
     }
 
     /// Takes one retry from the service's budget; returns whether there was one.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod follower;
 pub mod framing;
+pub mod freshness;
 pub mod host;
 pub mod http_client;
 pub mod leader;
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -111,7 +111,12 @@
         received.unwrap_or(Err(Closed))
     }
 
-    async fn next<T: DeserializeOwned>(&mut self) -> Result<T, Closed> {
+    /// Receives the next message, whenever it comes. Dropping the future loses no bytes.
+    ///
+    /// # Errors
+    ///
+    /// The stream is closed, or the message cannot be decoded.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T, Closed> {
         loop {
             if let Some(message) = self.reader.read().map_err(|_| Closed)? {
                 return Ok(message);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -55,11 +55,19 @@
     /// Peer address of the leader, if there is one.
     #[serde(rename = "Holder")]
     Leader(Option<net::SocketAddr>),
-    /// Heartbeat; true if the store responds to the sender.
+    /// Heartbeat; true if the sender knows the store's contents up to a recent time.
     #[serde(rename = "Pulse")]
     Heartbeat(bool),
     /// Difference from the configuration that the follower had at the handshake or was sent last.
     ConfigDelta(delta::Delta),
+    /// Answer to the question that a follower sends now and then: the updates before contain all
+    /// that was in the store until `age` before the question arrived.
+    Known {
+        /// The question, which is the time on the follower's clock at which it was asked.
+        asked_at: clock::Millis,
+        /// Age of the sender's knowledge; the largest value if it doesn't know all of the contents.
+        age: clock::Millis,
+    },
 }
 
 /// Entry of an upstream in the store.
@@ -127,9 +135,12 @@
     mut sent: FollowerState,
 ) -> Result<(), link::Closed> {
     let mut changes = host.store_cache.subscribe();
+    let mut question = None;
     loop {
         changes.mark_unchanged();
         let (begin, sent_before) = (host.now(), link.sender.sent_bytes);
+        // What is learned while the updates are sent is not part of them.
+        let known_until = host.freshness.known_until();
         for update in pending_updates(host, &mut sent) {
             link.sender.send(&update).await?;
         }
@@ -141,10 +152,17 @@
         if took >= HEARTBEAT_INTERVAL {
             tracing::warn!(event = "follower_slow", %follower, bytes, took_ms = took.0);
         }
-        let healthy = !host.relies_on_peer() && !host.store_health.is_lost();
-        link.sender.send(&Update::Heartbeat(healthy)).await?;
-        // A heartbeat is due after a timeout, an update after a change.
-        let _ = time::timeout(HEARTBEAT_INTERVAL.duration(), changes.changed()).await;
+        let is_recent = known_until.is_some_and(|until| host.freshness.is_recent(until, begin));
+        link.sender.send(&Update::Heartbeat(is_recent)).await?;
+        if let Some(asked_at) = question.take() {
+            let age = known_until.map_or(clock::Millis(u64::MAX), |until| begin.since(until));
+            link.sender.send(&Update::Known { asked_at, age }).await?;
+        }
+        tokio::select! {
+            asked_at = link.receiver.next() => question = Some(asked_at?),
+            // A heartbeat is due after a timeout, an update after a change.
+            _ = time::timeout(HEARTBEAT_INTERVAL.duration(), changes.changed()) => {}
+        }
     }
 }
 
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -8,11 +8,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::{task, time};
 
+use crate::freshness::WatchTarget;
 use crate::{backoff, host, model, ports};
 
-/// Share of the deadline for changes that one watch call waits: a connection that stopped
-/// responding is noticed, and the list read again, within the deadline.
-const WATCH_TIMEOUT_SHARE: f64 = 0.5;
 /// Time between checks whether to follow another host, when no change triggers a check earlier.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(2_000);
 /// Delay after changes of upstreams before the next watch call: changes come in bursts, and each
@@ -23,22 +21,6 @@
 /// Time after an outage of the store within which an upstream's entry that expired may reappear.
 const REAPPEAR_PERIOD: clock::Millis = clock::Millis(2_200);
 
-/// Data in the store that is watched.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum WatchTarget {
-    Config,
-    Upstreams,
-}
-
-impl WatchTarget {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Upstreams => "upstreams",
-        }
-    }
-}
-
 /// Whether the store responds to this host, and whether the host follows another host instead.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -160,16 +142,13 @@
     }
 }
 
-fn watch_timeout(host: &host::Host) -> clock::Millis {
-    clock::Millis((host.settings.timing.change_deadline.0 as f64 * WATCH_TIMEOUT_SHARE) as u64)
-}
-
 /// Watches the configuration and applies each new version.
 pub async fn watch_config(host: rc::Rc<host::Host>) {
     let key = host.protocol.config_key().to_owned();
     let mut backoff = backoff::Backoff::default();
     loop {
         wait_while_relying_on_peer(&host).await;
+        let began = host.now();
         let config = host.store.get(&key).await;
         host.store_health
             .record_result(WatchTarget::Config, &config, host.now());
@@ -181,13 +160,17 @@
         if let Some(item) = item {
             apply_config(&host, &item.value, "store");
         }
+        host.freshness.record_read(WatchTarget::Config, began);
         while !host.relies_on_peer() {
-            let changes = host.store.watch(&key, at, watch_timeout(&host)).await;
+            let began = host.now();
+            let wait = host.freshness.watch_timeout(WatchTarget::Config, began);
+            let changes = host.store.watch(&key, at, wait).await;
             host.store_health
                 .record_result(WatchTarget::Config, &changes, host.now());
             match changes {
                 Ok((events, revision)) => {
                     at = revision;
+                    let is_quiet = events.is_empty();
                     for event in events {
                         if let ports::WatchEvent::Put(item) = event
                             && item.key == key
@@ -195,6 +178,9 @@
                             apply_config(&host, &item.value, "store");
                         }
                     }
+                    let (target, now) = (WatchTarget::Config, host.now());
+                    host.freshness
+                        .record_watch(target, began, wait, now, is_quiet);
                 }
                 Err(ports::StoreError::Compacted) => break,
                 Err(_) => {
@@ -237,6 +223,7 @@
     let mut backoff = backoff::Backoff::probe();
     loop {
         wait_while_relying_on_peer(&host).await;
+        let began = host.now();
         let list = host.store.list(&prefix, false).await;
         host.store_health
             .record_result(WatchTarget::Upstreams, &list, host.now());
@@ -246,19 +233,25 @@
         };
         backoff.reset();
         apply_list(&host, &items, at);
+        host.freshness.record_read(WatchTarget::Upstreams, began);
         while !host.relies_on_peer() {
-            let changes = host.store.watch(&prefix, at, watch_timeout(&host)).await;
+            let began = host.now();
+            let wait = host.freshness.watch_timeout(WatchTarget::Upstreams, began);
+            let changes = host.store.watch(&prefix, at, wait).await;
             host.store_health
                 .record_result(WatchTarget::Upstreams, &changes, host.now());
             match changes {
                 Ok((events, revision)) => {
                     at = revision;
-                    let changed = !events.is_empty();
+                    let is_quiet = events.is_empty();
                     for event in events {
                         apply_event(&host, &event, revision);
                     }
                     host.store_cache.advance_to(at);
-                    if changed {
+                    let (target, now) = (WatchTarget::Upstreams, host.now());
+                    host.freshness
+                        .record_watch(target, began, wait, now, is_quiet);
+                    if !is_quiet {
                         time::sleep(batch_delay(&host).duration()).await;
                     }
                 }
