A host that starts takes the store's contents from a near host

Cause: each host that starts read the configuration and the list from the store, also where a host beside it watches them, so restarts of many hosts filled the link between the regions. Change: the first reads wait until the list of hosts is there (at most 0.3 s after the start) and, if another host watches the store for this one, for what it relays (at most 1.5 s). A source that has itself just started is given the time to read; one that is behind is tried again after 4 s, one that is lost after 20 s. Test: restarted_hosts_read_nothing_from_the_store_while_another_host_relays failed without the waits (2 reads, 0 allowed).

--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -13,14 +13,15 @@
 /// Longest delay while no other host has newer information than this one.
 const MAX_RETRY_DELAY: clock::Millis = clock::Millis(1_600);
 
-/// Why a host stopped following another one.
+/// Result of following a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
     /// This host needs no other one, or a better suited one is there.
     Replaced,
-    /// The connection ended, or the other host does not know the store's contents.
+    /// The host can't be followed any longer.
     Failed {
-        /// Whether the other host knew the contents up to a recent time before.
+        failure: sources::Failure,
+        /// Whether the host knew the store's contents up to a recent time before.
         was_followed: bool,
     },
 }
@@ -46,8 +47,11 @@
         let was_followed = match source {
             Some(source) => match follow(&host, &source, &sources).await {
                 End::Replaced => continue,
-                End::Failed { was_followed } => {
-                    sources.record_failure(source.address, host.now());
+                End::Failed {
+                    failure,
+                    was_followed,
+                } => {
+                    sources.record_failure(source.address, failure, host.now());
                     was_followed
                 }
             },
@@ -73,21 +77,19 @@
     source: &sources::Source,
     sources: &sources::Sources,
 ) -> End {
-    let mut session = match Session::open(host, source).await {
-        Ok(session) => session,
-        Err(link::Closed) => {
-            return End::Failed {
-                was_followed: false,
-            };
-        }
+    let Ok(mut session) = Session::open(host, source).await else {
+        return End::Failed {
+            failure: sources::Failure::Lost,
+            was_followed: false,
+        };
     };
-    let result = session.run(sources).await;
-    let bytes = session.link.receiver.received_bytes;
-    if result.is_ok() {
+    let Err(failure) = session.run(sources).await else {
         return End::Replaced;
-    }
-    tracing::info!(event = "peer_lost", peer = %source.address, bytes);
+    };
+    let bytes = session.link.receiver.received_bytes;
+    tracing::info!(event = "peer_lost", peer = %source.address, ?failure, bytes);
     End::Failed {
+        failure,
         was_followed: session.was_followed,
     }
 }
@@ -102,6 +104,8 @@
     /// Keys of the entries in the first list.
     listed: collections::HashSet<String>,
     is_first_list: bool,
+    opened_at: clock::Millis,
+    /// Whether the source has known the store's contents up to a recent time.
     was_followed: bool,
 }
 
@@ -124,6 +128,7 @@
             config,
             listed: collections::HashSet::new(),
             is_first_list: true,
+            opened_at: host.now(),
             was_followed: false,
         })
     }
@@ -132,22 +137,24 @@
     ///
     /// # Errors
     ///
-    /// The connection failed or ended, or the source does not know the store's contents up to a
-    /// recent time.
-    async fn run(&mut self, sources: &sources::Sources) -> Result<(), link::Closed> {
+    /// Why the source is not followed any longer.
+    async fn run(&mut self, sources: &sources::Sources) -> Result<(), sources::Failure> {
         let mut questions = time::interval(self.host.freshness.ask_interval().duration());
         questions.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut heard_at = self.host.now();
         while needs_peer(self.host) {
             let now = self.host.now();
             if now.since(heard_at) >= relay::HEARTBEAT_TIMEOUT {
-                return Err(link::Closed);
+                return Err(sources::Failure::Lost);
             }
             tokio::select! {
-                _ = questions.tick() => self.link.sender.send(&now).await?,
+                _ = questions.tick() => {
+                    let asked = self.link.sender.send(&now).await;
+                    asked.map_err(|link::Closed| sources::Failure::Lost)?;
+                }
                 update = self.link.receiver.next() => {
                     heard_at = self.host.now();
-                    self.apply(update?)?;
+                    self.apply(update.map_err(|link::Closed| sources::Failure::Lost)?)?;
                     if self.was_followed && self.has_better(sources) {
                         return Ok(());
                     }
@@ -163,7 +170,7 @@
         sources.has_better(&self.host.settings, &membership, self.source, now)
     }
 
-    fn apply(&mut self, update: relay::Update) -> Result<(), link::Closed> {
+    fn apply(&mut self, update: relay::Update) -> Result<(), sources::Failure> {
         let host = self.host;
         match update {
             relay::Update::Config(bytes) => self.apply_config(bytes),
@@ -171,7 +178,7 @@
                 let bytes = self.config.as_deref().and_then(|old| delta.apply(old));
                 let Some(bytes) = bytes else {
                     tracing::warn!(event = "delta_unusable", peer = %self.source.address);
-                    return Err(link::Closed);
+                    return Err(sources::Failure::Lost);
                 };
                 self.apply_config(bytes);
             }
@@ -209,19 +216,23 @@
         self.host.upstreams_listed.set(true);
     }
 
-    /// Records that the source knew the store's contents until `age` before `asked_at`.
+    /// Records that the source knew the store's contents until `age` before `asked_at`. A source
+    /// that has just started is given time to read them.
     fn record_known(
         &mut self,
         asked_at: clock::Millis,
         age: clock::Millis,
-    ) -> Result<(), link::Closed> {
+    ) -> Result<(), sources::Failure> {
         let host = self.host;
         let now = host.now();
         let until = clock::Millis(asked_at.min(now).since(age).0);
         if !host.freshness.is_recent(until, now) || !host.upstreams_listed.get() {
+            if age == relay::UNKNOWN_AGE && now.since(self.opened_at) < relay::HEARTBEAT_TIMEOUT {
+                return Ok(());
+            }
             let age_ms = now.since(until).0;
             tracing::info!(event = "peer_behind", peer = %self.source.address, age_ms);
-            return Err(link::Closed);
+            return Err(sources::Failure::Behind);
         }
         host.freshness.record_relayed(until);
         self.was_followed = true;
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -90,8 +90,18 @@
         let host = host.clone();
         supervisor::spawn(name, move || run(host.clone()));
     };
-    spawn("config", |h| Box::pin(store_watch::watch_config(h)));
-    spawn("upstreams", |h| Box::pin(store_watch::watch_upstreams(h)));
+    spawn("config", |h| {
+        Box::pin(async {
+            store_watch::wait_for_first_source(&h).await;
+            store_watch::watch_config(h).await;
+        })
+    });
+    spawn("upstreams", |h| {
+        Box::pin(async {
+            store_watch::wait_for_first_source(&h).await;
+            store_watch::watch_upstreams(h).await;
+        })
+    });
     spawn("peer_news", |h| Box::pin(follower::follow_peers(h)));
     spawn("presence", |h| Box::pin(membership::keep_registered(h)));
     spawn("roster", |h| Box::pin(membership::refresh(h)));
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -196,6 +196,11 @@
         found.is_err() || found.is_ok_and(|i| self.registered[i].1)
     }
 
+    /// Whether the registered hosts have been read.
+    pub fn is_read(&self) -> bool {
+        !self.host_counts.is_empty()
+    }
+
     /// Registered hosts in the order of their names, and whether each watches the store.
     pub fn registered(&self) -> &[(Registration, bool)] {
         &self.registered
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -15,6 +15,8 @@
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
 /// Time without a message after which another host is followed.
 pub const HEARTBEAT_TIMEOUT: clock::Millis = clock::Millis(1_500);
+/// Age of the knowledge of a host that has not read the store's contents since its start.
+pub const UNKNOWN_AGE: clock::Millis = clock::Millis(u64::MAX);
 /// Longest time between two reports of counts and demand.
 const REPORT_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// Counts and demand are reported at least this many times per report deadline.
@@ -65,7 +67,7 @@
     Known {
         /// The question, which is the time on the follower's clock at which it was asked.
         asked_at: clock::Millis,
-        /// Age of the sender's knowledge; the largest value if it doesn't know all of the contents.
+        /// Age of the sender's knowledge; `UNKNOWN_AGE` if it doesn't know all of the contents.
         age: clock::Millis,
     },
 }
@@ -155,7 +157,7 @@
         let is_recent = known_until.is_some_and(|until| host.freshness.is_recent(until, begin));
         link.sender.send(&Update::Heartbeat(is_recent)).await?;
         if let Some(asked_at) = question.take() {
-            let age = known_until.map_or(clock::Millis(u64::MAX), |until| begin.since(until));
+            let age = known_until.map_or(UNKNOWN_AGE, |until| begin.since(until));
             link.sender.send(&Update::Known { asked_at, age }).await?;
         }
         tokio::select! {
--- a/crates/router/src/sources.rs
+++ b/crates/router/src/sources.rs
@@ -9,6 +9,17 @@
 
 /// Time after a failure within which other hosts are tried first.
 const FAILURE_PERIOD: clock::Millis = clock::Millis::secs(20);
+/// The same for a host that answers but does not know the store's contents up to a recent time.
+const BEHIND_PERIOD: clock::Millis = clock::Millis::secs(4);
+
+/// Why a host is not followed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// The host can't be reached, or the connection ended.
+    Lost,
+    /// The host does not know the store's contents up to a recent time.
+    Behind,
+}
 
 /// How well a host is suited as a source, best first. Hosts that watch the store know changes
 /// first; the link between two regions is shared by all hosts and would carry each change once for
@@ -46,20 +57,28 @@
 /// Sources that failed lately.
 #[derive(Debug, Default)]
 pub struct Sources {
-    failed_at: collections::HashMap<net::SocketAddr, clock::Millis>,
+    /// Until when other hosts are tried before the one with this address.
+    avoided_until: collections::HashMap<net::SocketAddr, clock::Millis>,
 }
 
 impl Sources {
-    /// Records that the host at `address` could not be reached or does not know the store's
-    /// contents.
-    pub fn record_failure(&mut self, address: net::SocketAddr, now: clock::Millis) {
-        self.failed_at
-            .retain(|_, at| now.since(*at) < FAILURE_PERIOD);
-        self.failed_at.insert(address, now);
+    /// Records why the host at `address` is not followed.
+    pub fn record_failure(
+        &mut self,
+        address: net::SocketAddr,
+        failure: Failure,
+        now: clock::Millis,
+    ) {
+        let period = match failure {
+            Failure::Lost => FAILURE_PERIOD,
+            Failure::Behind => BEHIND_PERIOD,
+        };
+        self.avoided_until.retain(|_, until| now < *until);
+        self.avoided_until.insert(address, now + period);
     }
 
     /// Returns the host to follow: the best suited one that has not failed lately, else the one
-    /// whose failure is longest ago. `draws` returns random numbers, which decide between equals.
+    /// that is avoided for the shortest time. `draws` returns random numbers, which decide between equals.
     pub fn choose(
         &self,
         settings: &host::Settings,
@@ -77,7 +96,7 @@
             .chain(seeds)
             .filter(|(address, _)| *address != settings.peer_address)
             .min_by_key(|(address, suitability)| {
-                (self.failure(*address, now), *suitability, draws())
+                (self.avoided_until(*address, now), *suitability, draws())
             });
         best.map(|(address, suitability)| Source {
             address,
@@ -95,12 +114,13 @@
     ) -> bool {
         let best = self.choose(settings, membership, now, || 0);
         best.is_some_and(|best| {
-            self.failure(best.address, now).is_none() && best.suitability < current.suitability
+            self.avoided_until(best.address, now).is_none()
+                && best.suitability < current.suitability
         })
     }
 
-    fn failure(&self, address: net::SocketAddr, now: clock::Millis) -> Option<clock::Millis> {
-        let at = self.failed_at.get(&address).copied();
-        at.filter(|at| now.since(*at) < FAILURE_PERIOD)
+    fn avoided_until(&self, address: net::SocketAddr, now: clock::Millis) -> Option<clock::Millis> {
+        let until = self.avoided_until.get(&address).copied();
+        until.filter(|until| now < *until)
     }
 }
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -18,6 +18,12 @@
 const BATCH_DELAY: clock::Millis = clock::Millis(200);
 /// Time between checks whether this host still relies on another host instead of the store.
 const RELIANCE_CHECK_INTERVAL: clock::Millis = clock::Millis(250);
+/// Time after the start for which a host waits for the list of the other hosts.
+const FIRST_HOSTS_TIMEOUT: clock::Millis = clock::Millis(300);
+/// Time after the start for which a host waits for the contents from another host.
+const FIRST_SOURCE_TIMEOUT: clock::Millis = clock::Millis(1_500);
+/// Time between checks in these waits.
+const FIRST_SOURCE_CHECK_INTERVAL: clock::Millis = clock::Millis(20);
 /// Time after an outage of the store within which an upstream's entry that expired may reappear.
 const REAPPEAR_PERIOD: clock::Millis = clock::Millis(2_200);
 
@@ -118,6 +124,19 @@
     }
 }
 
+/// Waits, at the start of this host, until it knows whether another host watches the store for it,
+/// and if so until that has relayed the contents. Hosts that start together would fill the links
+/// to the store if each read the contents itself. Either wait has a limit.
+pub async fn wait_for_first_source(host: &host::Host) {
+    let age = || host.now().since(host.started_at);
+    while !host.membership.borrow().is_read() && age() < FIRST_HOSTS_TIMEOUT {
+        time::sleep(FIRST_SOURCE_CHECK_INTERVAL.duration()).await;
+    }
+    while !host.is_watcher() && !host.relies_on_peer() && age() < FIRST_SOURCE_TIMEOUT {
+        time::sleep(FIRST_SOURCE_CHECK_INTERVAL.duration()).await;
+    }
+}
+
 /// Waits while this host relies on another host instead of the store.
 async fn wait_while_relying_on_peer(host: &host::Host) {
     while host.relies_on_peer() {
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -67,8 +67,16 @@
 
 /// Starts the tasks by which a host learns of changes in the store.
 pub fn start_tasks(node: &Node) {
-    task::spawn_local(store_watch::watch_config(node.host.clone()));
-    task::spawn_local(store_watch::watch_upstreams(node.host.clone()));
+    let host = node.host.clone();
+    task::spawn_local(async {
+        store_watch::wait_for_first_source(&host).await;
+        store_watch::watch_config(host).await;
+    });
+    let host = node.host.clone();
+    task::spawn_local(async {
+        store_watch::wait_for_first_source(&host).await;
+        store_watch::watch_upstreams(host).await;
+    });
     task::spawn_local(follower::follow_peers(node.host.clone()));
 }
 
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -289,6 +289,7 @@
     pub host: rc::Rc<host::Host>,
     pub store_mode: rc::Rc<cell::Cell<StoreMode>>,
     pub refused_calls: rc::Rc<cell::Cell<u32>>,
+    pub read_calls: rc::Rc<cell::Cell<u32>>,
     pub watch_calls: rc::Rc<cell::Cell<u32>>,
 }
 
@@ -348,6 +349,7 @@
 ) -> Node {
     let store_mode = rc::Rc::new(cell::Cell::new(StoreMode::Available));
     let refused_calls = rc::Rc::new(cell::Cell::new(0));
+    let read_calls = rc::Rc::new(cell::Cell::new(0));
     let watch_calls = rc::Rc::new(cell::Cell::new(0));
     let any_address = ([127, 0, 0, 1], 0).into();
     let settings = host::Settings {
@@ -377,6 +379,7 @@
             cluster: cluster.clone(),
             mode: store_mode.clone(),
             refused_calls: refused_calls.clone(),
+            read_calls: read_calls.clone(),
             watch_calls: watch_calls.clone(),
         }),
         orders: Box::new(Orders {
@@ -391,6 +394,7 @@
         host: rc::Rc::new(host),
         store_mode,
         refused_calls,
+        read_calls,
         watch_calls,
     }
 }
--- a/crates/router/tests/env/store.rs
+++ b/crates/router/tests/env/store.rs
@@ -33,6 +33,8 @@
     pub mode: rc::Rc<cell::Cell<StoreMode>>,
     /// Number of calls refused to this host.
     pub refused_calls: rc::Rc<cell::Cell<u32>>,
+    /// Number of reads of keys and lists by this host.
+    pub read_calls: rc::Rc<cell::Cell<u32>>,
     /// Number of watch calls of this host.
     pub watch_calls: rc::Rc<cell::Cell<u32>>,
 }
@@ -96,6 +98,7 @@
     ) -> ports::LocalFuture<'a, Result<(Option<ports::Item>, u64), ports::StoreError>> {
         Box::pin(async move {
             self.check_reached().await?;
+            self.read_calls.set(self.read_calls.get() + 1);
             let item = self.cluster.items.borrow().get(key).map(|(i, _)| i.clone());
             Ok((item, self.cluster.revision.get()))
         })
@@ -108,6 +111,7 @@
     ) -> ports::LocalFuture<'a, Result<(Vec<ports::Item>, u64), ports::StoreError>> {
         Box::pin(async move {
             self.check_reached().await?;
+            self.read_calls.set(self.read_calls.get() + 1);
             let items = self.cluster.items.borrow();
             let items = items.iter().filter(|(k, _)| k.starts_with(prefix));
             let items = items.map(|(_, (i, _))| i.clone()).collect();
--- a/crates/router/tests/fanout.rs
+++ b/crates/router/tests/fanout.rs
@@ -91,6 +91,27 @@
     });
 }
 
+/// Each host that started read the whole configuration from the store, also where another host of
+/// its data centre relays it. Hosts that started together filled the link between the regions.
+#[test]
+fn restarted_hosts_read_nothing_from_the_store_while_another_host_relays() {
+    env::run(|| async {
+        let cluster = env::Cluster::new();
+        cluster.put("config", &large_config(1));
+        cluster.put("up/a", "ready 1 1");
+        let nodes = start_hosts(&cluster, ["h1", "h2", "h3", "h4", "h5", "h6"]);
+        for node in &nodes {
+            start_tasks(node);
+        }
+        env::sleep_ms(CHANGE_DEADLINE_MS).await;
+        for node in &nodes[2..] {
+            assert_eq!(node.config_version(), Some(1));
+            assert_eq!(node.ready_upstreams(), ["a"]);
+            assert_eq!(node.read_calls.get(), 0, "{}", node.host.settings.host);
+        }
+    });
+}
+
 /// Followers drew a watching host of any region, so most of them took each version over the link
 /// between the regions, which all hosts share.
 #[test]
--- a/crates/router/tests/sources.rs
+++ b/crates/router/tests/sources.rs
@@ -63,7 +63,7 @@
                 .choose(settings, membership, now, rand::random)
                 .expect("a source");
             order.push(source.address.port());
-            sources.record_failure(source.address, now);
+            sources.record_failure(source.address, sources::Failure::Lost, now);
         }
         let mut groups =
             [&order[..2], &order[2..4], &order[4..6], &order[6..7]].map(<[u16]>::to_vec);
@@ -82,8 +82,8 @@
     setup(|settings, membership| {
         let mut sources = sources::Sources::default();
         let at = clock::Millis(1_000);
-        sources.record_failure(address(10), at);
-        sources.record_failure(address(11), at);
+        sources.record_failure(address(10), sources::Failure::Lost, at);
+        sources.record_failure(address(11), sources::Failure::Lost, at);
         let far = sources
             .choose(settings, membership, at, || 0)
             .expect("a source");
