The absence of an upstream's entry is counted from its first listing

What callers could see: requests sent to an upstream that has left, for as long as the store comes and goes for a host. Cause: an entry missing after an outage is kept for 2.2 s, as it may reappear; each later listing set the time again. Change: an entry that is marked as missing keeps its mark. Test: missing_entry_is_dropped_in_time_while_the_store_comes_and_goes failed before (listed 3.3 s after the first return of the store).

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -292,13 +292,16 @@
         }
     }
 
-    /// Marks an upstream whose store entry disappeared. Returns the mark, which is unique.
-    pub fn mark_missing(&mut self, name: &name::Upstream) -> u64 {
-        self.last_mark += 1;
-        if let Some(tracked) = self.upstreams.get_mut(name) {
-            tracked.missing_mark = self.last_mark;
+    /// Marks an upstream whose store entry disappeared. Returns the mark, which is unique, or `None`
+    /// if the upstream is unknown or marked already: the time of its absence goes on.
+    pub fn mark_missing(&mut self, name: &name::Upstream) -> Option<u64> {
+        let tracked = self.upstreams.get_mut(name)?;
+        if tracked.missing_mark != 0 {
+            return None;
         }
-        self.last_mark
+        self.last_mark += 1;
+        tracked.missing_mark = self.last_mark;
+        Some(self.last_mark)
     }
 
     /// Whether `mark` is still the current mark of the upstream: its entry has neither reappeared
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -319,7 +319,9 @@
     let Some(name) = upstream_name(host, key) else {
         return;
     };
-    let absence = host.fleet.borrow_mut().mark_missing(&name);
+    let Some(absence) = host.fleet.borrow_mut().mark_missing(&name) else {
+        return;
+    };
     let host = host.clone();
     let key = key.to_owned();
     task::spawn_local(async move {
--- a/crates/router/tests/follow.rs
+++ b/crates/router/tests/follow.rs
@@ -142,6 +142,37 @@
     }
 }
 
+/// Each new listing once began the wait for a missing entry anew, so an upstream that had left stayed
+/// in use as long as the store came and went.
+#[test]
+fn missing_entry_is_dropped_in_time_while_the_store_comes_and_goes() {
+    const OUTAGE_MS: u64 = 300;
+    const AVAILABLE_MS: u64 = 1_100;
+    /// Time after the first return of the store at which a missing entry is no longer listed.
+    const GONE_MS: u64 = 3_300;
+    env::run(|| async {
+        let cluster = env::Cluster::new();
+        cluster.put("up/a", "ready 1 1");
+        let node = env::node(&cluster, "h", 1);
+        start_watches(&node);
+        env::sleep_ms(50).await;
+        node.store_mode.set(env::StoreMode::Unavailable);
+        cluster.remove("up/a");
+        env::sleep_ms(2_000).await;
+        let mode = node.store_mode.clone();
+        task::spawn_local(async move {
+            loop {
+                mode.set(env::StoreMode::Available);
+                env::sleep_ms(AVAILABLE_MS).await;
+                mode.set(env::StoreMode::Unavailable);
+                env::sleep_ms(OUTAGE_MS).await;
+            }
+        });
+        env::sleep_ms(GONE_MS).await;
+        assert_eq!(node.ready_upstreams(), [""; 0]);
+    });
+}
+
 #[test]
 fn invalid_entry_does_not_affect_other_upstreams() {
     env::run(|| async {
