A removal is applied with its own revision, not that of the response

What callers could see: an upstream that was removed and wrote its entry again within one response of a watch (200 ms, or the second for which watches hear nothing while the store drops its history) got no requests until its next heartbeat. Cause: the removal was recorded with the revision up to which the response was complete, so the later entry counted as older. Change: the removal event carries its revision. Test: upstream_removed_and_written_again_at_once_is_listed failed before.

--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -31,8 +31,8 @@
 pub enum WatchEvent {
     /// A key was created or its value was written.
     Put(Item),
-    /// The key was removed, by a transaction or because its lease ended.
-    Removed(String),
+    /// The key was removed at this store revision, by a transaction or because its lease ended.
+    Removed(String, u64),
 }
 
 /// Error of a store operation.
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -264,7 +264,7 @@
                     at = revision;
                     let is_quiet = events.is_empty();
                     for event in events {
-                        apply_event(&host, &event, revision);
+                        apply_event(&host, &event);
                     }
                     host.store_cache.advance_to(at);
                     let (target, now) = (WatchTarget::Upstreams, host.now());
@@ -301,10 +301,10 @@
     host.upstreams_listed.set(true);
 }
 
-fn apply_event(host: &rc::Rc<host::Host>, event: &ports::WatchEvent, at: u64) {
+fn apply_event(host: &rc::Rc<host::Host>, event: &ports::WatchEvent) {
     match event {
         ports::WatchEvent::Put(item) => apply_entry(host, &item.key, item.revision, &item.value),
-        ports::WatchEvent::Removed(key) => handle_missing(host, key, at),
+        ports::WatchEvent::Removed(key, at) => handle_missing(host, key, *at),
     }
 }
 
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -86,8 +86,8 @@
 
     pub fn remove(&self, key: &str) {
         if self.items.borrow_mut().remove(key).is_some() {
-            let event = ports::WatchEvent::Removed(key.to_owned());
             let revision = self.next_revision();
+            let event = ports::WatchEvent::Removed(key.to_owned(), revision);
             self.events.borrow_mut().push((revision, event));
         }
     }
@@ -105,7 +105,7 @@
     fn events_since(&self, prefix: &str, after: u64) -> Vec<ports::WatchEvent> {
         let key = |e: &ports::WatchEvent| match e {
             ports::WatchEvent::Put(i) => i.key.clone(),
-            ports::WatchEvent::Removed(k) => k.clone(),
+            ports::WatchEvent::Removed(k, _) => k.clone(),
         };
         let events = self.events.borrow();
         let events = events
--- a/crates/router/tests/follow.rs
+++ b/crates/router/tests/follow.rs
@@ -4,7 +4,7 @@
 
 use std::ops;
 
-use router::store_watch;
+use router::{host, store_watch};
 use tokio::task;
 
 /// Time within which a change must take effect: the deadline in the settings of the test hosts.
@@ -173,6 +173,23 @@
     });
 }
 
+/// A removal was applied with the revision of the whole response, which is that of later changes too:
+/// an upstream that was back by then was unknown until its next heartbeat.
+#[test]
+fn upstream_removed_and_written_again_at_once_is_listed() {
+    env::run(|| async {
+        let cluster = env::Cluster::new();
+        cluster.put("up/a", "ready 1 1");
+        let node = env::node(&cluster, "h", 1);
+        start_watches(&node);
+        env::sleep_ms(host::DISCOVERY_PERIOD.0).await;
+        cluster.remove("up/a");
+        cluster.put("up/a", "ready 1 2");
+        env::sleep_ms(CHANGE_DEADLINE_MS).await;
+        assert_eq!(node.ready_upstreams(), ["a"]);
+    });
+}
+
 #[test]
 fn invalid_entry_does_not_affect_other_upstreams() {
     env::run(|| async {
