Requests to a loaded plain service are sent by tier

Cause: plain upstreams run requests in the order of arrival and reject those beyond their queue. Hosts sent each request until it was rejected, whatever its tier: tiers held at engines only. No host lacked an upstream. Change: a host holds back a request if the queue that the upstream last reported is too long for its tier, for a time that doubles from 0.25 to 2 s while the reports stay so, and refuses it at once as shed, not run. The most urgent tier is never held back. Pattern of load: sustained overload of one upstream by many hosts, each of which sees a seventieth of it.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -9,7 +9,7 @@
 use base::{clock, hash, name};
 use smallvec::SmallVec;
 
-use crate::{model, ports, slowdown, stream_class};
+use crate::{model, ports, reported_load, slowdown, stream_class};
 
 /// Prompt tokens that an idle engine processes per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 112.0;
@@ -26,8 +26,6 @@
 const SAME_REGION_COST_MS: f64 = 6.0;
 /// Cost of selecting an upstream in another region, in milliseconds.
 const OTHER_REGION_COST_MS: f64 = 60.0;
-/// Age at which a load report is ignored.
-const LOAD_REPORT_TTL: clock::Millis = clock::Millis(1_500);
 /// How long an upstream is assumed to have a prefix cached after it received a prompt with it.
 const PREFIX_CACHE_TTL: clock::Millis = clock::Millis(20_000);
 /// Number of prefixes above which expired entries of the prefix cache table are removed.
@@ -52,8 +50,7 @@
     pub in_flight: u32,
     /// Prompt tokens sent by this host that the upstream has not processed yet.
     pub unread_tokens: u64,
-    /// Running requests, waiting requests and slots, with the time of the report.
-    reported_load: Option<([u32; 3], clock::Millis)>,
+    reported_load: reported_load::ReportedLoad,
     consecutive_failures: u32,
     failure_rate: f64,
     backoff: clock::Millis,
@@ -73,7 +70,7 @@
             upstream,
             in_flight: 0,
             unread_tokens: 0,
-            reported_load: None,
+            reported_load: reported_load::ReportedLoad::default(),
             consecutive_failures: 0,
             failure_rate: 0.0,
             backoff: clock::Millis::ZERO,
@@ -86,12 +83,7 @@
     }
 
     fn active_requests(&self, now: clock::Millis) -> f64 {
-        let reported_requests = match self.reported_load {
-            Some(([running, waiting, _], at)) if now.since(at) < LOAD_REPORT_TTL => {
-                running + waiting
-            }
-            _ => 0,
-        };
+        let reported_requests = self.reported_load.active_requests(now);
         f64::from(reported_requests.max(self.in_flight))
     }
 }
@@ -105,6 +97,8 @@
     pub prompt_parts: &'a [ports::PromptPart],
     /// Length of the whole prompt in tokens.
     pub prompt_tokens: u32,
+    /// Priority tier of the request; 0 is the most urgent.
+    pub tier: u8,
     /// Class of the request; engines reserved for this class are preferred.
     pub stream_class: stream_class::StreamClass,
     /// Upstreams that must not be selected, because the request has already been sent to them.
@@ -331,15 +325,31 @@
         self.upstreams.get(name)
     }
 
+    /// Ready upstreams that the request has not been sent to.
+    fn untried<'a>(
+        &'a self,
+        criteria: &'a SelectionCriteria<'_>,
+    ) -> impl Iterator<Item = &'a TrackedUpstream> {
+        self.of_service(criteria.service).filter(|tracked| {
+            tracked.upstream.state == model::UpstreamState::Ready
+                && !criteria.excluded.contains(&tracked.upstream.name)
+        })
+    }
+
+    /// Whether there is a ready upstream that the request has not been sent to, even if what room
+    /// it has is left to more urgent requests.
+    pub fn has_untried(&self, criteria: &SelectionCriteria<'_>) -> bool {
+        self.untried(criteria).next().is_some()
+    }
+
     /// Selects the upstream with the lowest estimated cost, or `None` if none is usable.
     pub fn select(
         &self,
         criteria: &SelectionCriteria<'_>,
         now: clock::Millis,
     ) -> Option<Selection> {
-        let usable = |tracked: &&TrackedUpstream| {
-            tracked.upstream.state == model::UpstreamState::Ready
-                && !criteria.excluded.contains(&tracked.upstream.name)
+        let has_room = |tracked: &&TrackedUpstream| {
+            !criteria.prompt_parts.is_empty() || tracked.reported_load.has_room(criteria.tier, now)
         };
         let shared_prefix = criteria.shared_prefix();
         let preferred = shared_prefix.and_then(|(id, _)| self.preferred_upstream(criteria, id));
@@ -349,7 +359,7 @@
             .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
         let mut best: Option<(f64, &TrackedUpstream, u64)> = None;
         let mut usable_count = 0;
-        for tracked in self.of_service(criteria.service).filter(usable) {
+        for tracked in self.untried(criteria).filter(has_room) {
             usable_count += 1;
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
@@ -362,10 +372,7 @@
             }
         }
         let (cost_ms, tracked, unread_tokens) = best?;
-        let (reported_requests, report_age_ms) = match tracked.reported_load {
-            Some(([running, waiting, _], at)) => (running + waiting, now.since(at).0),
-            None => (0, 0),
-        };
+        let (reported_requests, report_age_ms) = tracked.reported_load.latest(now);
         let details = SelectionDetails {
             usable: usable_count,
             prefix_cached: unread_tokens < u64::from(criteria.prompt_tokens),
@@ -531,7 +538,7 @@
     /// Records a load report: running requests, waiting requests and slots.
     pub fn record_load(&mut self, name: &name::Upstream, load: [u32; 3], now: clock::Millis) {
         if let Some(tracked) = self.upstreams.get_mut(name) {
-            tracked.reported_load = Some((load, now));
+            tracked.reported_load.record(load, now);
         }
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod model;
 pub mod ports;
 pub mod relay;
+pub mod reported_load;
 pub mod response;
 pub mod scale;
 pub mod serve;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -259,13 +259,19 @@
         service: &call.service,
         prompt_parts: &call.meta.prompt_parts,
         prompt_tokens: call.meta.prompt_tokens,
+        tier: call.tier,
         stream_class: call.stream_class,
         excluded: &history.tried,
     };
-    let selection = host.fleet.borrow().select(&criteria, host.now());
-    let Some(selection) = selection else {
-        return Err(refusal::Reason::NoUpstream);
+    let fleet = host.fleet.borrow();
+    let Some(selection) = fleet.select(&criteria, host.now()) else {
+        return Err(if fleet.has_untried(&criteria) {
+            refusal::Reason::Shed
+        } else {
+            refusal::Reason::NoUpstream
+        });
     };
+    drop(fleet);
     if history.reached_count > 0 && !host.spend_retry(&call.service) {
         return Err(refusal::Reason::UpstreamFailed);
     }
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -59,6 +59,7 @@
         service,
         prompt_parts: parts,
         prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
+        tier: 0,
         stream_class,
         excluded: &[],
     }
