--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body;
 use tokio::time;
 
-use crate::{fleet, host, http_client, model, ports, stream_class};
+use crate::{host, http_client, model, ports, selection, stream_class};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(300);
@@ -178,7 +178,7 @@
     host: rc::Rc<host::Host>,
     service: name::Service,
     /// Upstream that the request was sent to.
-    pub selection: fleet::Selection,
+    pub selection: selection::Selection,
     /// When the request was sent.
     pub sent_at: clock::Millis,
     /// Whether the prompt still counts among the upstream's unread tokens.
@@ -186,7 +186,7 @@
 }
 
 impl InFlight {
-    fn new(host: &rc::Rc<host::Host>, call: &Call, selection: fleet::Selection) -> Self {
+    fn new(host: &rc::Rc<host::Host>, call: &Call, selection: selection::Selection) -> Self {
         let now = host.now();
         host.fleet
             .borrow_mut()
@@ -256,7 +256,7 @@
 pub async fn send(
     host: &rc::Rc<host::Host>,
     call: &Call,
-    selection: fleet::Selection,
+    selection: selection::Selection,
     last_event_id: Option<u64>,
     timeout: clock::Millis,
     stall_timeout: clock::Millis,
@@ -312,7 +312,7 @@
 fn build_request(
     host: &host::Host,
     call: &Call,
-    selection: &fleet::Selection,
+    selection: &selection::Selection,
     last_event_id: Option<u64>,
 ) -> Option<http::Request<Full<Bytes>>> {
     let now = host.now();
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -9,7 +9,7 @@
 use base::{clock, hash, name};
 use smallvec::SmallVec;
 
-use crate::{model, ports, reported_load, slowdown, stream_class};
+use crate::{location, model, ports, reported_load, selection, slowdown, stream_class};
 
 /// Prompt tokens that an idle engine processes per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 112.0;
@@ -22,10 +22,6 @@
 const ACTIVE_REQUEST_COST_MS: f64 = 1.0;
 /// Estimated delay per active request at an upstream that is not an engine, in milliseconds.
 const PLAIN_REQUEST_COST_MS: f64 = 20.0;
-/// Cost of selecting an upstream in another data centre of the same region, in milliseconds.
-const SAME_REGION_COST_MS: f64 = 6.0;
-/// Cost of selecting an upstream in another region, in milliseconds.
-const OTHER_REGION_COST_MS: f64 = 60.0;
 /// How long an upstream is assumed to have a prefix cached after it received a prompt with it.
 const PREFIX_CACHE_TTL: clock::Millis = clock::Millis(20_000);
 /// Number of prefixes above which expired entries of the prefix cache table are removed.
@@ -88,113 +84,6 @@
     }
 }
 
-/// Properties of a request that determine which upstream is selected for it.
-#[derive(Clone, Debug)]
-pub struct SelectionCriteria<'a> {
-    /// Service that the upstream must belong to.
-    pub service: &'a name::Service,
-    /// Parts of the prompt in order; empty for a request without a prompt.
-    pub prompt_parts: &'a [ports::PromptPart],
-    /// Length of the whole prompt in tokens.
-    pub prompt_tokens: u32,
-    /// Priority tier of the request; 0 is the most urgent.
-    pub tier: u8,
-    /// Class of the request; engines reserved for this class are preferred.
-    pub stream_class: stream_class::StreamClass,
-    /// Upstreams that must not be selected, because the request has already been sent to them.
-    pub excluded: &'a [name::Upstream],
-}
-
-impl SelectionCriteria<'_> {
-    /// Returns the id of the last prompt part that other requests may share, and the number of
-    /// tokens up to its end. The final part of a prompt is never shared.
-    fn shared_prefix(&self) -> Option<(u64, u64)> {
-        let (_, shared_parts) = self.prompt_parts.split_last()?;
-        let last = shared_parts.last()?;
-        Some((
-            last.id,
-            shared_parts.iter().map(|p| u64::from(p.tokens)).sum(),
-        ))
-    }
-}
-
-/// A selected upstream.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Selection {
-    /// Name of the selected upstream.
-    pub name: name::Upstream,
-    /// Address on which the selected upstream accepts connections.
-    pub address: std::net::SocketAddr,
-    /// Prompt tokens that the upstream is expected to process, excluding a cached prefix.
-    pub unread_tokens: u64,
-    /// Expected time to the first event if the engine had no other work.
-    pub base_latency: clock::Millis,
-    /// Expected time to the first event given the upstream's current slowdown.
-    pub likely_latency: clock::Millis,
-    /// Inputs of the selection, for log lines.
-    pub details: SelectionDetails,
-}
-
-/// Inputs of a selection, written to log lines.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct SelectionDetails {
-    /// Number of upstreams that could have been selected.
-    pub usable: u32,
-    /// Whether the selected upstream is expected to have the shared prefix cached.
-    pub prefix_cached: bool,
-    /// Requests that this host had in flight at the selected upstream.
-    pub in_flight: u32,
-    /// Running and waiting requests in the latest load report of the upstream; 0 without a report.
-    pub reported_requests: u32,
-    /// Age of the latest load report in milliseconds; 0 without a report.
-    pub report_age_ms: u64,
-    /// Estimated cost of the selected upstream, the lowest of all, in milliseconds.
-    pub cost_ms: u64,
-    /// Class of streams that the selected upstream is reserved for.
-    pub upstream_class: stream_class::StreamClass,
-}
-
-/// Location of this host, and the regions of all data centres.
-#[derive(Clone, Debug)]
-pub struct Location {
-    /// Data centre in which this host runs.
-    pub dc: name::Dc,
-    /// Region of each data centre.
-    pub regions: collections::HashMap<name::Dc, name::Region>,
-}
-
-/// How far a data centre is from a host.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Distance {
-    /// The host's own data centre.
-    SameDc,
-    /// Another data centre of the host's region.
-    SameRegion,
-    /// A data centre of another region, or an unknown one.
-    OtherRegion,
-}
-
-impl Location {
-    /// Returns the distance of the data centre `dc`.
-    pub fn distance(&self, dc: &name::Dc) -> Distance {
-        if *dc == self.dc {
-            return Distance::SameDc;
-        }
-        if self.regions.get(dc) == self.regions.get(&self.dc) {
-            return Distance::SameRegion;
-        }
-        Distance::OtherRegion
-    }
-
-    fn distance_cost_ms(&self, dc: &name::Dc) -> f64 {
-        match self.distance(dc) {
-            Distance::SameDc => 0.0,
-            Distance::SameRegion => SAME_REGION_COST_MS,
-            Distance::OtherRegion => OTHER_REGION_COST_MS,
-        }
-    }
-}
-
 /// Upstreams of one service and their typical slowdown.
 #[derive(Debug, Default)]
 struct ServiceUpstreams {
@@ -206,7 +95,7 @@
 /// All known upstreams, with the state needed to select among them.
 #[derive(Debug)]
 pub struct Fleet {
-    location: Location,
+    location: location::Location,
     upstreams: collections::HashMap<name::Upstream, TrackedUpstream>,
     services: collections::HashMap<name::Service, ServiceUpstreams>,
     /// For each prefix id, the upstream instances that received it and when.
@@ -216,7 +105,7 @@
 
 impl Fleet {
     /// Creates a fleet without upstreams for a host at `location`.
-    pub fn new(location: Location) -> Self {
+    pub fn new(location: location::Location) -> Self {
         Self {
             location,
             upstreams: collections::HashMap::new(),
@@ -328,7 +217,7 @@
     /// Ready upstreams that the request has not been sent to.
     fn untried<'a>(
         &'a self,
-        criteria: &'a SelectionCriteria<'_>,
+        criteria: &'a selection::Criteria<'_>,
     ) -> impl Iterator<Item = &'a TrackedUpstream> {
         self.of_service(criteria.service).filter(|tracked| {
             tracked.upstream.state == model::UpstreamState::Ready
@@ -338,16 +227,16 @@
 
     /// Whether there is a ready upstream that the request has not been sent to, even if what room
     /// it has is left to more urgent requests.
-    pub fn has_untried(&self, criteria: &SelectionCriteria<'_>) -> bool {
+    pub fn has_untried(&self, criteria: &selection::Criteria<'_>) -> bool {
         self.untried(criteria).next().is_some()
     }
 
     /// Selects the upstream with the lowest estimated cost, or `None` if none is usable.
     pub fn select(
         &self,
-        criteria: &SelectionCriteria<'_>,
+        criteria: &selection::Criteria<'_>,
         now: clock::Millis,
-    ) -> Option<Selection> {
+    ) -> Option<selection::Selection> {
         let has_room = |tracked: &&TrackedUpstream| {
             !criteria.prompt_parts.is_empty() || tracked.reported_load.has_room(criteria.tier, now)
         };
@@ -373,7 +262,7 @@
         }
         let (cost_ms, tracked, unread_tokens) = best?;
         let (reported_requests, report_age_ms) = tracked.reported_load.latest(now);
-        let details = SelectionDetails {
+        let details = selection::Details {
             usable: usable_count,
             prefix_cached: unread_tokens < u64::from(criteria.prompt_tokens),
             in_flight: tracked.in_flight,
@@ -387,7 +276,7 @@
             * tracked
                 .slowdown
                 .estimate(&typical, tracked.stream_class, now);
-        Some(Selection {
+        Some(selection::Selection {
             details,
             name: tracked.upstream.name.clone(),
             address: tracked.upstream.address,
@@ -402,7 +291,7 @@
     /// none. Hosts that know the same upstreams agree on it.
     fn preferred_upstream(
         &self,
-        criteria: &SelectionCriteria<'_>,
+        criteria: &selection::Criteria<'_>,
         prefix_id: u64,
     ) -> Option<&name::Upstream> {
         let ready = || {
@@ -423,7 +312,7 @@
     /// Estimates the prompt tokens that `tracked` has to process, excluding a cached prefix.
     fn tokens_to_read(
         &self,
-        criteria: &SelectionCriteria<'_>,
+        criteria: &selection::Criteria<'_>,
         tracked: &TrackedUpstream,
         shared_prefix: Option<(u64, u64)>,
         preferred: Option<&name::Upstream>,
@@ -447,7 +336,7 @@
     /// Estimates the cost in milliseconds of sending the request to `tracked`.
     fn cost_ms(
         &self,
-        criteria: &SelectionCriteria<'_>,
+        criteria: &selection::Criteria<'_>,
         tracked: &TrackedUpstream,
         typical: &slowdown::TypicalSlowdown,
         unread_tokens: u64,
@@ -482,7 +371,7 @@
     /// Records that a request was sent to the selected upstream.
     pub fn record_sent(
         &mut self,
-        selection: &Selection,
+        selection: &selection::Selection,
         parts: &[ports::PromptPart],
         now: clock::Millis,
     ) {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,8 +10,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    budget, fleet, freshness, http_client, membership, metrics, model, ports, store_cache,
-    store_watch, windows,
+    budget, fleet, freshness, http_client, location, membership, metrics, model, ports,
+    store_cache, store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -20,7 +20,7 @@
     /// Name of this host.
     pub host: name::Host,
     /// Data centre of this host, and the regions of all data centres.
-    pub location: fleet::Location,
+    pub location: location::Location,
     /// Address at which clients connect.
     pub client_address: net::SocketAddr,
     /// Address of the load balancer's readiness probe.
--- /dev/null
+++ b/crates/router/src/selection.rs
@@ -0,0 +1,71 @@
+//! What an upstream is selected by, and the result of a selection.
+
+use base::{clock, name};
+
+use crate::{ports, stream_class};
+
+/// Properties of a request that determine which upstream is selected for it.
+#[derive(Clone, Debug)]
+pub struct Criteria<'a> {
+    /// Service that the upstream must belong to.
+    pub service: &'a name::Service,
+    /// Parts of the prompt in order; empty for a request without a prompt.
+    pub prompt_parts: &'a [ports::PromptPart],
+    /// Length of the whole prompt in tokens.
+    pub prompt_tokens: u32,
+    /// Priority tier of the request; 0 is the most urgent.
+    pub tier: u8,
+    /// Class of the request; engines reserved for this class are preferred.
+    pub stream_class: stream_class::StreamClass,
+    /// Upstreams that must not be selected, because the request has already been sent to them.
+    pub excluded: &'a [name::Upstream],
+}
+
+impl Criteria<'_> {
+    /// Returns the id of the last prompt part that other requests may share, and the number of
+    /// tokens up to its end. The final part of a prompt is never shared.
+    pub fn shared_prefix(&self) -> Option<(u64, u64)> {
+        let (_, shared_parts) = self.prompt_parts.split_last()?;
+        let last = shared_parts.last()?;
+        Some((
+            last.id,
+            shared_parts.iter().map(|p| u64::from(p.tokens)).sum(),
+        ))
+    }
+}
+
+/// A selected upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Selection {
+    /// Name of the selected upstream.
+    pub name: name::Upstream,
+    /// Address on which the selected upstream accepts connections.
+    pub address: std::net::SocketAddr,
+    /// Prompt tokens that the upstream is expected to process, excluding a cached prefix.
+    pub unread_tokens: u64,
+    /// Expected time to the first event if the engine had no other work.
+    pub base_latency: clock::Millis,
+    /// Expected time to the first event given the upstream's current slowdown.
+    pub likely_latency: clock::Millis,
+    /// Inputs of the selection, for log lines.
+    pub details: Details,
+}
+
+/// Inputs of a selection, written to log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Details {
+    /// Number of upstreams that could have been selected.
+    pub usable: u32,
+    /// Whether the selected upstream is expected to have the shared prefix cached.
+    pub prefix_cached: bool,
+    /// Requests that this host had in flight at the selected upstream.
+    pub in_flight: u32,
+    /// Running and waiting requests in the latest load report of the upstream; 0 without a report.
+    pub reported_requests: u32,
+    /// Age of the latest load report in milliseconds; 0 without a report.
+    pub report_age_ms: u64,
+    /// Estimated cost of the selected upstream, the lowest of all, in milliseconds.
+    pub cost_ms: u64,
+    /// Class of streams that the selected upstream is reserved for.
+    pub upstream_class: stream_class::StreamClass,
+}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 use tokio::time;
 
-use crate::{attempt, fleet, host, model, response, stream, stream_class};
+use crate::{attempt, headers, host, model, response, selection, stream, stream_class};
 
 /// Attempts allowed in addition to the route's maximum, to replace attempts that did not run.
 const EXTRA_ATTEMPTS: u32 = 2;
@@ -39,7 +39,7 @@
     /// Upstreams that the request was sent to, the latest last.
     pub tried: SmallVec<[name::Upstream; 4]>,
     /// Inputs of the latest upstream selection.
-    pub details: fleet::SelectionDetails,
+    pub details: selection::Details,
     /// Failure of the latest failed attempt.
     pub last_failure: Option<attempt::Failure>,
     /// Longest gap between two events that were forwarded to the client.
@@ -149,7 +149,7 @@
         meta,
         method: parts.method,
         uri: origin_form(&parts.uri),
-        headers: end_to_end_headers(parts.headers),
+        headers: headers::end_to_end(parts.headers),
         body,
         route,
         service,
@@ -192,40 +192,6 @@
     }
 }
 
-/// Headers that apply to a single connection and are not forwarded.
-const HOP_BY_HOP: [http::HeaderName; 7] = [
-    http::header::CONNECTION,
-    http::header::PROXY_AUTHENTICATE,
-    http::header::TE,
-    http::header::TRAILER,
-    http::header::TRANSFER_ENCODING,
-    http::header::UPGRADE,
-    http::header::EXPECT,
-];
-
-/// Removes the headers that apply to a single connection, including those named by `Connection`.
-pub fn end_to_end_headers(mut head: http::HeaderMap) -> http::HeaderMap {
-    let connection_headers: Vec<String> = head
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|n| n.trim().to_ascii_lowercase())
-        .collect();
-    for name in connection_headers {
-        // A client must not be able to remove the length or the host.
-        if name != "host" && name != "content-length" {
-            head.remove(name.as_str());
-        }
-    }
-    for name in &HOP_BY_HOP {
-        head.remove(name);
-    }
-    head.remove("keep-alive");
-    head.remove("proxy-connection");
-    head
-}
-
 fn record_arrival(host: &host::Host, call: &attempt::Call) {
     let now = host.now();
     let limit = host.settings.retry_limit;
@@ -250,12 +216,12 @@
     host: &host::Host,
     call: &attempt::Call,
     history: &mut AttemptHistory,
-) -> Result<fleet::Selection, refusal::Reason> {
+) -> Result<selection::Selection, refusal::Reason> {
     let attempts = call.route.max_attempts.max(1);
     if history.run_count >= attempts || history.sent_count >= attempts + EXTRA_ATTEMPTS {
         return Err(refusal::Reason::UpstreamFailed);
     }
-    let criteria = fleet::SelectionCriteria {
+    let criteria = selection::Criteria {
         service: &call.service,
         prompt_parts: &call.meta.prompt_parts,
         prompt_tokens: call.meta.prompt_tokens,
@@ -472,7 +438,7 @@
                         let status = parts.status;
                         let name = in_flight.selection.name.clone();
                         drop(in_flight);
-                        let response = response::buffered(end_to_end_parts(parts), bytes);
+                        let response = response::buffered(headers::response_parts(parts), bytes);
                         if !status.is_server_error() {
                             host.fleet
                                 .borrow_mut()
@@ -506,10 +472,3 @@
     }
     refuse_after_attempts(host, call, &history, reason)
 }
-
-/// Removes the headers that apply to a single connection from a response, and its content length.
-pub fn end_to_end_parts(mut parts: http::response::Parts) -> http::response::Parts {
-    parts.headers = end_to_end_headers(std::mem::take(&mut parts.headers));
-    parts.headers.remove(http::header::CONTENT_LENGTH);
-    parts
-}
--- a/crates/router/src/sources.rs
+++ b/crates/router/src/sources.rs
@@ -5,7 +5,7 @@
 
 use base::clock;
 
-use crate::{fleet, host, membership};
+use crate::{host, location, membership};
 
 /// Time after a failure within which other hosts are tried first.
 const FAILURE_PERIOD: clock::Millis = clock::Millis::secs(20);
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Suitability {
     is_follower: bool,
-    distance: fleet::Distance,
+    distance: location::Distance,
 }
 
 /// A host to follow.
@@ -43,10 +43,10 @@
     /// Suitability of a host that is not registered.
     const UNKNOWN: Self = Self {
         is_follower: true,
-        distance: fleet::Distance::OtherRegion,
+        distance: location::Distance::OtherRegion,
     };
 
-    const fn new(watches: bool, distance: fleet::Distance) -> Self {
+    const fn new(watches: bool, distance: location::Distance) -> Self {
         Self {
             is_follower: !watches,
             distance,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
-use crate::{attempt, host, response, serve, sse};
+use crate::{attempt, headers, host, response, serve, sse};
 
 /// Number of events buffered for a client that reads too slowly.
 const EVENT_QUEUE_CAPACITY: usize = 16;
@@ -176,7 +176,7 @@
     let remaining = || clock::Millis(timeout.since(host.now().since(sent_at)).0);
     if !head.parts.status.is_success() {
         let response = match head.read_body(remaining()).await {
-            Ok((parts, bytes, _)) => response::buffered(serve::end_to_end_parts(parts), bytes),
+            Ok((parts, bytes, _)) => response::buffered(headers::response_parts(parts), bytes),
             Err(failure) => {
                 serve::record_failure(host, call, history, failure, true);
                 return Ok(StartOutcome::Failed);
@@ -206,7 +206,7 @@
             }
             NextEvent::End => {
                 source.stream.keep_connection();
-                let response = response::buffered(serve::end_to_end_parts(parts), Bytes::new());
+                let response = response::buffered(headers::response_parts(parts), Bytes::new());
                 return Ok(StartOutcome::Other(response));
             }
             NextEvent::Failed(failure) => {
@@ -245,7 +245,7 @@
     };
     task::spawn_local(forwarder.run(event));
     http::Response::from_parts(
-        serve::end_to_end_parts(parts),
+        headers::response_parts(parts),
         response::Body::Stream(events),
     )
 }
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -5,7 +5,7 @@
 use std::rc;
 
 use base::clock;
-use router::{fleet, follower, membership, ports, relay, store_watch};
+use router::{follower, location, membership, ports, relay, store_watch};
 use tokio::{net as tokio_net, task, time};
 
 use super::{Cluster, Node};
@@ -30,7 +30,7 @@
     for (name, dc) in places {
         let listener = net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
         let port = listener.local_addr().expect("local address").port();
-        let location = fleet::Location {
+        let location = location::Location {
             dc: (*dc).into(),
             regions: regions.clone(),
         };
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -11,7 +11,7 @@
 use std::rc;
 
 use base::{clock, diagnostic, name};
-use router::{budget, fleet, host, leader, model, ports};
+use router::{budget, host, leader, location, model, ports};
 use smallvec::smallvec;
 use tokio::{task, time};
 
@@ -332,7 +332,7 @@
     peer: u16,
     window: clock::Millis,
 ) -> Node {
-    let location = fleet::Location {
+    let location = location::Location {
         dc: "a".into(),
         regions: [("a".into(), "r".into())].into(),
     };
@@ -345,7 +345,7 @@
     name: &str,
     peer: u16,
     window: clock::Millis,
-    location: fleet::Location,
+    location: location::Location,
 ) -> Node {
     let store_mode = rc::Rc::new(cell::Cell::new(StoreMode::Available));
     let refused_calls = rc::Rc::new(cell::Cell::new(0));
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -3,11 +3,11 @@
 use std::collections;
 
 use base::{clock, name};
-use router::{fleet, model, ports, stream_class};
+use router::{fleet, location, model, ports, selection, stream_class};
 
-fn location() -> fleet::Location {
+fn location() -> location::Location {
     let regions = [("a", "x"), ("b", "x"), ("c", "y")];
-    fleet::Location {
+    location::Location {
         dc: "a".into(),
         regions: regions
             .iter()
@@ -54,8 +54,8 @@
     service: &'a name::Service,
     parts: &'a [ports::PromptPart],
     stream_class: stream_class::StreamClass,
-) -> fleet::SelectionCriteria<'a> {
-    fleet::SelectionCriteria {
+) -> selection::Criteria<'a> {
+    selection::Criteria {
         service,
         prompt_parts: parts,
         prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
@@ -71,7 +71,7 @@
 fn hosts_agree_on_the_upstream_of_a_shared_prefix() {
     let service = name::Service::from("llm");
     let fleet_a = fleet(12);
-    let mut fleet_b = fleet::Fleet::new(fleet::Location {
+    let mut fleet_b = fleet::Fleet::new(location::Location {
         dc: "b".into(),
         ..location()
     });
@@ -243,7 +243,7 @@
     );
     assert_eq!(first.map(|p| p.name), Some("u1".into()));
     let excluded = [name::Upstream::from("u1")];
-    let second = fleet::SelectionCriteria {
+    let second = selection::Criteria {
         excluded: &excluded,
         ..criteria(&service, &parts, stream_class::StreamClass::Other)
     };
@@ -277,13 +277,13 @@
 #[test]
 fn a_restarted_upstream_starts_with_empty_counters() {
     let mut fleet = fleet(1);
-    let selection = fleet::Selection {
+    let selection = selection::Selection {
         name: "u0".into(),
         address: ([10, 0, 0, 0], 80).into(),
         unread_tokens: 5,
         base_latency: clock::Millis(50),
         likely_latency: clock::Millis(50),
-        details: fleet::SelectionDetails::default(),
+        details: selection::Details::default(),
     };
     fleet.record_sent(&selection, &[], NOW);
     let mut restarted = upstream("u0", "a", 0);
--- a/crates/router/tests/plain_overload.rs
+++ b/crates/router/tests/plain_overload.rs
@@ -5,7 +5,7 @@
 
 use base::{clock, name};
 use rand::{Rng as _, SeedableRng as _, rngs};
-use router::{fleet, model, stream_class};
+use router::{fleet, location, model, selection, stream_class};
 
 const HOSTS: usize = 70;
 const SLOTS: usize = 6;
@@ -45,7 +45,7 @@
 }
 
 fn fleets() -> Vec<fleet::Fleet> {
-    let location = || fleet::Location {
+    let location = || location::Location {
         dc: "a".into(),
         regions: [("a".into(), "x".into())].into(),
     };
@@ -91,7 +91,7 @@
             let counts = now_ms >= LEARNING_MS;
             shares.entry(*tier).or_default()[0] += u32::from(counts);
             let host = rng.random_range(0..HOSTS);
-            let criteria = fleet::SelectionCriteria {
+            let criteria = selection::Criteria {
                 service: &service,
                 prompt_parts: &[],
                 prompt_tokens: 0,
--- a/crates/router/tests/sources.rs
+++ b/crates/router/tests/sources.rs
@@ -5,7 +5,7 @@
 use std::net;
 
 use base::clock;
-use router::{fleet, host, membership, ports, sources};
+use router::{host, location, membership, ports, sources};
 
 /// Longest time for which other hosts are tried before one that failed.
 const FAILURE_PERIOD: clock::Millis = clock::Millis(20_000);
@@ -20,7 +20,7 @@
 fn setup(run: impl FnOnce(&host::Settings, &membership::Membership)) {
     env::run(|| async {
         let cluster = env::Cluster::new();
-        let location = fleet::Location {
+        let location = location::Location {
             dc: "na".into(),
             regions: ["na", "nb", "sa"]
                 .map(|dc| (dc.into(), dc[..1].into()))
--- a/crates/router/tests/tries.rs
+++ b/crates/router/tests/tries.rs
@@ -6,7 +6,7 @@
 use std::rc;
 
 use base::{clock, refusal};
-use router::{attempt, fleet, model, ports, serve, stream_class};
+use router::{attempt, model, ports, selection, serve, stream_class};
 use smallvec::smallvec;
 
 fn call() -> attempt::Call {
@@ -82,7 +82,7 @@
     }
     let mut history = serve::AttemptHistory::default();
     let selection = serve::select_upstream(&node.host, &call, &mut history).expect("upstream");
-    let selection = fleet::Selection {
+    let selection = selection::Selection {
         address: silent.local_addr().expect("local address"),
         ..selection
     };
