A follower leaves a source that changes do not reach

Cause: a follower waited until its source's knowledge was too old, although the source knew already that it had lost the store. Change: the heartbeat is false when changes reach the source neither from the store nor from a host that it follows; the follower then tries the next host and relies meanwhile on what was relayed. Test: follower_leaves_a_source_that_has_lost_the_store failed before (the follower read the store after the age had run out). Also: a doc link that the documentation run refused.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -431,7 +431,7 @@
         }
     }
 
-    /// Records a response that took `ratio` times as long as [`Selection::base_latency`].
+    /// Records a response that took `ratio` times as long as [`selection::Selection::base_latency`].
     pub fn record_success(&mut self, name: &name::Upstream, ratio: f64, now: clock::Millis) {
         let Some(tracked) = self.upstreams.get_mut(name) else {
             return;
--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -105,6 +105,8 @@
     listed: collections::HashSet<String>,
     is_first_list: bool,
     opened_at: clock::Millis,
+    /// Whether changes in the store reach the source, by its latest heartbeat.
+    source_learns: bool,
     /// Whether the source has known the store's contents up to a recent time.
     was_followed: bool,
 }
@@ -129,6 +131,7 @@
             listed: collections::HashSet::new(),
             is_first_list: true,
             opened_at: host.now(),
+            source_learns: false,
             was_followed: false,
         })
     }
@@ -192,8 +195,13 @@
             relay::Update::Complete(at) => self.complete_list(at),
             relay::Update::Leader(leader) => host.leader.set(leader),
             relay::Update::Known { asked_at, age } => return self.record_known(asked_at, age),
-            // Hosts of earlier builds go by the heartbeat; `Known` says more.
-            relay::Update::Heartbeat(_) => {}
+            relay::Update::Heartbeat(learns_changes) => {
+                self.source_learns = learns_changes;
+                // What the source knows may be recent still, but another host may know changes.
+                if self.was_followed && !learns_changes {
+                    return Err(sources::Failure::Behind);
+                }
+            }
         }
         Ok(())
     }
@@ -226,7 +234,8 @@
         let host = self.host;
         let now = host.now();
         let until = clock::Millis(asked_at.min(now).since(age).0);
-        if !host.freshness.is_recent(until, now) || !host.upstreams_listed.get() {
+        let is_recent = host.freshness.is_recent(until, now) && self.source_learns;
+        if !is_recent || !host.upstreams_listed.get() {
             if age == relay::UNKNOWN_AGE && now.since(self.opened_at) < relay::HEARTBEAT_TIMEOUT {
                 return Ok(());
             }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -223,6 +223,12 @@
             && self.freshness.has_recent_relayed(self.now())
     }
 
+    /// Whether changes in the store reach this host, from the store or from a host that it follows.
+    pub fn learns_changes(&self) -> bool {
+        !self.store_health.is_lost()
+            || self.store_health.is_following() && self.freshness.has_recent_relayed(self.now())
+    }
+
     /// Takes one retry from the service's budget; returns whether there was one.
     pub fn spend_retry(&self, service: &name::Service) -> bool {
         let hosts = self.membership.borrow().host_count();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -57,7 +57,8 @@
     /// Peer address of the leader, if there is one.
     #[serde(rename = "Holder")]
     Leader(Option<net::SocketAddr>),
-    /// Heartbeat; true if the sender knows the store's contents up to a recent time.
+    /// Heartbeat; true if the sender knows the store's contents up to a recent time and learns of
+    /// changes.
     #[serde(rename = "Pulse")]
     Heartbeat(bool),
     /// Difference from the configuration that the follower had at the handshake or was sent last.
@@ -155,7 +156,8 @@
             tracing::warn!(event = "follower_slow", %follower, bytes, took_ms = took.0);
         }
         let is_recent = known_until.is_some_and(|until| host.freshness.is_recent(until, begin));
-        link.sender.send(&Update::Heartbeat(is_recent)).await?;
+        let heartbeat = Update::Heartbeat(is_recent && host.learns_changes());
+        link.sender.send(&heartbeat).await?;
         if let Some(asked_at) = question.take() {
             let age = known_until.map_or(UNKNOWN_AGE, |until| begin.since(until));
             link.sender.send(&Update::Known { asked_at, age }).await?;
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -50,7 +50,8 @@
     nodes
 }
 
-fn registration(node: &Node) -> ports::Item {
+/// Entry of a registered host in the store.
+pub fn registration(node: &Node) -> ports::Item {
     let settings = &node.host.settings;
     let registration = membership::Registration {
         host: settings.host.clone(),
--- a/crates/router/tests/fanout.rs
+++ b/crates/router/tests/fanout.rs
@@ -2,7 +2,7 @@
 
 mod env;
 
-use env::hosts::{start_hosts, start_hosts_at, start_tasks, wait_for};
+use env::hosts::{registration, start_hosts, start_hosts_at, start_tasks, wait_for};
 
 /// Time within which a change must take effect: the deadline in the settings of the test hosts.
 const CHANGE_DEADLINE_MS: u64 = 2_500;
@@ -200,3 +200,35 @@
         }
     });
 }
+
+/// A host that the store turns away still knows recent contents for a time, and its followers waited
+/// for that time to pass although other hosts knew the changes.
+#[test]
+fn follower_leaves_a_source_that_has_lost_the_store() {
+    /// Time within which a change arrives: half of what the source's recent knowledge would allow.
+    const MAX_LAG_MS: u64 = CHANGE_DEADLINE_MS * 3 / 8;
+    env::run(|| async {
+        let cluster = env::Cluster::new();
+        cluster.put("config", "1");
+        let nodes = start_hosts(&cluster, ["h1", "h2", "h3"]);
+        for node in &nodes {
+            start_tasks(node);
+        }
+        env::sleep_ms(2_000).await;
+        let before = nodes[0].relayed_bytes();
+        cluster.put("config", "2");
+        env::sleep_ms(1_000).await;
+        let is_first = nodes[0].relayed_bytes() > before;
+        let source = &nodes[usize::from(!is_first)];
+        // The source knows no other host that it could follow itself.
+        let (mut membership, now) = (source.host.membership.borrow_mut(), source.host.now());
+        membership.update_hosts(&[registration(source)], now);
+        drop(membership);
+        source.store_mode.set(env::StoreMode::Unavailable);
+        env::sleep_ms(50).await;
+        cluster.put("config", "3");
+        env::sleep_ms(MAX_LAG_MS).await;
+        assert_eq!(nodes[2].config_version(), Some(3));
+        assert_eq!(nodes[2].read_calls.get(), 0, "from another host");
+    });
+}
