--- a/crates/router/tests/fanout.rs
+++ b/crates/router/tests/fanout.rs
@@ -221,9 +221,9 @@
         let is_first = nodes[0].relayed_bytes() > before;
         let source = &nodes[usize::from(!is_first)];
         // The source knows no other host that it could follow itself.
-        let (mut membership, now) = (source.host.membership.borrow_mut(), source.host.now());
-        membership.update_hosts(&[registration(source)], now);
-        drop(membership);
+        let now = source.host.now();
+        let own = [registration(source)];
+        source.host.membership.borrow_mut().update_hosts(&own, now);
         source.store_mode.set(env::StoreMode::Unavailable);
         env::sleep_ms(50).await;
         cluster.put("config", "3");
