Load reports without slots are ignored, absurd counts do not overflow

What callers could see: an upstream that reports no slots would be left to the most urgent requests although it is idle. Change: such a report says nothing; the sum of its counts saturates. Test: absurd_reports_change_little failed before (the sum overflowed).

--- a/crates/router/src/reported_load.rs
+++ b/crates/router/src/reported_load.rs
@@ -37,9 +37,13 @@
 }
 
 impl ReportedLoad {
-    /// Records a report: running requests, waiting requests and slots.
+    /// Records a report: running requests, waiting requests and slots. A report without slots says
+    /// nothing and is ignored.
     pub fn record(&mut self, load: [u32; 3], now: clock::Millis) {
         let [running, waiting, slots] = load;
+        if slots == 0 {
+            return;
+        }
         let report = Report {
             running,
             waiting,
@@ -61,14 +65,15 @@
     /// Running and waiting requests; 0 without a recent report.
     pub fn active_requests(&self, now: clock::Millis) -> u32 {
         let recent = self.report.filter(|r| now.since(r.at) < REPORT_TTL);
-        recent.map_or(0, |r| r.running + r.waiting)
+        recent.map_or(0, |r| r.running.saturating_add(r.waiting))
     }
 
     /// Running and waiting requests of the latest report and its age in milliseconds; zeros without
     /// a report.
     pub fn latest(&self, now: clock::Millis) -> (u32, u64) {
-        self.report
-            .map_or((0, 0), |r| (r.running + r.waiting, now.since(r.at).0))
+        self.report.map_or((0, 0), |r| {
+            (r.running.saturating_add(r.waiting), now.since(r.at).0)
+        })
     }
 
     /// Whether a request of `tier` may be sent: the queue that was reported is not so long that the
--- a/crates/router/src/sources.rs
+++ b/crates/router/src/sources.rs
@@ -78,7 +78,8 @@
     }
 
     /// Returns the host to follow: the best suited one that has not failed lately, else the one
-    /// that is avoided for the shortest time. `draws` returns random numbers, which decide between equals.
+    /// that is avoided for the shortest time. `draws` returns random numbers, which decide between
+    /// equals.
     pub fn choose(
         &self,
         settings: &host::Settings,
--- a/crates/router/tests/plain_overload.rs
+++ b/crates/router/tests/plain_overload.rs
@@ -169,3 +169,32 @@
         assert!(share(&shares, 9) > 0.97, "seed {seed}: {shares:?}");
     }
 }
+
+/// A report with counts out of all proportion holds requests back for the longest time at most, and one
+/// without slots not at all.
+#[test]
+fn absurd_reports_change_little() {
+    const MAX_HOLD_MS: u64 = 2_000;
+    let service = name::Service::from("s");
+    let criteria = selection::Criteria {
+        service: &service,
+        prompt_parts: &[],
+        prompt_tokens: 0,
+        tier: 9,
+        stream_class: stream_class::StreamClass::Other,
+        excluded: &[],
+    };
+    for (report, hold_ms) in [
+        ([u32::MAX; 3], MAX_HOLD_MS),
+        ([0, 0, 0], 0),
+        ([0, u32::MAX, 0], 0),
+    ] {
+        let fleet = &mut fleets()[0];
+        for n in 0..20 {
+            let now = clock::Millis(100_000 + n * 3_000);
+            fleet.record_load(&name::Upstream::from("desk"), report, now);
+            let later = now + clock::Millis(hold_ms);
+            assert!(fleet.select(&criteria, later).is_some(), "{report:?}");
+        }
+    }
+}
