--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -50,16 +50,22 @@
     nodes
 }
 
-/// Entry of a registered host in the store.
+/// Entry in the store of the registered host of `node`.
 pub fn registration(node: &Node) -> ports::Item {
     let settings = &node.host.settings;
+    let (host, dc) = (settings.host.as_str(), settings.location.dc.as_str());
+    registration_of(host, dc, settings.peer_address)
+}
+
+/// Entry in the store of a registered host, given by its name, data centre and address.
+pub fn registration_of(host: &str, dc: &str, peer_address: net::SocketAddr) -> ports::Item {
     let registration = membership::Registration {
-        host: settings.host.clone(),
-        dc: settings.location.dc.clone(),
-        peer_address: settings.peer_address,
+        host: host.into(),
+        dc: dc.into(),
+        peer_address,
     };
     ports::Item {
-        key: format!("hosts/{}", settings.host),
+        key: format!("hosts/{host}"),
         value: serde_json::to_vec(&registration).expect("serialize"),
         revision: 1,
         created: 1,
--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay.rs
@@ -5,8 +5,8 @@
 use std::net;
 
 use base::{clock, name};
-use env::hosts::{start_hosts, start_tasks, wait_for};
-use router::{membership, ports, relay};
+use env::hosts::{registration_of, start_hosts, start_tasks, wait_for};
+use router::{membership, relay};
 use tokio::time;
 
 #[test]
@@ -89,16 +89,9 @@
         let silent: Vec<_> = (0..SILENT_HOSTS)
             .map(|_| net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port"))
             .collect();
-        let item = |(n, listener): (usize, &net::TcpListener)| ports::Item {
-            key: format!("hosts/s{n}"),
-            value: serde_json::to_vec(&membership::Registration {
-                host: format!("s{n}").as_str().into(),
-                dc: format!("dc{n}").as_str().into(),
-                peer_address: listener.local_addr().expect("local address"),
-            })
-            .expect("serialize"),
-            revision: 1,
-            created: 1,
+        let item = |(n, listener): (usize, &net::TcpListener)| {
+            let address = listener.local_addr().expect("local address");
+            registration_of(&format!("s{n}"), &format!("dc{n}"), address)
         };
         let items: Vec<_> = silent.iter().enumerate().map(item).collect();
         let now = stopping.host.now();
--- a/crates/router/tests/sources.rs
+++ b/crates/router/tests/sources.rs
@@ -5,7 +5,8 @@
 use std::net;
 
 use base::clock;
-use router::{host, location, membership, ports, sources};
+use env::hosts;
+use router::{host, location, membership, sources};
 
 /// Longest time for which other hosts are tried before one that failed.
 const FAILURE_PERIOD: clock::Millis = clock::Millis(20_000);
@@ -31,17 +32,8 @@
         let mut items = Vec::new();
         for (dc, first) in [("na", 10), ("nb", 20), ("sa", 30)] {
             for n in first..first + 4 {
-                let registration = membership::Registration {
-                    host: format!("{dc}-{n}").as_str().into(),
-                    dc: dc.into(),
-                    peer_address: address(n),
-                };
-                items.push(ports::Item {
-                    key: format!("hosts/{dc}-{n}"),
-                    value: serde_json::to_vec(&registration).expect("json"),
-                    revision: 1,
-                    created: 1,
-                });
+                let host = format!("{dc}-{n}");
+                items.push(hosts::registration_of(&host, dc, address(n)));
             }
         }
         let mut membership = membership::Membership::default();
--- a/crates/router/tests/start.rs
+++ b/crates/router/tests/start.rs
@@ -6,7 +6,8 @@
 use std::rc;
 
 use base::{clock, name};
-use router::{host, leader, membership, ports, relay, store_watch};
+use env::hosts;
+use router::{host, leader, membership, relay, store_watch};
 use tokio::task;
 
 const HOSTS: u16 = 40;
@@ -67,17 +68,9 @@
         let mut items = Vec::new();
         for dc in 0..dcs {
             for n in 0..hosts_per_dc {
-                let registration = membership::Registration {
-                    host: format!("h{dc}-{n}").as_str().into(),
-                    dc: format!("dc{dc}").as_str().into(),
-                    peer_address: ([127, 0, 0, 1], 1).into(),
-                };
-                items.push(ports::Item {
-                    key: format!("hosts/{dc}-{n}"),
-                    value: serde_json::to_vec(&registration).expect("json"),
-                    revision: 1,
-                    created: 1,
-                });
+                let (host, dc) = (format!("h{dc}-{n}"), format!("dc{dc}"));
+                let address = ([127, 0, 0, 1], 1).into();
+                items.push(hosts::registration_of(&host, &dc, address));
             }
         }
         let mut membership = membership::Membership::default();
