--- a/crates/router/tests/fanout.rs
+++ b/crates/router/tests/fanout.rs
@@ -16,8 +16,8 @@
     for route in 0..1_400 {
         let timeout = if route == 700 { version } else { 4_000 };
         text.push_str(&format!(
-            "{{\"name\":\"r-{route}\",\"host\":\"h.example\",\"path_prefix\":\"/p{route}/\",\"route_kind\":\"idempotent\",\
-             \"timeout_ms\":{timeout},\"goal_ms\":400,\"priority\":2,\"service\":\"s{}\",\"attempts\":2}},",
+            "{{\"name\":\"r-{route}\",\"host\":\"h.example\",\"prefix\":\"/p{route}/\",\"kind\":\"idempotent\",\
+             \"timeout\":{timeout},\"target\":400,\"tier\":2,\"service\":\"s{}\",\"max_attempts\":2}},",
             route % 7
         ));
     }
