--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -186,6 +186,22 @@
     pub tokens: u32,
 }
 
+/// Identifiers of the parts of a prompt, as written to log lines: hexadecimal, separated by commas.
+#[derive(Clone, Copy, Debug)]
+pub struct PartIds<'a>(pub &'a [PromptPart]);
+
+impl fmt::Display for PartIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, part) in self.0.iter().enumerate() {
+            if i > 0 {
+                f.write_str(",")?;
+            }
+            write!(f, "{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// Information in the headers of a client's request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestMeta {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 use tokio::time;
 
-use crate::{attempt, headers, host, model, response, selection, stream, stream_class};
+use crate::{attempt, headers, host, model, ports, response, selection, stream, stream_class};
 
 /// Attempts allowed in addition to the route's maximum, to replace attempts that did not run.
 const EXTRA_ATTEMPTS: u32 = 2;
@@ -44,6 +44,8 @@
     pub last_failure: Option<attempt::Failure>,
     /// Longest gap between two events that were forwarded to the client.
     pub max_gap: clock::Millis,
+    /// When the first event of the latest attempt arrived; `None` if none has.
+    pub begun_at: Option<clock::Millis>,
 }
 
 /// Serves one request from a client.
@@ -252,6 +254,7 @@
     demand.record_request(selection.unread_tokens);
     history.sent_count += 1;
     history.details = selection.details;
+    history.begun_at = None;
     history.tried.push(selection.name.clone());
     Ok(selection)
 }
@@ -284,6 +287,8 @@
         upstream = upstream.map_or("", name::Upstream::as_str),
         reason = failure.as_str(),
         may_have_run = possibly_ran,
+        begun_ms = history.begun_at.map(|at| now.since(at).0),
+        parts = %ports::PartIds(&call.meta.prompt_parts),
         sends = history.sent_count,
         busy = history.details.in_flight,
         told = history.details.reported_requests,
@@ -338,6 +343,7 @@
         event = "request",
         id = call.meta.id,
         route = call.route.name,
+        parts = %ports::PartIds(&call.meta.prompt_parts),
         team = call.team.as_ref().map_or("", |t| t.name.as_str()),
         tier = call.tier,
         upstream = history.tried.last().map_or("", name::Upstream::as_str),
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -197,6 +197,7 @@
             NextEvent::Event(event) if already_sent(&event, last_event_id) => {}
             NextEvent::Event(event) => {
                 let now = host.now();
+                history.begun_at = Some(now);
                 source.stream.in_flight.record_prompt_read();
                 serve::count_started(host, call, now);
                 let ratio = now.since(sent_at).0 as f64 / base_latency.0 as f64;
