Prompts with a part that crashes engines are withheld

Cause: nothing related failures to what the requests had in common, and a host among 95 sees too few of them to tell. Class: an input that fails wherever it is sent is repeated as if the place had failed.

Each host logs attempts whose connection broke before or early in the answer, with the prompt's shared parts, and when parts were last answered. So no host sends a message a failure, and nothing grows with the square of the hosts. A rule from one team's crashes concerns that team. Withheld requests are refused with 503, not run, and the time until the next trial; one trial at a time, after 20 s, then three times that. Hosts repeat their rules to a new leader.

The reports move out of relay into a module of their own. Hosts of earlier releases still send counts alone; to a leader of an earlier release the counts go by the store.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -96,6 +96,8 @@
     OutcomeUnknown = "outcome_unknown", 409;
     /// The idempotency key was already used for a different request.
     KeyReused = "key_reused", 422;
+    /// A part of the prompt is withheld because it crashes upstreams.
+    Withheld = "withheld", 503;
 }
 
 /// A refusal of a request, returned to the client.
--- a/crates/host/src/response.rs
+++ b/crates/host/src/response.rs
@@ -216,6 +216,7 @@
         Reason::UpstreamTimeout => "the upstream gave no answer in time",
         Reason::OutcomeUnknown => "an earlier call with this idempotency key has no known outcome",
         Reason::KeyReused => "this idempotency key was used with another request",
+        Reason::Withheld => "a part of the prompt crashes upstreams",
     }
 }
 
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -3,13 +3,13 @@
 use std::cell;
 use std::rc;
 
-use base::{clock, name};
+use base::{clock, hash, name};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body;
 use tokio::time;
 
-use crate::{host, http_client, model, ports, selection, stream_class};
+use crate::{crash_log, host, http_client, model, ports, selection, stream_class};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(300);
@@ -56,6 +56,20 @@
     pub finish_by: clock::Millis,
 }
 
+impl Call {
+    /// Identifiers of the prompt's shared parts, all but the last.
+    pub fn shared_parts(&self) -> crash_log::SharedParts {
+        let shared = self.meta.prompt_parts.split_last().map(|(_, s)| s);
+        shared.unwrap_or_default().iter().map(|p| p.id).collect()
+    }
+
+    /// Hash of the team's name; 0 without a team.
+    pub fn team_hash(&self) -> u64 {
+        let team = self.team.as_ref();
+        team.map_or(0, |t| hash::stable_hash(t.name.as_str().as_bytes()))
+    }
+}
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -7,11 +7,11 @@
 use std::rc;
 
 use base::{clock, name};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget, fleet, freshness, http_client, location, membership, metrics, model, ports,
-    store_cache, store_watch, windows,
+    budget, crash_log, fleet, freshness, http_client, location, membership, metrics, model, ports,
+    quarantine, quarantine_leader, store_cache, store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -111,6 +111,16 @@
     pub usage_counter: cell::RefCell<windows::UsageCounter>,
     /// Demand of the clients of this host, by service.
     pub demand: cell::RefCell<collections::HashMap<name::Service, membership::Demand>>,
+    /// Attempts of this host after which an upstream may have crashed.
+    pub crash_log: cell::RefCell<crash_log::CrashLog>,
+    /// Wakes the task that reports to the leader, for a report before the next regular one.
+    pub report_wanted: Notify,
+    /// Number of answers of the leader to reports so far.
+    pub rulings: watch::Sender<u64>,
+    /// Prompt parts that are withheld from upstreams.
+    pub quarantine: cell::RefCell<quarantine::Quarantine>,
+    /// Decisions on withheld parts for the hosts that report to this one.
+    pub quarantine_leader: cell::RefCell<quarantine_leader::QuarantineLeader>,
     /// Registered hosts and their reports.
     pub membership: cell::RefCell<membership::Membership>,
     /// Entries of the store as last read or relayed by another host.
@@ -155,6 +165,11 @@
             retry_budgets: cell::RefCell::default(),
             usage_counter: cell::RefCell::default(),
             demand: cell::RefCell::default(),
+            crash_log: cell::RefCell::default(),
+            report_wanted: Notify::new(),
+            rulings: watch::Sender::new(0),
+            quarantine: cell::RefCell::default(),
+            quarantine_leader: cell::RefCell::default(),
             membership: cell::RefCell::default(),
             store_cache: store_cache::StoreCache::default(),
             freshness: freshness::Freshness::new(change_deadline),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod attempt;
 pub mod backoff;
+pub mod blame;
 pub mod budget;
+pub mod crash_log;
 pub mod delta;
 pub mod fleet;
 pub mod follower;
@@ -23,8 +25,12 @@
 pub mod metrics;
 pub mod model;
 pub mod ports;
+pub mod prompt_evidence;
+pub mod quarantine;
+pub mod quarantine_leader;
 pub mod relay;
 pub mod reported_load;
+pub mod reports;
 pub mod response;
 pub mod scale;
 pub mod selection;
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -7,7 +7,9 @@
 use tokio::signal::unix;
 use tokio::{net, time};
 
-use crate::{follower, host, leader, listeners, membership, ports, relay, store_watch, supervisor};
+use crate::{
+    follower, host, leader, listeners, membership, ports, relay, reports, store_watch, supervisor,
+};
 
 /// Time after the stop signal for which client connections stay open and new ones are accepted as
 /// usual: the load balancer probes readiness twice in it.
@@ -108,7 +110,7 @@
     spawn("sweep", |h| Box::pin(clean_pool(h)));
     let (shared_host, writer) = (host.clone(), writer.clone());
     supervisor::spawn("tell", move || {
-        relay::report_counts(shared_host.clone(), writer.clone())
+        reports::run(shared_host.clone(), writer.clone())
     });
     let shared_host = host.clone();
     supervisor::spawn("duties", move || {
@@ -159,7 +161,7 @@
                 writer.write(host, &writer.report(host)).await;
             }
         };
-        tokio::join!(write, relay::hand_over(host, writer));
+        tokio::join!(write, reports::hand_over(host, writer));
     };
     let time_left = exit_at.since(host.now());
     if time::timeout(time_left.duration(), farewell).await.is_err() {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,5 +1,5 @@
-//! Messages between hosts: the configuration and the list of upstreams for hosts that the store
-//! does not answer, counts and demand for the leader.
+//! Streams between hosts, and the relayed contents of the store: the configuration and the list of
+//! upstreams for hosts that do not read them themselves.
 
 use std::collections;
 use std::net;
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net as tokio_net, task, time};
 
-use crate::{delta, host, link, membership};
+use crate::{delta, host, link, reports};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
@@ -17,15 +17,6 @@
 pub const HEARTBEAT_TIMEOUT: clock::Millis = clock::Millis(1_500);
 /// Age of the knowledge of a host that has not read the store's contents since its start.
 pub const UNKNOWN_AGE: clock::Millis = clock::Millis(u64::MAX);
-/// Longest time between two reports of counts and demand.
-const REPORT_INTERVAL: clock::Millis = clock::Millis(1_000);
-/// Counts and demand are reported at least this many times per report deadline.
-const REPORTS_PER_DEADLINE: u64 = 10;
-/// Largest number of consecutive reports that are not written into the store while it does not
-/// answer.
-const MAX_SKIPPED_WRITES: u32 = 3;
-/// Time within which a report must be acknowledged.
-const ACK_TIMEOUT: clock::Millis = clock::Millis(800);
 /// Delay after a connection from another host could not be accepted.
 const ACCEPT_RETRY_DELAY: clock::Millis = clock::Millis(50);
 
@@ -39,6 +30,8 @@
     Report,
     /// Like `Follow`; the sender has the configuration with this hash, by [`hash::stable_hash`].
     FollowFrom(u64),
+    /// Like `Report`; the sender also reports crashes of upstreams, see [`reports::Report`].
+    ReportFindings,
 }
 
 /// Update from a host to its followers.
@@ -117,7 +110,8 @@
             };
             send_updates(&host, &mut link, peer, sent).await
         }
-        Ok(Handshake::Report) => receive_reports(&host, &mut link).await,
+        Ok(Handshake::Report) => reports::receive_counts(&host, &mut link).await,
+        Ok(Handshake::ReportFindings) => reports::receive(&host, &mut link).await,
         Err(link::Closed) => Err(link::Closed),
     };
 }
@@ -228,110 +222,3 @@
     }
     updates
 }
-
-/// Receives the reports of another host.
-async fn receive_reports(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
-    loop {
-        let limit = REPORT_INTERVAL + HEARTBEAT_TIMEOUT;
-        let report: membership::HostReport = link.receiver.receive(limit).await?;
-        // A host that is not the leader may become it, so it records reports too.
-        host.membership
-            .borrow_mut()
-            .record_report(report, host.now());
-        link.sender.send(&host.is_leader.get()).await?;
-    }
-}
-
-/// Reports this host's counts to the leader every second. If that fails, the counts are written
-/// into the store, less often while the store does not answer either. Each report contains all
-/// counts, so a skipped one loses nothing.
-pub async fn report_counts(host: rc::Rc<host::Host>, writer: rc::Rc<membership::ReportWriter>) {
-    let mut link = None;
-    let mut remaining_skips = 0;
-    let mut skip_count = 0;
-    loop {
-        let report = writer.report(&host);
-        if send_report(&host, &mut link, &report).await.is_ok() {
-            skip_count = 0;
-        } else {
-            link = None;
-            if remaining_skips > 0 {
-                remaining_skips -= 1;
-            } else if report.windows.0.is_empty() {
-                // A process without counts loses nothing, and at the start of a system no host
-                // knows the leader.
-            } else if writer.write(&host, &report).await {
-                skip_count = 0;
-            } else {
-                skip_count = (2 * skip_count + 1).min(MAX_SKIPPED_WRITES);
-                remaining_skips = skip_count;
-            }
-        }
-        let interval = clock::Millis(host.settings.timing.report_deadline.0 / REPORTS_PER_DEADLINE);
-        time::sleep(REPORT_INTERVAL.min(interval).duration()).await;
-    }
-}
-
-/// Sends this host's counts, and all reports that it received, to the hosts that may become leader
-/// next, to all of them at once: a stopping host has no time to wait for each that does not answer.
-pub async fn hand_over(host: &host::Host, writer: &membership::ReportWriter) {
-    host.membership
-        .borrow_mut()
-        .record_report(writer.report(host), host.now());
-    let reports = rc::Rc::new(host.membership.borrow().reports());
-    let watchers = host.membership.borrow().watcher_addresses();
-    let mut sending = task::JoinSet::new();
-    for address in watchers {
-        if address == host.settings.peer_address {
-            continue;
-        }
-        let reports = reports.clone();
-        sending.spawn_local(async move { send_reports_to(address, &reports).await });
-    }
-    let results = sending.join_all().await;
-    tracing::info!(
-        event = "counts_handed_over",
-        entries = reports.len(),
-        hosts = results.iter().filter(|r| r.is_ok()).count()
-    );
-}
-
-async fn send_reports_to(
-    address: net::SocketAddr,
-    reports: &[membership::HostReport],
-) -> Result<(), link::Closed> {
-    let mut link = link::open(address).await?;
-    link.sender.send(&Handshake::Report).await?;
-    for report in reports {
-        link.sender.send(report).await?;
-        let _is_leader: bool = link.receiver.receive(ACK_TIMEOUT).await?;
-    }
-    Ok(())
-}
-
-async fn send_report(
-    host: &host::Host,
-    link: &mut Option<(net::SocketAddr, link::Link)>,
-    report: &membership::HostReport,
-) -> Result<(), link::Closed> {
-    let Some(leader) = host.leader.get() else {
-        return Err(link::Closed);
-    };
-    if leader == host.settings.peer_address {
-        host.membership
-            .borrow_mut()
-            .record_report(report.clone(), host.now());
-        return Ok(());
-    }
-    if link.as_ref().is_none_or(|(to, _)| *to != leader) {
-        let mut opened = link::open(leader).await?;
-        opened.sender.send(&Handshake::Report).await?;
-        *link = Some((leader, opened));
-    }
-    let Some((_, link)) = link else {
-        return Err(link::Closed);
-    };
-    link.sender.send(report).await?;
-    let is_leader: bool = link.receiver.receive(ACK_TIMEOUT).await?;
-    if is_leader { Ok(()) } else { Err(link::Closed) }
-}
--- /dev/null
+++ b/crates/router/src/reports.rs
@@ -0,0 +1,248 @@
+//! Reports of a host to the leader: counts, demand, and crashes of upstreams.
+
+use std::net;
+use std::rc;
+
+use base::clock;
+use serde::{Deserialize, Serialize};
+use tokio::{task, time};
+
+use crate::{attempt, host, link, membership, quarantine, relay};
+
+/// Longest time between two reports.
+const REPORT_INTERVAL: clock::Millis = clock::Millis(1_000);
+/// Counts and demand are reported at least this many times per report deadline.
+const REPORTS_PER_DEADLINE: u64 = 10;
+/// Delay before an extra report, in which more crashes of upstreams are gathered.
+const EXTRA_REPORT_DELAY: clock::Millis = clock::Millis(150);
+/// Time for which a request that may become a trial waits for the leader.
+const TRIAL_REQUEST_TIMEOUT: clock::Millis = clock::Millis(500);
+/// Largest number of consecutive reports that are not written into the store while it does not
+/// answer.
+const MAX_SKIPPED_WRITES: u32 = 3;
+/// Time within which a report must be acknowledged.
+const ACK_TIMEOUT: clock::Millis = clock::Millis(800);
+
+/// Message to the leader.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// Random number that identifies the reporting process.
+    pub process: u64,
+    /// Counts and demand; `None` in a report that only tells of a crash.
+    pub counts: Option<membership::HostReport>,
+    /// Crashes of upstreams, and what the leader asked for.
+    pub findings: quarantine::Findings,
+}
+
+/// Receives reports of counts and demand alone, as hosts of earlier releases send them.
+pub async fn receive_counts(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
+    loop {
+        let limit = REPORT_INTERVAL + relay::HEARTBEAT_TIMEOUT;
+        let report: membership::HostReport = link.receiver.receive(limit).await?;
+        // A host that is not the leader may become it, so it records reports too.
+        host.membership
+            .borrow_mut()
+            .record_report(report, host.now());
+        link.sender.send(&host.is_leader.get()).await?;
+    }
+}
+
+/// Receives the reports of another host.
+pub async fn receive(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
+    loop {
+        let limit = REPORT_INTERVAL + relay::HEARTBEAT_TIMEOUT;
+        let report: Report = link.receiver.receive(limit).await?;
+        let ruling = rule_on(host, report);
+        link.sender.send(&ruling).await?;
+    }
+}
+
+/// Records a report and returns the answer to it.
+fn rule_on(host: &host::Host, report: Report) -> quarantine::Ruling {
+    let now = host.now();
+    let mut membership = host.membership.borrow_mut();
+    if let Some(counts) = report.counts {
+        membership.record_report(counts, now);
+    }
+    let is_only_host = membership.host_count() == 1;
+    let wanted = report.findings.wanted.clone();
+    let mut leader = host.quarantine_leader.borrow_mut();
+    leader.record(report.process, report.findings, is_only_host, now);
+    leader.ruling(report.process, &wanted, host.is_leader.get(), now)
+}
+
+/// Connection to the host that this one reports to.
+#[derive(Default)]
+struct Uplink {
+    /// Address and connection; no connection if this host reports to itself.
+    target: Option<(net::SocketAddr, Option<link::Link>)>,
+    /// Number of the latest crash that was told on this connection.
+    told_crash: u64,
+    /// Whether nothing was told on this connection yet.
+    is_first: bool,
+}
+
+impl Uplink {
+    /// Reports to the leader. Returns whether it has the report.
+    async fn report(
+        &mut self,
+        host: &host::Host,
+        counts: Option<&membership::HostReport>,
+    ) -> Result<(), link::Closed> {
+        let result = self.exchange(host, counts).await;
+        if result.is_err() {
+            self.target = None;
+        }
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        host: &host::Host,
+        counts: Option<&membership::HostReport>,
+    ) -> Result<(), link::Closed> {
+        let leader = host.leader.get().ok_or(link::Closed)?;
+        if self.target.as_ref().is_none_or(|(to, _)| *to != leader) {
+            self.target = Some((leader, self.open(host, leader).await?));
+            self.told_crash = 0;
+            self.is_first = true;
+        }
+        let reported_at = host.now();
+        let findings = self.findings(host, reported_at);
+        let told_crash = findings.crashes.last().map(|c| c.number);
+        let report = Report {
+            process: host.boot_id,
+            counts: counts.cloned(),
+            findings,
+        };
+        let ruling = match &mut self.target {
+            Some((_, Some(link))) => {
+                link.sender.send(&report).await?;
+                link.receiver.receive(ACK_TIMEOUT).await?
+            }
+            _ => rule_on(host, report),
+        };
+        self.is_first = false;
+        self.told_crash = told_crash.unwrap_or(self.told_crash);
+        let is_leader = ruling.is_leader;
+        host.quarantine
+            .borrow_mut()
+            .apply(ruling, reported_at, host.now());
+        host.rulings.send_modify(|n| *n += 1);
+        if is_leader { Ok(()) } else { Err(link::Closed) }
+    }
+
+    fn findings(&self, host: &host::Host, now: clock::Millis) -> quarantine::Findings {
+        let mut quarantine = host.quarantine.borrow_mut();
+        let log = host.crash_log.borrow();
+        quarantine::Findings {
+            crashes: log.crashes_after(self.told_crash, now),
+            answers: log.answers(quarantine.questions(), now),
+            ..quarantine.findings(self.is_first, now)
+        }
+    }
+
+    async fn open(
+        &self,
+        host: &host::Host,
+        leader: net::SocketAddr,
+    ) -> Result<Option<link::Link>, link::Closed> {
+        if leader == host.settings.peer_address {
+            return Ok(None);
+        }
+        let mut link = link::open(leader).await?;
+        link.sender.send(&relay::Handshake::ReportFindings).await?;
+        Ok(Some(link))
+    }
+}
+
+/// Asks the leader for a trial of the request if it is withheld and a trial is due, and waits briefly
+/// for the answer, which is recorded in the quarantine.
+pub async fn request_trial(host: &host::Host, call: &attempt::Call) {
+    let parts = call.shared_parts();
+    let is_due = {
+        let mut quarantine = host.quarantine.borrow_mut();
+        quarantine.is_trial_due(&parts, call.team_hash(), host.now())
+    };
+    if !is_due {
+        return;
+    }
+    let mut rulings = host.rulings.subscribe();
+    host.report_wanted.notify_one();
+    // Without an answer the request is withheld.
+    let _ = time::timeout(TRIAL_REQUEST_TIMEOUT.duration(), rulings.changed()).await;
+}
+
+/// Reports to the leader every second, and soon after a crash of an upstream. If a report fails, the
+/// counts are written into the store, less often while the store does not answer either. Each report
+/// contains all counts, so a skipped one loses nothing.
+pub async fn run(host: rc::Rc<host::Host>, writer: rc::Rc<membership::ReportWriter>) {
+    let mut uplink = Uplink::default();
+    let mut remaining_skips = 0;
+    let mut skip_count = 0;
+    loop {
+        let counts = writer.report(&host);
+        if uplink.report(&host, Some(&counts)).await.is_ok() {
+            skip_count = 0;
+        } else if remaining_skips > 0 {
+            remaining_skips -= 1;
+        } else if counts.windows.0.is_empty() {
+            // A process without counts loses nothing, and at the start of a system no host
+            // knows the leader.
+        } else if writer.write(&host, &counts).await {
+            skip_count = 0;
+        } else {
+            skip_count = (2 * skip_count + 1).min(MAX_SKIPPED_WRITES);
+            remaining_skips = skip_count;
+        }
+        let interval = clock::Millis(host.settings.timing.report_deadline.0 / REPORTS_PER_DEADLINE);
+        let pause = time::sleep(REPORT_INTERVAL.min(interval).duration());
+        tokio::pin!(pause);
+        loop {
+            tokio::select! {
+                () = &mut pause => break,
+                () = host.report_wanted.notified() => {}
+            }
+            time::sleep(EXTRA_REPORT_DELAY.duration()).await;
+            // A report that fails is repeated with the next counts.
+            let _ = uplink.report(&host, None).await;
+        }
+    }
+}
+
+/// Sends this host's counts, and all reports that it received, to the hosts that may become leader
+/// next, to all of them at once: a stopping host has no time to wait for each that does not answer.
+pub async fn hand_over(host: &host::Host, writer: &membership::ReportWriter) {
+    host.membership
+        .borrow_mut()
+        .record_report(writer.report(host), host.now());
+    let reports = rc::Rc::new(host.membership.borrow().reports());
+    let watchers = host.membership.borrow().watcher_addresses();
+    let mut sending = task::JoinSet::new();
+    for address in watchers {
+        if address == host.settings.peer_address {
+            continue;
+        }
+        let reports = reports.clone();
+        sending.spawn_local(async move { send_counts_to(address, &reports).await });
+    }
+    let results = sending.join_all().await;
+    tracing::info!(
+        event = "counts_handed_over",
+        entries = reports.len(),
+        hosts = results.iter().filter(|r| r.is_ok()).count()
+    );
+}
+
+async fn send_counts_to(
+    address: net::SocketAddr,
+    reports: &[membership::HostReport],
+) -> Result<(), link::Closed> {
+    let mut link = link::open(address).await?;
+    link.sender.send(&relay::Handshake::Report).await?;
+    for report in reports {
+        link.sender.send(report).await?;
+        let _is_leader: bool = link.receiver.receive(ACK_TIMEOUT).await?;
+    }
+    Ok(())
+}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,7 +8,10 @@
 use smallvec::SmallVec;
 use tokio::time;
 
-use crate::{attempt, headers, host, model, ports, response, selection, stream, stream_class};
+use crate::{
+    attempt, headers, host, model, ports, prompt_evidence, quarantine, reports, response,
+    selection, stream, stream_class,
+};
 
 /// Attempts allowed in addition to the route's maximum, to replace attempts that did not run.
 const EXTRA_ATTEMPTS: u32 = 2;
@@ -46,6 +49,10 @@
     pub max_gap: clock::Millis,
     /// When the first event of the latest attempt arrived; `None` if none has.
     pub begun_at: Option<clock::Millis>,
+    /// Whether the request was let through although a part of its prompt is withheld.
+    pub is_trial: bool,
+    /// Time until the next such request, if this one was withheld.
+    pub trial_in: Option<clock::Millis>,
 }
 
 /// Serves one request from a client.
@@ -59,6 +66,7 @@
         Err(rejection) => return rejection.respond(&host),
     };
     record_arrival(&host, &call);
+    reports::request_trial(&host, &call).await;
     match call.route.kind {
         model::RouteKind::Streaming => stream::serve(&host, &call).await,
         model::RouteKind::Idempotent | model::RouteKind::NonIdempotent => {
@@ -212,6 +220,27 @@
     windows.counts.record_request(window, &team.name);
 }
 
+/// Whether the request must not be sent because a part of its prompt crashes upstreams. Applies to
+/// each attempt: the part may have been found after the first one.
+fn is_withheld(host: &host::Host, call: &attempt::Call, history: &mut AttemptHistory) -> bool {
+    if history.is_trial {
+        return history.reached_count > 0;
+    }
+    let mut quarantine = host.quarantine.borrow_mut();
+    match quarantine.admit(&call.shared_parts(), call.team_hash(), host.now()) {
+        quarantine::Admission::Open => false,
+        quarantine::Admission::Trial => {
+            history.is_trial = true;
+            tracing::info!(event = "trial", id = call.meta.id);
+            false
+        }
+        quarantine::Admission::Withheld(trial_in) => {
+            history.trial_in = Some(trial_in);
+            true
+        }
+    }
+}
+
 /// Selects an upstream for the next attempt. Fails if no upstream is usable, or if the maximum
 /// number of attempts or the retry budget is exhausted.
 pub fn select_upstream(
@@ -223,6 +252,9 @@
     if history.run_count >= attempts || history.sent_count >= attempts + EXTRA_ATTEMPTS {
         return Err(refusal::Reason::UpstreamFailed);
     }
+    if is_withheld(host, call, history) {
+        return Err(refusal::Reason::Withheld);
+    }
     let criteria = selection::Criteria {
         service: &call.service,
         prompt_parts: &call.meta.prompt_parts,
@@ -280,6 +312,7 @@
         && failure != attempt::Failure::Refused
     {
         host.fleet.borrow_mut().record_failure(name, now);
+        prompt_evidence::record_failure(host, call, name, failure, history.begun_at);
     }
     tracing::info!(
         event = "try_failed",
@@ -310,7 +343,8 @@
             refusal::Reason::UpstreamFailed => refusal::Reason::NoUpstream,
             other => other,
         };
-        refusal::Refusal::not_run(reason).with_retry_after(RETRY_AFTER_DELAY)
+        let delay = history.trial_in.unwrap_or(RETRY_AFTER_DELAY);
+        refusal::Refusal::not_run(reason).with_retry_after(delay)
     } else if now >= call.finish_by {
         refusal::Refusal::unknown(refusal::Reason::UpstreamTimeout)
     } else {
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
-use crate::{attempt, headers, host, response, serve, sse};
+use crate::{attempt, crash_log, headers, host, prompt_evidence, response, serve, sse};
 
 /// Number of events buffered for a client that reads too slowly.
 const EVENT_QUEUE_CAPACITY: usize = 16;
@@ -94,6 +94,8 @@
     last_event_id: Option<u64>,
     /// Time from receiving the request to its first event.
     first_latency: clock::Millis,
+    /// Whether the prompt counts as answered.
+    is_answered: bool,
     /// When the latest event was forwarded.
     last_forwarded: clock::Millis,
     client: mpsc::Sender<Result<Bytes, response::BodyAborted>>,
@@ -241,6 +243,7 @@
         source: Some(source),
         last_event_id: call.meta.last_event_id,
         first_latency: host.now().since(call.received_at),
+        is_answered: false,
         last_forwarded: host.now(),
         client,
     };
@@ -298,12 +301,23 @@
         self.last_event_id = event.id.or(self.last_event_id);
         let now = self.host.now();
         self.history.max_gap = self.history.max_gap.max(now.since(self.last_forwarded));
+        let begun_at = self.history.begun_at;
+        if begun_at.is_some_and(|at| now.since(at) >= crash_log::SURVIVAL_TIME) {
+            self.record_answer();
+        }
         self.last_forwarded = now;
         let remaining = self.call.finish_by.since(now);
         let sending = time::timeout(remaining.duration(), self.client.send(Ok(event.bytes)));
         matches!(sending.await, Ok(Ok(())))
     }
 
+    /// Records once that the upstream of the current attempt has answered the prompt.
+    fn record_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            prompt_evidence::record_answer(&self.host, &self.call);
+        }
+    }
+
     /// Waits for the next event that was not forwarded yet. Returns the reason if there is none.
     async fn next_event(&mut self) -> Result<sse::Event, &'static str> {
         loop {
@@ -323,7 +337,10 @@
             match next {
                 NextEvent::Event(event) if already_sent(&event, self.last_event_id) => {}
                 NextEvent::Event(event) => return Ok(event),
-                NextEvent::End => return Err("whole"),
+                NextEvent::End => {
+                    self.record_answer();
+                    return Err("whole");
+                }
                 NextEvent::Failed(failure) => {
                     // Dropping the source cancels the old run before another one starts.
                     self.source = None;
--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay.rs
@@ -6,7 +6,7 @@
 
 use base::{clock, name};
 use env::hosts::{registration_of, start_hosts, start_tasks, wait_for};
-use router::{membership, relay};
+use router::{membership, reports};
 use tokio::time;
 
 #[test]
@@ -102,7 +102,7 @@
             .update_hosts(&items, now);
         let writer = membership::ReportWriter::new(&stopping.host);
         let begin = time::Instant::now();
-        relay::hand_over(&stopping.host, &writer).await;
+        reports::hand_over(&stopping.host, &writer).await;
         let waited = begin.elapsed().as_millis() as u64;
         assert!(waited <= MAX_WAIT_MS, "{waited} ms of simulated time");
     });
@@ -133,8 +133,8 @@
             .borrow_mut()
             .record_report(received, clock::Millis(1));
         let writer = membership::ReportWriter::new(&stopping.host);
-        relay::hand_over(&stopping.host, &writer).await;
-        relay::hand_over(&stopping.host, &writer).await;
+        reports::hand_over(&stopping.host, &writer).await;
+        reports::hand_over(&stopping.host, &writer).await;
         let counted = next.host.membership.borrow().window_counts(7);
         assert_eq!(counted.get(&team), Some(&2), "one request of each process");
     });
--- a/crates/router/tests/start.rs
+++ b/crates/router/tests/start.rs
@@ -7,7 +7,7 @@
 
 use base::{clock, name};
 use env::hosts;
-use router::{host, leader, membership, relay, store_watch};
+use router::{host, leader, membership, reports, store_watch};
 use tokio::task;
 
 const HOSTS: u16 = 40;
@@ -114,7 +114,7 @@
         let cluster = env::Cluster::new();
         let node = env::node(&cluster, "h", 1);
         let writer = rc::Rc::new(membership::ReportWriter::new(&node.host));
-        task::spawn_local(relay::report_counts(node.host.clone(), writer));
+        task::spawn_local(reports::run(node.host.clone(), writer));
         let stored = || cluster.has_prefix(membership::COUNTS_PREFIX);
         env::sleep_ms(3_000).await;
         assert!(!stored());
