A refusal without an id on a reused connection says nothing about the request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection. It happens here too: callers of requests that must not run twice got 503, not run, although the upstream ran the request, or it ran at a second one.

Cause: a refusal that lacks the request's id was taken for the answer to the request, also on a connection that had carried another one. With the earlier id it was found out. Upstreams echo the id, so on a reused connection its absence now counts as a foreign response, after which the request may have run.

repeated_refusal_is_not_taken_for_that_of_the_next_request failed before: status 503 and two arrivals instead of 502 and one.

Bytes without end in a head, a body, an event or a refusal were looked for as well and ruled out by bytes_without_end_are_cut_off_and_leave_the_host_working, which passes before and after.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -370,9 +370,8 @@
     let misdirected = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
     let id_matches = match &meta.request_id {
         Some(id) => *id == call.meta.id,
-        // A refusal may lack the id. A late response to an earlier request of the connection
-        // has one.
-        None => (meta.refused || misdirected) || !reused && !parts.status.is_success(),
+        // On a reused connection it may be an earlier response, written once more.
+        None => !reused && (meta.refused || !parts.status.is_success()),
     };
     if !id_matches {
         return Outcome::MayHaveRun(Failure::WrongRequestId);
