Bytes without an id end an attempt once a stream has events with ids

Reported by other operators: a stream broke off, the next upstream answered with an error, and clients found its text in their stream. With an error status or a refusal it does not happen here. With a success that holds no events it did: the text was forwarded as an event, and the stream ended as if it were complete.

Cause: any bytes up to an empty line were taken for the next event. Events of a stream have increasing ids, so once the client has one, an event without an id (comments aside) fails the attempt, and the stream is resumed elsewhere or ends visibly incomplete.

error_of_the_next_upstream_does_not_get_into_a_stream failed before: 'boom' after the second event, with the last chunk of a complete body. Error statuses, refusals and an empty success are cases of the same test that passed.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -91,6 +91,8 @@
     Stalled,
     /// The response ended before it was complete, or could not be parsed.
     Truncated,
+    /// A stream contains bytes that are none of its events.
+    NotAnEvent,
     /// The upstream returned a server error.
     ServerError,
 }
@@ -108,6 +110,7 @@
             Self::Timeout => "slow",
             Self::Stalled => "silent",
             Self::Truncated => "broken",
+            Self::NotAnEvent => "not_an_event",
             Self::ServerError => "failed",
         }
     }
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -15,6 +15,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether the event may follow the one with the id `last`, the latest with an id that the client
+    /// has. Other bytes than events of the stream have no id; a comment needs none.
+    pub fn may_follow(&self, last: Option<u64>) -> bool {
+        last.is_none() || self.id.is_some() || self.bytes.starts_with(b":")
+    }
+}
+
 /// An event is too long or its id is not a number; the rest of the stream can't be parsed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct InvalidEvent;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -197,6 +197,11 @@
     loop {
         match source.next_event(remaining(), stall_timeout).await {
             NextEvent::Event(event) if already_sent(&event, last_event_id) => {}
+            NextEvent::Event(event) if !event.may_follow(last_event_id) => {
+                drop(source);
+                serve::record_failure(host, call, history, attempt::Failure::NotAnEvent, true);
+                return Ok(StartOutcome::Failed);
+            }
             NextEvent::Event(event) => {
                 let now = host.now();
                 history.begun_at = Some(now);
@@ -334,23 +339,25 @@
                 next = source.next_event(remaining, stall_timeout) => next,
                 () = client.closed() => return Err("caller_gone"),
             };
-            match next {
-                NextEvent::Event(event) if already_sent(&event, self.last_event_id) => {}
-                NextEvent::Event(event) => return Ok(event),
+            let failure = match next {
+                NextEvent::Event(event) if already_sent(&event, self.last_event_id) => continue,
+                NextEvent::Event(event) if event.may_follow(self.last_event_id) => {
+                    return Ok(event);
+                }
+                NextEvent::Event(_) => attempt::Failure::NotAnEvent,
                 NextEvent::End => {
                     self.record_answer();
                     return Err("whole");
                 }
-                NextEvent::Failed(failure) => {
-                    // Dropping the source cancels the old run before another one starts.
-                    self.source = None;
-                    serve::record_failure(&self.host, &self.call, &mut self.history, failure, true);
-                    if failure == attempt::Failure::Truncated {
-                        time::sleep(RESUME_DELAY.duration()).await;
-                    }
-                    return self.resume().await;
-                }
+                NextEvent::Failed(failure) => failure,
+            };
+            // Dropping the source cancels the old run before another one starts.
+            self.source = None;
+            serve::record_failure(&self.host, &self.call, &mut self.history, failure, true);
+            if failure == attempt::Failure::Truncated {
+                time::sleep(RESUME_DELAY.duration()).await;
             }
+            return self.resume().await;
         }
     }
 
