An upstream whose entry another writer has overwritten is no longer used

Reported by other operators: one odd entry among those of the upstreams, and hosts that read the list ended or stopped following it. That does not happen here: nesting without measure, numbers and ports out of range, empty and overlong values are read past, in a list and in a watch, and later changes are followed.

Found on the way: an entry that was valid and is overwritten with something unreadable was ignored, so the upstream stayed in use as it was known before, though its entry names no upstream any more. It is now removed with the revision of that write, and back with the next valid one. The line about it quoted the entry, up to a megabyte; it is cut at 200 bytes.

odd_entries_stop_neither_the_host_nor_its_list failed before at the overwritten entry.

--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -27,6 +27,9 @@
 /// Time after an outage of the store within which an upstream's entry that expired may reappear.
 const REAPPEAR_PERIOD: clock::Millis = clock::Millis(2_200);
 
+/// Length up to which a log line describes what is wrong with an entry.
+const MAX_FAULT_BYTES: usize = 200;
+
 /// Whether the store responds to this host, and whether the host follows another host instead.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -355,12 +358,20 @@
 }
 
 /// Adds or updates an upstream from its entry in the store, unless a newer entry or removal is
-/// known.
+/// known. An entry that can't be read removes the upstream.
 pub fn apply_entry(host: &host::Host, key: &str, revision: u64, value: &[u8]) {
     let upstream = match host.protocol.parse_upstream(key, value) {
         Ok(upstream) => upstream,
-        Err(fault) => {
-            tracing::warn!(event = "upstream_unreadable", key, fault);
+        Err(mut fault) => {
+            // The parser quotes the entry, which may be long.
+            let end = fault.floor_char_boundary(MAX_FAULT_BYTES);
+            fault.truncate(end);
+            tracing::warn!(event = "upstream_unreadable", key, revision, fault);
+            // Overwritten by another writer, the entry names no upstream.
+            let name = upstream_name(host, key);
+            if name.is_some_and(|n| host.fleet.borrow().get(&n).is_some()) {
+                apply_removal(host, key, revision);
+            }
             return;
         }
     };
