The part that crashes engines is found with less evidence and by a new leader in time

The next leader took over after 2.7 s and then waited for the answers of all 65 hosts to its questions, another 1.9 s, though 185 crashes spoke against the part and none for it. In the model three more causes showed: two crashes within 250 ms counted once, also between head and first event, where sound prompts hardly ever break; hosts answered questions with their next report; and a common first part could be blamed for two parts behind it.

With as many crashes as twice what blames a part, the answers of half of the hosts are enough; new questions are answered at once; attempts that broke between head and first event count apart after 50 ms; a part that is not the last shared one needs twice the evidence.

--- a/crates/router/src/blame.rs
+++ b/crates/router/src/blame.rs
@@ -12,8 +12,10 @@
 
 use crate::crash_log;
 
-/// Crashes within this time count once for a part: one disturbance may break many connections.
+/// Crashes within this time count once for a part: one disturbance may break many connections. Those
+/// between head and first event are so rarely without a cause that they count apart much sooner.
 const MOMENT: clock::Millis = clock::Millis(250);
+const HEAD_ONLY_MOMENT: clock::Millis = clock::Millis(50);
 /// Points for a moment with an attempt that broke early, or between its head and its first event.
 const EARLY_POINTS: i32 = 2;
 const HEAD_ONLY_POINTS: i32 = 4;
@@ -33,7 +35,7 @@
 const SAME_CRASHES_SHARE: f64 = 0.8;
 /// The same for a part further back in the prompts.
 const BRANCH_CRASHES_SHARE: f64 = 0.3;
-/// Points that blame a part without answers although parts further back may share its crashes.
+/// Points that blame a part although parts further back may be the causes of its crashes.
 const UNSPLIT_POINTS: i32 = 24;
 
 /// A crash, with the time by the clock of the host that decides.
@@ -69,21 +71,26 @@
     pub crashes: usize,
     /// Position of the part in its prompts; the largest one seen.
     pub position: usize,
+    /// Whether the part was the last shared one of a prompt.
+    pub is_last: bool,
+    /// When the latest moment began, and the points counted for it.
     moment: Option<(clock::Millis, i32)>,
 }
 
 impl Case {
     fn add(&mut self, record: &Record, position: usize) {
         let crash = &record.crash;
-        let points = match crash.progress {
-            crash_log::Progress::Early => EARLY_POINTS,
-            crash_log::Progress::HeadOnly => HEAD_ONLY_POINTS,
+        let (points, window) = match crash.progress {
+            crash_log::Progress::Early => (EARLY_POINTS, MOMENT),
+            crash_log::Progress::HeadOnly => (HEAD_ONLY_POINTS, HEAD_ONLY_MOMENT),
         };
         match &mut self.moment {
-            Some((begin, best)) if record.at.since(*begin) < MOMENT => {
-                self.points += (points - *best).max(0);
-                *best = points.max(*best);
+            // A stronger sign replaces the weaker one of its moment.
+            Some((begin, counted)) if *counted < points && record.at.since(*begin) < MOMENT => {
+                self.points += points - *counted;
+                *counted = points;
             }
+            Some((begin, _)) if record.at.since(*begin) < window => {}
             moment => {
                 *moment = Some((record.at, points));
                 self.points += points;
@@ -95,6 +102,7 @@
         insert(&mut self.teams, crash.team);
         self.crashes += 1;
         self.position = self.position.max(position);
+        self.is_last |= position + 1 == crash.parts.len();
     }
 
     fn is_conclusive(&self, is_only_host: bool) -> bool {
@@ -145,13 +153,12 @@
         .iter()
         .filter(|(_, case)| case.is_conclusive(is_only_host))
         .max_by_key(|(part, case)| (case.points, **part))?;
-    let Some((other, other_case)) = likelier_part(records, cases, (*first, case)) else {
-        return Some(*first);
-    };
-    if other_case.is_conclusive(is_only_host) {
-        return Some(other);
+    match likelier_part(records, cases, (*first, case)) {
+        Some((other, other_case)) if other_case.is_conclusive(is_only_host) => Some(other),
+        Some(_) if case.answers > 0 => None,
+        None if case.is_last => Some(*first),
+        _ => (case.points >= UNSPLIT_POINTS).then_some(*first),
     }
-    (case.points >= UNSPLIT_POINTS && case.answers == 0).then_some(*first)
 }
 
 /// Returns a part that explains the crashes of `first` better: one that has nearly all of them and
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -97,6 +97,7 @@
     /// Number of elements of `tried` that the latest report contained.
     told_tried: usize,
     questions: Vec<u64>,
+    has_new_questions: bool,
 }
 
 impl Quarantine {
@@ -160,6 +161,8 @@
         self.tried.drain(..self.told_tried.min(self.tried.len()));
         self.told_tried = 0;
         self.confirmed_at = now;
+        let is_new = |part: &u64| !self.questions.contains(part);
+        self.has_new_questions = ruling.questions.iter().any(is_new);
         self.questions = ruling.questions;
         if let Some(id) = ruling.permit {
             // Counted from the report, so that a delayed answer does not prolong the permit.
@@ -191,6 +194,11 @@
         findings
     }
 
+    /// Whether the leader's latest answer asked about parts that it had not asked about before.
+    pub fn has_new_questions(&self) -> bool {
+        self.has_new_questions
+    }
+
     /// Parts that the leader asked about.
     pub fn questions(&self) -> &[u64] {
         &self.questions
--- a/crates/router/src/quarantine_leader.rs
+++ b/crates/router/src/quarantine_leader.rs
@@ -25,6 +25,8 @@
 const REPORTER_TTL: clock::Millis = clock::Millis(2_500);
 /// Longest time that a decision waits for the answers of hosts.
 const ANSWER_TIMEOUT: clock::Millis = clock::Millis(2_200);
+/// Points from which the answers of half of the hosts are enough.
+const MANY_CRASHES_POINTS: i32 = 24;
 /// Time between decisions.
 const DECISION_INTERVAL: clock::Millis = clock::Millis(100);
 /// Times of answers that differ by less are one answer, told again: messages take time.
@@ -93,14 +95,11 @@
             let at = clock::Millis(now.since(crash.age).0);
             self.records.push(blame::Record { at, process, crash });
         }
+        // Some answers are to questions of an earlier leader.
         for (part, ages) in findings.answers.into_iter().take(MAX_QUESTIONS) {
-            if self.questions.contains_key(&part) || has_rule(&self.rules, part) {
-                for age in ages {
-                    insert_answer(
-                        self.answers.entry(part).or_default(),
-                        clock::Millis(now.since(age).0),
-                    );
-                }
+            let times = self.answers.entry(part).or_default();
+            for age in ages {
+                insert_answer(times, clock::Millis(now.since(age).0));
             }
         }
         self.adopt_rules(findings.rules, now);
@@ -158,10 +157,10 @@
             let Some(part) = blame::find_cause(&unexplained, &cases, is_only_host) else {
                 return;
             };
-            if !self.is_answered(part, now) || self.rules.len() >= MAX_RULES {
+            let case = &cases[&part];
+            if !self.is_answered(part, case, now) || self.rules.len() >= MAX_RULES {
                 return;
             }
-            let case = &cases[&part];
             self.add_rule(part, case, now);
         }
     }
@@ -270,16 +269,23 @@
         self.ended.retain(|(_, at)| now.since(*at) < ENDED_MEMORY);
     }
 
-    /// Whether all hosts have told what answers to the part they know, as far as can be expected.
-    fn is_answered(&self, part: u64, now: clock::Millis) -> bool {
+    /// Whether the hosts have told what answers to the part they know, as far as is needed.
+    fn is_answered(&self, part: u64, case: &blame::Case, now: clock::Millis) -> bool {
         let Some(asked_at) = self.questions.get(&part) else {
             return false;
         };
-        now.since(*asked_at) >= ANSWER_TIMEOUT
-            || self
-                .reporters
-                .values()
-                .all(|r| r.answered_until > *asked_at || now.since(r.last_report) >= REPORTER_TTL)
+        if now.since(*asked_at) >= ANSWER_TIMEOUT {
+            return true;
+        }
+        let reporters = self.reporters.values();
+        let live = reporters.filter(|r| now.since(r.last_report) < REPORTER_TTL);
+        let (answered, waiting): (Vec<_>, Vec<_>) =
+            live.partition(|r| r.answered_until > *asked_at);
+        if case.points >= MANY_CRASHES_POINTS {
+            answered.len() >= waiting.len()
+        } else {
+            waiting.is_empty()
+        }
     }
 
     /// Returns the answer to a report of `process`, at which requests wait to be tried against the
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -198,10 +198,17 @@
         let interval = clock::Millis(host.settings.timing.report_deadline.0 / REPORTS_PER_DEADLINE);
         let pause = time::sleep(REPORT_INTERVAL.min(interval).duration());
         tokio::pin!(pause);
+        // New questions are answered at once, but those in the reply to that wait.
+        let mut may_answer = true;
         loop {
-            tokio::select! {
-                () = &mut pause => break,
-                () = host.report_wanted.notified() => {}
+            let is_asked = may_answer && host.quarantine.borrow().has_new_questions();
+            if is_asked {
+                may_answer = false;
+            } else {
+                tokio::select! {
+                    () = &mut pause => break,
+                    () = host.report_wanted.notified() => {}
+                }
             }
             time::sleep(EXTRA_REPORT_DELAY.duration()).await;
             // A report that fails is repeated with the next counts.
--- a/crates/router/tests/crash_model/mod.rs
+++ b/crates/router/tests/crash_model/mod.rs
@@ -13,6 +13,9 @@
 /// Time between reports of a host, and from a crash to a report.
 const REPORT_MS: u64 = 1_000;
 const CRASH_REPORT_MS: u64 = 150;
+/// Time from the loss of a leader until the next one takes reports: its lease, and the wait for its
+/// calls in flight.
+const LEADER_GAP_MS: u64 = 2_700;
 /// Engines that one request is sent to.
 const ATTEMPTS: u32 = 2;
 /// Shared first part of the sound prompts that resemble the deadly ones, and number of the second
@@ -35,7 +38,7 @@
     pub(crate) own_crash_ms: Option<u64>,
     /// Time between disturbances in which half of the engines crash.
     pub(crate) mass_crash_ms: Option<u64>,
-    /// When the leader is replaced by a host that knows nothing.
+    /// When the leader is lost. The next one knows nothing.
     pub(crate) leader_change_ms: Option<u64>,
     pub(crate) length_ms: u64,
 }
@@ -122,6 +125,8 @@
     quarantine: quarantine::Quarantine,
     told: u64,
     knows_leader: bool,
+    /// Whether the latest report was an extra one, to answer new questions.
+    has_answered: bool,
     report_ms: u64,
 }
 
@@ -195,6 +200,10 @@
                 (host.knows_leader, host.told) = (false, 0);
             }
         }
+        let lost_ms = self.load.leader_change_ms;
+        if lost_ms.is_some_and(|ms| (ms..ms + LEADER_GAP_MS).contains(&self.now_ms)) {
+            return;
+        }
         for n in 0..self.hosts.len() {
             if self.now_ms >= self.hosts[n].report_ms {
                 self.report(n);
@@ -347,5 +356,10 @@
         self.leader.record(process, findings, is_only_host, now);
         let ruling = self.leader.ruling(process, &wanted, true, now);
         host.quarantine.apply(ruling, now, now);
+        if host.quarantine.has_new_questions() && !std::mem::replace(&mut host.has_answered, true) {
+            host.report_ms = self.now_ms + CRASH_REPORT_MS;
+        } else {
+            host.has_answered = false;
+        }
     }
 }
