--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod reported_load;
 pub mod reports;
 pub mod response;
+pub mod retry;
 pub mod scale;
 pub mod selection;
 pub mod serve;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
-use crate::{attempt, crash_log, headers, host, prompt_evidence, response, serve, sse};
+use crate::{attempt, crash_log, headers, host, prompt_evidence, response, retry, serve, sse};
 
 /// Number of events buffered for a client that reads too slowly.
 const EVENT_QUEUE_CAPACITY: usize = 16;
@@ -88,7 +88,7 @@
 struct Forwarder {
     host: rc::Rc<host::Host>,
     call: rc::Rc<attempt::Call>,
-    history: serve::AttemptHistory,
+    history: retry::AttemptHistory,
     source: Option<EventSource>,
     /// Id of the last event forwarded to the client.
     last_event_id: Option<u64>,
@@ -103,7 +103,7 @@
 
 /// Serves a request whose response is a stream.
 pub async fn serve(host: &rc::Rc<host::Host>, call: &rc::Rc<attempt::Call>) -> response::Response {
-    let mut history = serve::AttemptHistory::default();
+    let mut history = retry::AttemptHistory::default();
     let mut error_response = None;
     let reason = loop {
         let started = match start_stream(host, call, &mut history, call.meta.last_event_id).await {
@@ -120,7 +120,7 @@
             }
             StartOutcome::Other(response) => {
                 let status = response.status().as_u16();
-                serve::log_request(host, call, &history, "whole", status, None);
+                retry::log_request(host, call, &history, "whole", status, None);
                 return response;
             }
             StartOutcome::Failed => {}
@@ -131,10 +131,10 @@
     };
     if let Some(response) = error_response {
         let status = response.status().as_u16();
-        serve::log_request(host, call, &history, "failed", status, None);
+        retry::log_request(host, call, &history, "failed", status, None);
         return response;
     }
-    serve::refuse_after_attempts(host, call, &history, reason)
+    retry::refuse_after_attempts(host, call, &history, reason)
 }
 
 /// Result of an attempt to start a stream.
@@ -151,27 +151,27 @@
 async fn start_stream(
     host: &rc::Rc<host::Host>,
     call: &rc::Rc<attempt::Call>,
-    history: &mut serve::AttemptHistory,
+    history: &mut retry::AttemptHistory,
     last_event_id: Option<u64>,
 ) -> Result<StartOutcome, refusal::Reason> {
-    let selection = serve::select_upstream(host, call, history)?;
+    let selection = retry::select_upstream(host, call, history)?;
     let base_latency = selection.base_latency;
     let sent_at = host.now();
-    let timeout = serve::attempt_timeout(host, call, history);
+    let timeout = retry::attempt_timeout(host, call, history);
     // Under general load, a host among many receives data from few of the engines, so a wait that
     // is as long as the likely latency does not indicate a stall.
     let slow_start = clock::Millis(selection.likely_latency.0 * FIRST_EVENT_STALL_FACTOR);
     let stall_timeout =
-        serve::stall_timeout(host, call, history, FIRST_EVENT_STALL_SHARE).max(slow_start);
+        retry::stall_timeout(host, call, history, FIRST_EVENT_STALL_SHARE).max(slow_start);
     let head =
         match attempt::send(host, call, selection, last_event_id, timeout, stall_timeout).await {
             attempt::Outcome::Response(head) => head,
             attempt::Outcome::NotRun(failure) => {
-                serve::record_failure(host, call, history, failure, false);
+                retry::record_failure(host, call, history, failure, false);
                 return Ok(StartOutcome::Failed);
             }
             attempt::Outcome::MayHaveRun(failure) => {
-                serve::record_failure(host, call, history, failure, true);
+                retry::record_failure(host, call, history, failure, true);
                 return Ok(StartOutcome::Failed);
             }
         };
@@ -180,12 +180,12 @@
         let response = match head.read_body(remaining()).await {
             Ok((parts, bytes, _)) => response::buffered(headers::response_parts(parts), bytes),
             Err(failure) => {
-                serve::record_failure(host, call, history, failure, true);
+                retry::record_failure(host, call, history, failure, true);
                 return Ok(StartOutcome::Failed);
             }
         };
         if response.status().is_server_error() {
-            serve::record_failure(host, call, history, attempt::Failure::ServerError, true);
+            retry::record_failure(host, call, history, attempt::Failure::ServerError, true);
         }
         return Ok(StartOutcome::Other(response));
     }
@@ -199,7 +199,7 @@
             NextEvent::Event(event) if already_sent(&event, last_event_id) => {}
             NextEvent::Event(event) if !event.may_follow(last_event_id) => {
                 drop(source);
-                serve::record_failure(host, call, history, attempt::Failure::NotAnEvent, true);
+                retry::record_failure(host, call, history, attempt::Failure::NotAnEvent, true);
                 return Ok(StartOutcome::Failed);
             }
             NextEvent::Event(event) => {
@@ -219,7 +219,7 @@
             }
             NextEvent::Failed(failure) => {
                 drop(source);
-                serve::record_failure(host, call, history, failure, true);
+                retry::record_failure(host, call, history, failure, true);
                 return Ok(StartOutcome::Failed);
             }
         }
@@ -235,7 +235,7 @@
 fn spawn_forwarder(
     host: &rc::Rc<host::Host>,
     call: &rc::Rc<attempt::Call>,
-    history: serve::AttemptHistory,
+    history: retry::AttemptHistory,
     parts: http::response::Parts,
     source: EventSource,
     event: sse::Event,
@@ -264,7 +264,7 @@
         let end = self.forward_events(first).await;
         let status = http::StatusCode::OK.as_u16();
         let first_latency = Some(self.first_latency);
-        serve::log_request(
+        retry::log_request(
             &self.host,
             &self.call,
             &self.history,
@@ -353,7 +353,7 @@
             };
             // Dropping the source cancels the old run before another one starts.
             self.source = None;
-            serve::record_failure(&self.host, &self.call, &mut self.history, failure, true);
+            retry::record_failure(&self.host, &self.call, &mut self.history, failure, true);
             if failure == attempt::Failure::Truncated {
                 time::sleep(RESUME_DELAY.duration()).await;
             }
@@ -364,7 +364,7 @@
     /// Time without data from the upstream after which the stream is resumed elsewhere, or the
     /// route's timeout if it can't be.
     fn stall_timeout(&self) -> clock::Millis {
-        if !serve::may_retry(&self.host, &self.call, &self.history) {
+        if !retry::may_retry(&self.host, &self.call, &self.history) {
             return self.call.route.timeout;
         }
         self.call
--- a/crates/router/tests/tries.rs
+++ b/crates/router/tests/tries.rs
@@ -6,7 +6,7 @@
 use std::rc;
 
 use base::{clock, refusal};
-use router::{attempt, model, ports, selection, serve, stream_class};
+use router::{attempt, model, ports, retry, selection, stream_class};
 use smallvec::smallvec;
 
 fn call() -> attempt::Call {
@@ -63,10 +63,10 @@
     let node = node();
     let call = call();
     while node.host.spend_retry(&call.service) {}
-    let mut history = serve::AttemptHistory::default();
-    serve::select_upstream(&node.host, &call, &mut history)?;
-    serve::record_failure(&node.host, &call, &mut history, failure, false);
-    serve::select_upstream(&node.host, &call, &mut history).map(|_| ())
+    let mut history = retry::AttemptHistory::default();
+    retry::select_upstream(&node.host, &call, &mut history)?;
+    retry::record_failure(&node.host, &call, &mut history, failure, false);
+    retry::select_upstream(&node.host, &call, &mut history).map(|_| ())
 }
 
 /// Failure of an attempt at an upstream that accepts the request and never answers.
@@ -80,8 +80,8 @@
     if is_budget_spent {
         while node.host.spend_retry(&call.service) {}
     }
-    let mut history = serve::AttemptHistory::default();
-    let selection = serve::select_upstream(&node.host, &call, &mut history).expect("upstream");
+    let mut history = retry::AttemptHistory::default();
+    let selection = retry::select_upstream(&node.host, &call, &mut history).expect("upstream");
     let selection = selection::Selection {
         address: silent.local_addr().expect("local address"),
         ..selection
