Upstreams that say they leave get no requests, nor those that ask for a pause

The choice of an upstream is the one place that decides. Leaving ones are used for half of the drain deadline if there is no other. A pause is up to a quarter longer at random, so that hosts don't return at one moment, and 300 s at most. It counts as no room: callers get 503, not run, and the time until the first pause ends. Hosts do not tell each other: the rule binds each by what it has passed on, the entry follows, and each learns from its first response.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -353,6 +353,30 @@
     Some(request)
 }
 
+/// Records what the upstream says of itself in a response to this host.
+fn record_announcements(
+    host: &host::Host,
+    selection: &selection::Selection,
+    parts: &http::response::Parts,
+    meta: &ports::ResponseMeta,
+) {
+    let now = host.now();
+    let mut fleet = host.fleet.borrow_mut();
+    let upstream = &selection.name;
+    if meta.leaving && fleet.record_leaving(upstream, now) {
+        host.pool.close_idle(selection.address);
+        host.metrics.record_announcement("leaving");
+        tracing::info!(event = "upstream_says_leaving", %upstream);
+    }
+    let is_unavailable = parts.status == http::StatusCode::SERVICE_UNAVAILABLE;
+    if let Some(pause) = meta.retry_after.filter(|_| is_unavailable) {
+        let until = fleet.record_pause(upstream, pause, rand::random(), now);
+        host.metrics.record_announcement("pause");
+        let granted_ms = until.map(|u| u.since(now).0);
+        tracing::info!(event = "upstream_asks_pause", %upstream, pause_ms = pause.0, granted_ms);
+    }
+}
+
 /// Checks that the response belongs to this request, and determines the outcome of the attempt.
 async fn classify_response(
     host: &rc::Rc<host::Host>,
@@ -379,6 +403,9 @@
     if !id_matches {
         return Outcome::MayHaveRun(Failure::WrongRequestId);
     }
+    if !misdirected {
+        record_announcements(host, &in_flight.selection, &parts, &meta);
+    }
     if meta.refused || misdirected {
         let head = ResponseHead {
             parts,
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -9,7 +9,9 @@
 use base::{clock, hash, name};
 use smallvec::SmallVec;
 
-use crate::{location, model, ports, reported_load, selection, slowdown, stream_class};
+use crate::{
+    announcements, location, model, ports, reported_load, selection, slowdown, stream_class,
+};
 
 /// Prompt tokens that an idle engine processes per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 112.0;
@@ -34,6 +36,9 @@
 const MAX_BACKOFF_DELAY: clock::Millis = clock::Millis(3_000);
 /// Divisor of the exponential moving average of failures: the latest outcome has weight `1 / N`.
 const FAILURE_RATE_SMOOTHING: f64 = 10.0;
+/// Share of the drain deadline for which an upstream that leaves is still used if there is no other. It
+/// goes on serving for longer, and its successor may need that time to start.
+const LEAVING_USE_SHARE: f64 = 0.5;
 /// Cost added for an upstream in backoff, and for a failure rate of 1, in milliseconds.
 const FAILURE_COST_MS: f64 = 2_000.0;
 
@@ -101,17 +106,23 @@
     /// For each prefix id, the upstream instances that received it and when.
     prefix_cache: collections::HashMap<u64, SmallVec<[(u64, clock::Millis); 2]>>,
     last_mark: u64,
+    announcements: announcements::Announcements,
+    /// Time for which an upstream that said that it leaves may get requests that no other takes.
+    leaving_use: clock::Millis,
 }
 
 impl Fleet {
-    /// Creates a fleet without upstreams for a host at `location`.
-    pub fn new(location: location::Location) -> Self {
+    /// Creates a fleet without upstreams for a host at `location`. An upstream that has said that it
+    /// leaves gets no request after `drain_deadline`.
+    pub fn new(location: location::Location, drain_deadline: clock::Millis) -> Self {
         Self {
             location,
             upstreams: collections::HashMap::new(),
             services: collections::HashMap::new(),
             prefix_cache: collections::HashMap::new(),
             last_mark: 0,
+            announcements: announcements::Announcements::default(),
+            leaving_use: clock::Millis((drain_deadline.0 as f64 * LEAVING_USE_SHARE) as u64),
         }
     }
 
@@ -214,21 +225,72 @@
         self.upstreams.get(name)
     }
 
-    /// Ready upstreams that the request has not been sent to.
+    /// Ready upstreams that the request has not been sent to, and whether each takes requests by its
+    /// own responses.
     fn untried<'a>(
         &'a self,
         criteria: &'a selection::Criteria<'_>,
-    ) -> impl Iterator<Item = &'a TrackedUpstream> {
-        self.of_service(criteria.service).filter(|tracked| {
+        now: clock::Millis,
+    ) -> impl Iterator<Item = (&'a TrackedUpstream, announcements::Willingness)> {
+        let ready = self.of_service(criteria.service).filter(|tracked| {
             tracked.upstream.state == model::UpstreamState::Ready
                 && !criteria.excluded.contains(&tracked.upstream.name)
+        });
+        ready.map(move |tracked| {
+            let process = instance_id(&tracked.upstream);
+            (tracked, self.announcements.willingness(process, now))
         })
     }
 
-    /// Whether there is a ready upstream that the request has not been sent to, even if what room
-    /// it has is left to more urgent requests.
-    pub fn has_untried(&self, criteria: &selection::Criteria<'_>) -> bool {
-        self.untried(criteria).next().is_some()
+    /// Returns why [`Self::select`] finds no upstream, with the counts of upstreams passed over.
+    pub fn shortage(
+        &self,
+        criteria: &selection::Criteria<'_>,
+        now: clock::Millis,
+    ) -> (selection::Shortage, selection::Details) {
+        let mut details = selection::Details::default();
+        let mut is_full = false;
+        let mut pause: Option<clock::Millis> = None;
+        for (_, willingness) in self.untried(criteria, now) {
+            match willingness {
+                announcements::Willingness::Willing => is_full = true,
+                announcements::Willingness::Paused(until) => {
+                    details.paused += 1;
+                    let left = until.since(now);
+                    pause = Some(pause.map_or(left, |p| p.min(left)));
+                }
+                announcements::Willingness::Leaving(_) => details.leaving += 1,
+            }
+        }
+        let shortage = match pause {
+            _ if is_full => selection::Shortage::Full,
+            Some(left) => selection::Shortage::Paused(left),
+            None => selection::Shortage::None,
+        };
+        (shortage, details)
+    }
+
+    /// Records that a response of the selected upstream says that it leaves. Returns whether this is
+    /// new. Only another process of the upstream ends it.
+    pub fn record_leaving(&mut self, name: &name::Upstream, now: clock::Millis) -> bool {
+        let Some(process) = self.upstreams.get(name).map(|t| instance_id(&t.upstream)) else {
+            return false;
+        };
+        self.announcements.record_leaving(process, now)
+    }
+
+    /// Records that the upstream wants no requests for `pause`, and returns until when it gets none.
+    /// `spread` is a random number.
+    pub fn record_pause(
+        &mut self,
+        name: &name::Upstream,
+        pause: clock::Millis,
+        spread: u32,
+        now: clock::Millis,
+    ) -> Option<clock::Millis> {
+        let process = self.upstreams.get(name).map(|t| instance_id(&t.upstream))?;
+        let until = self.announcements.record_pause(process, pause, spread, now);
+        Some(until)
     }
 
     /// Selects the upstream with the lowest estimated cost, or `None` if none is usable.
@@ -241,14 +303,33 @@
             !criteria.prompt_parts.is_empty() || tracked.reported_load.has_room(criteria.tier, now)
         };
         let shared_prefix = criteria.shared_prefix();
-        let preferred = shared_prefix.and_then(|(id, _)| self.preferred_upstream(criteria, id));
+        let preferred =
+            shared_prefix.and_then(|(id, _)| self.preferred_upstream(criteria, id, now));
         let typical = self
             .services
             .get(criteria.service)
             .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
         let mut best: Option<(f64, &TrackedUpstream, u64)> = None;
-        let mut usable_count = 0;
-        for tracked in self.untried(criteria).filter(has_room) {
+        let mut last_resort = None;
+        let (mut usable_count, mut leaving_count, mut paused_count) = (0, 0, 0);
+        for (tracked, willingness) in self.untried(criteria, now) {
+            match willingness {
+                announcements::Willingness::Willing => {}
+                announcements::Willingness::Paused(_) => {
+                    paused_count += 1;
+                    continue;
+                }
+                announcements::Willingness::Leaving(since) => {
+                    leaving_count += 1;
+                    if now.since(since) < self.leaving_use && has_room(&tracked) {
+                        last_resort = Some(tracked);
+                    }
+                    continue;
+                }
+            }
+            if !has_room(&tracked) {
+                continue;
+            }
             usable_count += 1;
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
@@ -260,10 +341,13 @@
                 best = Some((cost_ms, tracked, unread_tokens));
             }
         }
-        let (cost_ms, tracked, unread_tokens) = best?;
+        let last_resort = last_resort.map(|t| (0.0, t, u64::from(criteria.prompt_tokens)));
+        let (cost_ms, tracked, unread_tokens) = best.or(last_resort)?;
         let (reported_requests, report_age_ms) = tracked.reported_load.latest(now);
         let details = selection::Details {
             usable: usable_count,
+            leaving: leaving_count,
+            paused: paused_count,
             prefix_cached: unread_tokens < u64::from(criteria.prompt_tokens),
             in_flight: tracked.in_flight,
             reported_requests,
@@ -286,6 +370,12 @@
         })
     }
 
+    fn has_said_leaving(&self, tracked: &TrackedUpstream, now: clock::Millis) -> bool {
+        let process = instance_id(&tracked.upstream);
+        let willingness = self.announcements.willingness(process, now);
+        matches!(willingness, announcements::Willingness::Leaving(_))
+    }
+
     /// Returns the upstream that is preferred for caching the prefix: the one with the highest
     /// rendezvous hash among ready upstreams of the request's class, or of any class if there are
     /// none. Hosts that know the same upstreams agree on it.
@@ -293,10 +383,12 @@
         &self,
         criteria: &selection::Criteria<'_>,
         prefix_id: u64,
+        now: clock::Millis,
     ) -> Option<&name::Upstream> {
         let ready = || {
             self.of_service(criteria.service)
                 .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
+                .filter(|tracked| !self.has_said_leaving(tracked, now))
         };
         let rendezvous_weight = |tracked: &&TrackedUpstream| {
             hash::stable_hash(&(prefix_id ^ name_hash(tracked)).to_le_bytes())
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -159,7 +159,7 @@
             clock: dependencies.clock,
             boot_id: rand::random(),
             config: cell::RefCell::default(),
-            fleet: cell::RefCell::new(fleet::Fleet::new(location)),
+            fleet: cell::RefCell::new(fleet::Fleet::new(location, change_deadline)),
             upstreams_listed: cell::Cell::new(false),
             pool: http_client::Pool::default(),
             retry_budgets: cell::RefCell::default(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`ports`] defines the interfaces to the platform; all other modules use only the types of
 //! [`model`].
 
+pub mod announcements;
 pub mod attempt;
 pub mod backoff;
 pub mod blame;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -19,6 +19,7 @@
     retries: metrics::Counter<u64>,
     responses: metrics::Counter<u64>,
     relayed_bytes: metrics::Counter<u64>,
+    announcements: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -50,6 +51,7 @@
             retries: meter.u64_counter("retries").build(),
             responses: meter.u64_counter("answers").build(),
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
+            announcements: meter.u64_counter("upstream_announcements").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -74,6 +76,11 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts an upstream that says that it leaves, or asks for a pause.
+    pub fn record_announcement(&self, kind: &'static str) {
+        self.announcements.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts bytes of the store's contents that were sent to followers.
     pub fn record_relayed(&self, bytes: u64) {
         self.relayed_bytes.add(bytes, &[]);
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -232,6 +232,11 @@
     pub load: Option<[u32; 3]>,
     /// How long the upstream keeps the connection open without a request.
     pub idle_timeout: Option<clock::Millis>,
+    /// Whether the upstream states that it leaves.
+    pub leaving: bool,
+    /// How long the upstream wants no further requests; `None` if it did not say so, or nothing that
+    /// can be read.
+    pub retry_after: Option<clock::Millis>,
 }
 
 /// Information that a host adds to the headers of a request to an upstream.
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -31,8 +31,8 @@
     pub begun_at: Option<clock::Millis>,
     /// Whether the request was let through although a part of its prompt is withheld.
     pub is_trial: bool,
-    /// Time until the next such request, if this one was withheld.
-    pub trial_in: Option<clock::Millis>,
+    /// Time after which an attempt may be possible, where it is known.
+    pub retry_after: Option<clock::Millis>,
 }
 
 /// Whether the request must not be sent because a part of its prompt crashes upstreams. Applies to
@@ -50,7 +50,7 @@
             false
         }
         quarantine::Admission::Withheld(trial_in) => {
-            history.trial_in = Some(trial_in);
+            history.retry_after = Some(trial_in);
             true
         }
     }
@@ -79,11 +79,17 @@
         excluded: &history.tried,
     };
     let fleet = host.fleet.borrow();
-    let Some(selection) = fleet.select(&criteria, host.now()) else {
-        return Err(if fleet.has_untried(&criteria) {
-            refusal::Reason::Shed
-        } else {
-            refusal::Reason::NoUpstream
+    let now = host.now();
+    let Some(selection) = fleet.select(&criteria, now) else {
+        let (shortage, details) = fleet.shortage(&criteria, now);
+        history.details = details;
+        return Err(match shortage {
+            selection::Shortage::None => refusal::Reason::NoUpstream,
+            selection::Shortage::Full => refusal::Reason::Shed,
+            selection::Shortage::Paused(delay) => {
+                history.retry_after = Some(delay);
+                refusal::Reason::Shed
+            }
         });
     };
     drop(fleet);
@@ -158,7 +164,7 @@
             refusal::Reason::UpstreamFailed => refusal::Reason::NoUpstream,
             other => other,
         };
-        let delay = history.trial_in.unwrap_or(serve::RETRY_AFTER_DELAY);
+        let delay = history.retry_after.unwrap_or(serve::RETRY_AFTER_DELAY);
         refusal::Refusal::not_run(reason).with_retry_after(delay)
     } else if now >= call.finish_by {
         refusal::Refusal::unknown(refusal::Reason::UpstreamTimeout)
@@ -198,6 +204,8 @@
         upstream = history.tried.last().map_or("", name::Upstream::as_str),
         sends = history.sent_count,
         usable = history.details.usable,
+        said_leaving = history.details.leaving,
+        paused = history.details.paused,
         kept = history.details.prefix_cached,
         busy = history.details.in_flight,
         told = history.details.reported_requests,
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -56,6 +56,10 @@
 pub struct Details {
     /// Number of upstreams that could have been selected.
     pub usable: u32,
+    /// Number of ready upstreams that have said in a response that they leave.
+    pub leaving: u32,
+    /// Number of ready upstreams that have asked for a pause.
+    pub paused: u32,
     /// Whether the selected upstream is expected to have the shared prefix cached.
     pub prefix_cached: bool,
     /// Requests that this host had in flight at the selected upstream.
@@ -69,3 +73,14 @@
     /// Class of streams that the selected upstream is reserved for.
     pub upstream_class: stream_class::StreamClass,
 }
+
+/// Why no upstream can be selected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// There is no upstream that takes requests.
+    None,
+    /// The room that upstreams have is left to more urgent requests.
+    Full,
+    /// All upstreams have asked for a pause; the earliest one ends after this time.
+    Paused(clock::Millis),
+}
--- /dev/null
+++ b/crates/router/tests/announcements.rs
@@ -0,0 +1,141 @@
+//! Upstreams that say in their responses that they leave, or that they want no requests for a while, by
+//! pattern of load.
+
+use base::{clock, name};
+use router::{fleet, location, model, selection, stream_class};
+
+const DRAIN_DEADLINE: clock::Millis = clock::Millis(2_500);
+const START: clock::Millis = clock::Millis(1_000_000);
+const PAUSE: clock::Millis = clock::Millis(2_000);
+
+fn upstream(name: &str, started_at: u64) -> model::Upstream {
+    model::Upstream {
+        name: name.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        dc: "a".into(),
+        state: model::UpstreamState::Ready,
+        preemptible: false,
+        started_at,
+    }
+}
+
+fn fleet(names: &[&str]) -> fleet::Fleet {
+    let location = location::Location {
+        dc: "a".into(),
+        regions: [("a".into(), "x".into())].into(),
+    };
+    let mut fleet = fleet::Fleet::new(location, DRAIN_DEADLINE);
+    for name in names {
+        fleet.put(upstream(name, 1));
+    }
+    fleet
+}
+
+/// Name of the upstream that a request gets, or why it gets none.
+fn select(fleet: &fleet::Fleet, now: clock::Millis) -> Result<String, selection::Shortage> {
+    let service = name::Service::from("s");
+    let criteria = selection::Criteria {
+        service: &service,
+        prompt_parts: &[],
+        prompt_tokens: 0,
+        tier: 0,
+        stream_class: stream_class::StreamClass::Other,
+        excluded: &[],
+    };
+    match fleet.select(&criteria, now) {
+        Some(selection) => Ok(selection.name.to_string()),
+        None => Err(fleet.shortage(&criteria, now).0),
+    }
+}
+
+/// Load of the pattern: the store is silent and its entries go on saying ready. Only responses told
+/// that the upstream leaves, and it got requests until it was gone.
+#[test]
+fn upstream_that_says_it_leaves_gets_nothing_while_another_is_there() {
+    let mut fleet = fleet(&["u1", "u2"]);
+    assert!(fleet.record_leaving(&"u1".into(), START));
+    assert!(!fleet.record_leaving(&"u1".into(), START + PAUSE));
+    for ms in [0, 100, 10_000, 3_000_000] {
+        assert_eq!(
+            select(&fleet, START + clock::Millis(ms)),
+            Ok("u2".to_owned())
+        );
+    }
+}
+
+/// Load of the pattern: all upstreams of a small service leave at once. They serve on for the drain
+/// deadline, so the first half of it is used; then requests are refused.
+#[test]
+fn upstreams_that_leave_are_used_for_a_while_if_there_are_no_others() {
+    let mut fleet = fleet(&["u1"]);
+    fleet.record_leaving(&"u1".into(), START);
+    let half = clock::Millis(DRAIN_DEADLINE.0 / 2);
+    let last = START + clock::Millis(half.0 - 1);
+    assert_eq!(select(&fleet, last), Ok("u1".to_owned()));
+    // Saying it again does not prolong it.
+    fleet.record_leaving(&"u1".into(), last);
+    assert_eq!(select(&fleet, START + half), Err(selection::Shortage::None));
+    fleet.put(upstream("u2", 1));
+    assert_eq!(select(&fleet, START + half), Ok("u2".to_owned()));
+}
+
+/// Load of the pattern: a host that has not heard of it lists the upstream again as ready. Only another
+/// process under the name ends the mark.
+#[test]
+fn list_does_not_bring_back_an_upstream_that_leaves() {
+    let mut fleet = fleet(&["u1"]);
+    let later = START + DRAIN_DEADLINE;
+    fleet.record_leaving(&"u1".into(), START);
+    fleet.put(upstream("u1", 1));
+    assert_eq!(select(&fleet, later), Err(selection::Shortage::None));
+    fleet.remove(&"u1".into());
+    fleet.put(upstream("u1", 1));
+    assert_eq!(select(&fleet, later), Err(selection::Shortage::None));
+    fleet.put(upstream("u1", 2));
+    assert_eq!(select(&fleet, later), Ok("u1".to_owned()));
+    // A response of the process before says nothing of an upstream that is not known any more.
+    assert!(!fleet.record_leaving(&"u9".into(), later));
+}
+
+/// Load of the pattern: all upstreams of a small service ask for a pause. They got the requests of every
+/// host again and again; callers must hear when there is room.
+#[test]
+fn paused_upstreams_get_nothing_until_the_end_of_the_pause() {
+    let mut fleet = fleet(&["u1", "u2"]);
+    let until = [("u1", PAUSE), ("u2", PAUSE + PAUSE)].map(|(name, pause)| {
+        let until = fleet.record_pause(&name.into(), pause, 0, START);
+        until.expect("a known upstream")
+    });
+    assert_eq!(until, [START + PAUSE, START + PAUSE + PAUSE]);
+    let now = START + clock::Millis(500);
+    let left = clock::Millis(PAUSE.0 - 500);
+    assert_eq!(select(&fleet, now), Err(selection::Shortage::Paused(left)));
+    assert_eq!(select(&fleet, until[0]), Ok("u1".to_owned()));
+    // A shorter pause does not end a longer one, another process does.
+    fleet.record_pause(&"u2".into(), clock::Millis(1), 0, now);
+    fleet.remove(&"u1".into());
+    assert!(select(&fleet, until[0]).is_err());
+    fleet.put(upstream("u2", 2));
+    assert_eq!(select(&fleet, now), Ok("u2".to_owned()));
+}
+
+/// Load of the pattern: pauses that many hosts were asked for at the same moment end together, and all
+/// hosts return at once. An absurd pause must not take an upstream out for a day.
+#[test]
+fn pauses_end_spread_out_and_in_bounded_time() {
+    const HOSTS: u32 = 100;
+    let ends = (0..HOSTS).map(|host| {
+        let mut fleet = fleet(&["u1"]);
+        let until = fleet.record_pause(&"u1".into(), PAUSE, u32::MAX / HOSTS * host, START);
+        until.expect("a known upstream")
+    });
+    let mut ends: Vec<clock::Millis> = ends.collect();
+    assert!(ends.iter().all(|end| *end >= START + PAUSE));
+    ends.dedup();
+    assert!(ends.len() > HOSTS as usize / 2, "{} moments", ends.len());
+    let mut fleet = fleet(&["u1"]);
+    fleet.record_pause(&"u1".into(), clock::Millis(u64::MAX), u32::MAX, START);
+    let bound = START + clock::Millis::secs(400);
+    assert_eq!(select(&fleet, bound), Ok("u1".to_owned()));
+}
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -29,7 +29,7 @@
 }
 
 fn fleet(n: u8) -> fleet::Fleet {
-    let mut fleet = fleet::Fleet::new(location());
+    let mut fleet = fleet::Fleet::new(location(), clock::Millis(2_500));
     for i in 0..n {
         let dc = ["a", "b", "c"][usize::from(i % 3)];
         fleet.put(upstream(&format!("u{i}"), dc, i));
@@ -71,10 +71,13 @@
 fn hosts_agree_on_the_upstream_of_a_shared_prefix() {
     let service = name::Service::from("llm");
     let fleet_a = fleet(12);
-    let mut fleet_b = fleet::Fleet::new(location::Location {
-        dc: "b".into(),
-        ..location()
-    });
+    let mut fleet_b = fleet::Fleet::new(
+        location::Location {
+            dc: "b".into(),
+            ..location()
+        },
+        clock::Millis(2_500),
+    );
     for i in (0..12).rev() {
         let dc = ["a", "b", "c"][usize::from(i % 3)];
         fleet_b.put(upstream(&format!("u{i}"), dc, i));
--- a/crates/router/tests/plain_overload.rs
+++ b/crates/router/tests/plain_overload.rs
@@ -59,7 +59,7 @@
         started_at: 1,
     };
     let fleets = (0..HOSTS).map(|_| {
-        let mut fleet = fleet::Fleet::new(location());
+        let mut fleet = fleet::Fleet::new(location(), clock::Millis(2_500));
         fleet.put(upstream.clone());
         fleet
     });
