--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -361,18 +361,23 @@
     meta: &ports::ResponseMeta,
 ) {
     let now = host.now();
-    let mut fleet = host.fleet.borrow_mut();
     let upstream = &selection.name;
-    if meta.leaving && fleet.record_leaving(upstream, now) {
+    let mut fleet = host.fleet.borrow_mut();
+    // An upstream that is not listed any more gets no requests anyway.
+    let Some(process) = fleet.get(upstream).map(|t| t.process()) else {
+        return;
+    };
+    let announcements = &mut fleet.announcements;
+    if meta.leaving && announcements.record_leaving(process, now) {
         host.pool.close_idle(selection.address);
         host.metrics.record_announcement("leaving");
         tracing::info!(event = "upstream_says_leaving", %upstream);
     }
     let is_unavailable = parts.status == http::StatusCode::SERVICE_UNAVAILABLE;
     if let Some(pause) = meta.retry_after.filter(|_| is_unavailable) {
-        let until = fleet.record_pause(upstream, pause, rand::random(), now);
+        let until = announcements.record_pause(process, pause, rand::random(), now);
         host.metrics.record_announcement("pause");
-        let granted_ms = until.map(|u| u.since(now).0);
+        let granted_ms = until.since(now).0;
         tracing::info!(event = "upstream_asks_pause", %upstream, pause_ms = pause.0, granted_ms);
     }
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,10 +7,9 @@
 use std::collections;
 
 use base::{clock, hash, name};
-use smallvec::SmallVec;
 
 use crate::{
-    announcements, location, model, ports, reported_load, selection, slowdown, stream_class,
+    announcements, location, model, ports, prefix_cache, selection, slowdown, stream_class, tracked,
 };
 
 /// Prompt tokens that an idle engine processes per millisecond.
@@ -24,70 +23,9 @@
 const ACTIVE_REQUEST_COST_MS: f64 = 1.0;
 /// Estimated delay per active request at an upstream that is not an engine, in milliseconds.
 const PLAIN_REQUEST_COST_MS: f64 = 20.0;
-/// How long an upstream is assumed to have a prefix cached after it received a prompt with it.
-const PREFIX_CACHE_TTL: clock::Millis = clock::Millis(20_000);
-/// Number of prefixes above which expired entries of the prefix cache table are removed.
-const MAX_CACHED_PREFIXES: usize = 4_096;
-/// Consecutive failures after which an upstream is avoided for a backoff period.
-const FAILURES_BEFORE_BACKOFF: u32 = 2;
-/// Initial backoff period of a failing upstream.
-const MIN_BACKOFF_DELAY: clock::Millis = clock::Millis(400);
-/// Upper bound on the backoff period of a failing upstream.
-const MAX_BACKOFF_DELAY: clock::Millis = clock::Millis(3_000);
-/// Divisor of the exponential moving average of failures: the latest outcome has weight `1 / N`.
-const FAILURE_RATE_SMOOTHING: f64 = 10.0;
 /// Share of the drain deadline for which an upstream that leaves is still used if there is no other. It
 /// goes on serving for longer, and its successor may need that time to start.
 const LEAVING_USE_SHARE: f64 = 0.5;
-/// Cost added for an upstream in backoff, and for a failure rate of 1, in milliseconds.
-const FAILURE_COST_MS: f64 = 2_000.0;
-
-/// An upstream and what this host has observed about it.
-#[derive(Debug)]
-pub struct TrackedUpstream {
-    /// Latest published entry of the upstream.
-    pub upstream: model::Upstream,
-    /// Requests from this host that the upstream has not finished.
-    pub in_flight: u32,
-    /// Prompt tokens sent by this host that the upstream has not processed yet.
-    pub unread_tokens: u64,
-    reported_load: reported_load::ReportedLoad,
-    consecutive_failures: u32,
-    failure_rate: f64,
-    backoff: clock::Millis,
-    backoff_until: clock::Millis,
-    slowdown: slowdown::Slowdown,
-    /// Mark set by [`Fleet::mark_missing`]; 0 while the entry is present.
-    missing_mark: u64,
-    /// Class of streams that the upstream is reserved for.
-    stream_class: stream_class::StreamClass,
-    /// Time of the latest response bytes received from the upstream.
-    last_data: clock::Millis,
-}
-
-impl TrackedUpstream {
-    fn new(upstream: model::Upstream) -> Self {
-        Self {
-            upstream,
-            in_flight: 0,
-            unread_tokens: 0,
-            reported_load: reported_load::ReportedLoad::default(),
-            consecutive_failures: 0,
-            failure_rate: 0.0,
-            backoff: clock::Millis::ZERO,
-            backoff_until: clock::Millis::ZERO,
-            slowdown: slowdown::Slowdown::default(),
-            missing_mark: 0,
-            stream_class: stream_class::StreamClass::Other,
-            last_data: clock::Millis::ZERO,
-        }
-    }
-
-    fn active_requests(&self, now: clock::Millis) -> f64 {
-        let reported_requests = self.reported_load.active_requests(now);
-        f64::from(reported_requests.max(self.in_flight))
-    }
-}
 
 /// Upstreams of one service and their typical slowdown.
 #[derive(Debug, Default)]
@@ -101,12 +39,12 @@
 #[derive(Debug)]
 pub struct Fleet {
     location: location::Location,
-    upstreams: collections::HashMap<name::Upstream, TrackedUpstream>,
+    upstreams: collections::HashMap<name::Upstream, tracked::TrackedUpstream>,
     services: collections::HashMap<name::Service, ServiceUpstreams>,
-    /// For each prefix id, the upstream instances that received it and when.
-    prefix_cache: collections::HashMap<u64, SmallVec<[(u64, clock::Millis); 2]>>,
+    prefix_cache: prefix_cache::PrefixCache,
     last_mark: u64,
-    announcements: announcements::Announcements,
+    /// What upstreams said of themselves in responses.
+    pub announcements: announcements::Announcements,
     /// Time for which an upstream that said that it leaves may get requests that no other takes.
     leaving_use: clock::Millis,
 }
@@ -119,7 +57,7 @@
             location,
             upstreams: collections::HashMap::new(),
             services: collections::HashMap::new(),
-            prefix_cache: collections::HashMap::new(),
+            prefix_cache: prefix_cache::PrefixCache::default(),
             last_mark: 0,
             announcements: announcements::Announcements::default(),
             leaving_use: clock::Millis((drain_deadline.0 as f64 * LEAVING_USE_SHARE) as u64),
@@ -149,7 +87,8 @@
         let service_upstreams = self.services.entry(upstream.service.clone()).or_default();
         service_upstreams.names.push(name.clone());
         let service = upstream.service.clone();
-        self.upstreams.insert(name, TrackedUpstream::new(upstream));
+        self.upstreams
+            .insert(name, tracked::TrackedUpstream::new(upstream));
         self.assign_classes(&service);
         true
     }
@@ -172,7 +111,7 @@
             .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
             .map(|tracked| {
                 (
-                    name_hash(tracked),
+                    tracked.name_hash(),
                     tracked.upstream.dc.clone(),
                     tracked.upstream.name.clone(),
                 )
@@ -215,13 +154,13 @@
     pub fn of_service<'a>(
         &'a self,
         service: &name::Service,
-    ) -> impl Iterator<Item = &'a TrackedUpstream> {
+    ) -> impl Iterator<Item = &'a tracked::TrackedUpstream> {
         let names = self.services.get(service).map_or(&[][..], |p| &p.names);
         names.iter().filter_map(|n| self.upstreams.get(n))
     }
 
     /// Returns the upstream named `name`, or `None` if it is unknown.
-    pub fn get(&self, name: &name::Upstream) -> Option<&TrackedUpstream> {
+    pub fn get(&self, name: &name::Upstream) -> Option<&tracked::TrackedUpstream> {
         self.upstreams.get(name)
     }
 
@@ -231,13 +170,13 @@
         &'a self,
         criteria: &'a selection::Criteria<'_>,
         now: clock::Millis,
-    ) -> impl Iterator<Item = (&'a TrackedUpstream, announcements::Willingness)> {
+    ) -> impl Iterator<Item = (&'a tracked::TrackedUpstream, announcements::Willingness)> {
         let ready = self.of_service(criteria.service).filter(|tracked| {
             tracked.upstream.state == model::UpstreamState::Ready
                 && !criteria.excluded.contains(&tracked.upstream.name)
         });
         ready.map(move |tracked| {
-            let process = instance_id(&tracked.upstream);
+            let process = tracked.process();
             (tracked, self.announcements.willingness(process, now))
         })
     }
@@ -270,36 +209,13 @@
         (shortage, details)
     }
 
-    /// Records that a response of the selected upstream says that it leaves. Returns whether this is
-    /// new. Only another process of the upstream ends it.
-    pub fn record_leaving(&mut self, name: &name::Upstream, now: clock::Millis) -> bool {
-        let Some(process) = self.upstreams.get(name).map(|t| instance_id(&t.upstream)) else {
-            return false;
-        };
-        self.announcements.record_leaving(process, now)
-    }
-
-    /// Records that the upstream wants no requests for `pause`, and returns until when it gets none.
-    /// `spread` is a random number.
-    pub fn record_pause(
-        &mut self,
-        name: &name::Upstream,
-        pause: clock::Millis,
-        spread: u32,
-        now: clock::Millis,
-    ) -> Option<clock::Millis> {
-        let process = self.upstreams.get(name).map(|t| instance_id(&t.upstream))?;
-        let until = self.announcements.record_pause(process, pause, spread, now);
-        Some(until)
-    }
-
     /// Selects the upstream with the lowest estimated cost, or `None` if none is usable.
     pub fn select(
         &self,
         criteria: &selection::Criteria<'_>,
         now: clock::Millis,
     ) -> Option<selection::Selection> {
-        let has_room = |tracked: &&TrackedUpstream| {
+        let has_room = |tracked: &&tracked::TrackedUpstream| {
             !criteria.prompt_parts.is_empty() || tracked.reported_load.has_room(criteria.tier, now)
         };
         let shared_prefix = criteria.shared_prefix();
@@ -309,7 +225,7 @@
             .services
             .get(criteria.service)
             .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
-        let mut best: Option<(f64, &TrackedUpstream, u64)> = None;
+        let mut best: Option<(f64, &tracked::TrackedUpstream, u64)> = None;
         let mut last_resort = None;
         let (mut usable_count, mut leaving_count, mut paused_count) = (0, 0, 0);
         for (tracked, willingness) in self.untried(criteria, now) {
@@ -333,10 +249,7 @@
             usable_count += 1;
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
-            let mut cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now);
-            if now < tracked.backoff_until {
-                cost_ms += FAILURE_COST_MS;
-            }
+            let cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now);
             if best.is_none_or(|(c, _, _)| cost_ms < c) {
                 best = Some((cost_ms, tracked, unread_tokens));
             }
@@ -370,8 +283,8 @@
         })
     }
 
-    fn has_said_leaving(&self, tracked: &TrackedUpstream, now: clock::Millis) -> bool {
-        let process = instance_id(&tracked.upstream);
+    fn has_said_leaving(&self, tracked: &tracked::TrackedUpstream, now: clock::Millis) -> bool {
+        let process = tracked.process();
         let willingness = self.announcements.willingness(process, now);
         matches!(willingness, announcements::Willingness::Leaving(_))
     }
@@ -390,8 +303,8 @@
                 .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
                 .filter(|tracked| !self.has_said_leaving(tracked, now))
         };
-        let rendezvous_weight = |tracked: &&TrackedUpstream| {
-            hash::stable_hash(&(prefix_id ^ name_hash(tracked)).to_le_bytes())
+        let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
+            hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
         };
         let in_class = ready()
             .filter(|tracked| tracked.stream_class == criteria.stream_class)
@@ -405,7 +318,7 @@
     fn tokens_to_read(
         &self,
         criteria: &selection::Criteria<'_>,
-        tracked: &TrackedUpstream,
+        tracked: &tracked::TrackedUpstream,
         shared_prefix: Option<(u64, u64)>,
         preferred: Option<&name::Upstream>,
         now: clock::Millis,
@@ -414,11 +327,8 @@
         let Some((id, tokens)) = shared_prefix else {
             return prompt_tokens;
         };
-        let instance_id = instance_id(&tracked.upstream);
-        let cached = self.prefix_cache.get(&id).is_some_and(|list| {
-            list.iter()
-                .any(|(u, at)| *u == instance_id && now.since(*at) < PREFIX_CACHE_TTL)
-        });
+        let instance_id = tracked.process();
+        let cached = self.prefix_cache.contains(id, instance_id, now);
         if cached || preferred == Some(&tracked.upstream.name) {
             return prompt_tokens.saturating_sub(tokens);
         }
@@ -429,7 +339,7 @@
     fn cost_ms(
         &self,
         criteria: &selection::Criteria<'_>,
-        tracked: &TrackedUpstream,
+        tracked: &tracked::TrackedUpstream,
         typical: &slowdown::TypicalSlowdown,
         unread_tokens: u64,
         now: clock::Millis,
@@ -457,7 +367,7 @@
                 .estimate(typical, tracked.stream_class, now)
             + distance_cost
             + class_cost
-            + tracked.failure_rate * FAILURE_COST_MS
+            + tracked.failures.cost_ms(now)
     }
 
     /// Records that a request was sent to the selected upstream.
@@ -472,23 +382,17 @@
         };
         tracked.in_flight += 1;
         tracked.unread_tokens += selection.unread_tokens;
-        let instance_id = instance_id(&tracked.upstream);
+        let instance_id = tracked.process();
         let Some((_, shared_parts)) = parts.split_last() else {
             return;
         };
-        if self.prefix_cache.len() > MAX_CACHED_PREFIXES {
-            self.prefix_cache
-                .retain(|_, list| list.iter().any(|(_, at)| now.since(*at) < PREFIX_CACHE_TTL));
-        }
         for part in shared_parts {
-            let list = self.prefix_cache.entry(part.id).or_default();
-            list.retain(|(u, at)| *u != instance_id && now.since(*at) < PREFIX_CACHE_TTL);
-            list.push((instance_id, now));
+            self.prefix_cache.insert(part.id, instance_id, now);
         }
     }
 
     /// Records that the upstream has processed a prompt, or never will, so that the prompt no
-    /// longer counts in [`TrackedUpstream::unread_tokens`].
+    /// longer counts in [`tracked::TrackedUpstream::unread_tokens`].
     pub fn record_prompt_read(&mut self, name: &name::Upstream, unread_tokens: u64) {
         if let Some(tracked) = self.upstreams.get_mut(name) {
             tracked.unread_tokens = tracked.unread_tokens.saturating_sub(unread_tokens);
@@ -528,10 +432,7 @@
         let Some(tracked) = self.upstreams.get_mut(name) else {
             return;
         };
-        tracked.consecutive_failures = 0;
-        tracked.backoff = clock::Millis::ZERO;
-        tracked.backoff_until = clock::Millis::ZERO;
-        tracked.failure_rate -= tracked.failure_rate / FAILURE_RATE_SMOOTHING;
+        tracked.failures.record_success();
         let Some(service_upstreams) = self.services.get_mut(&tracked.upstream.service) else {
             return;
         };
@@ -543,28 +444,10 @@
         );
     }
 
-    /// Records a failed request. It raises the cost of the upstream; several consecutive failures
-    /// start a backoff period, which doubles with each further failure.
+    /// Records a failed request.
     pub fn record_failure(&mut self, name: &name::Upstream, now: clock::Millis) {
-        let Some(tracked) = self.upstreams.get_mut(name) else {
-            return;
-        };
-        tracked.consecutive_failures += 1;
-        tracked.failure_rate += (1.0 - tracked.failure_rate) / FAILURE_RATE_SMOOTHING;
-        if tracked.consecutive_failures < FAILURES_BEFORE_BACKOFF {
-            return;
+        if let Some(tracked) = self.upstreams.get_mut(name) {
+            tracked.failures.record_failure(now);
         }
-        let backoff = clock::Millis(tracked.backoff.0 * 2).max(MIN_BACKOFF_DELAY);
-        tracked.backoff = backoff.min(MAX_BACKOFF_DELAY);
-        tracked.backoff_until = now + tracked.backoff;
     }
 }
-
-fn name_hash(tracked: &TrackedUpstream) -> u64 {
-    hash::stable_hash(tracked.upstream.name.as_str().as_bytes())
-}
-
-/// Identifies one process of an upstream: a restarted upstream has an empty prefix cache.
-fn instance_id(upstream: &model::Upstream) -> u64 {
-    hash::stable_hash(upstream.name.as_str().as_bytes()) ^ upstream.started_at
-}
--- a/crates/router/src/prompt_evidence.rs
+++ b/crates/router/src/prompt_evidence.rs
@@ -26,18 +26,14 @@
     if parts.is_empty() {
         return;
     }
-    let started_at = host
-        .fleet
-        .borrow()
-        .get(upstream)
-        .map(|t| t.upstream.started_at);
+    let process = host.fleet.borrow().get(upstream).map(|t| t.process());
     let crash = crash_log::Crash {
         number: 0,
         age: clock::Millis::ZERO,
         parts,
         request: hash::stable_hash(call.meta.id.as_bytes()),
         team: call.team_hash(),
-        upstream: hash::stable_hash(upstream.as_str().as_bytes()) ^ started_at.unwrap_or(0),
+        upstream: process.unwrap_or(0),
         progress,
     };
     host.crash_log.borrow_mut().record_crash(crash, now);
