--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -358,7 +358,8 @@
 }
 
 /// Adds or updates an upstream from its entry in the store, unless a newer entry or removal is
-/// known. An entry that can't be read removes the upstream.
+/// known. An entry that can't be read changes nothing: the upstream whose entry another program has
+/// overwritten writes it again with its next heartbeat, or the entry expires.
 pub fn apply_entry(host: &host::Host, key: &str, revision: u64, value: &[u8]) {
     let upstream = match host.protocol.parse_upstream(key, value) {
         Ok(upstream) => upstream,
@@ -367,11 +368,6 @@
             let end = fault.floor_char_boundary(MAX_FAULT_BYTES);
             fault.truncate(end);
             tracing::warn!(event = "upstream_unreadable", key, revision, fault);
-            // Overwritten by another writer, the entry names no upstream.
-            let name = upstream_name(host, key);
-            if name.is_some_and(|n| host.fleet.borrow().get(&n).is_some()) {
-                apply_removal(host, key, revision);
-            }
             return;
         }
     };
