Prompts that wait at an engine are called back when their part is found

An attempt at a stream now ends when a rule on its prompt is added; its connection is closed, which cancels it, and the caller gets 502, as it may have run. Trials are not concerned: their rule is known before.

waiting_prompts_are_called_back_when_the_part_is_found failed before: 504 at the route's timeout.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -91,6 +91,8 @@
     Stalled,
     /// The response ended before it was complete, or could not be parsed.
     Truncated,
+    /// A part of the prompt was found to crash upstreams while the attempt waited for its answer.
+    Withheld,
     /// A stream contains bytes that are none of its events.
     NotAnEvent,
     /// The upstream returned a server error.
@@ -110,6 +112,7 @@
             Self::Timeout => "slow",
             Self::Stalled => "silent",
             Self::Truncated => "broken",
+            Self::Withheld => "withheld",
             Self::NotAnEvent => "not_an_event",
             Self::ServerError => "failed",
         }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -118,6 +118,12 @@
         Admission::Withheld(held.next_trial.since(now).max(MIN_RETRY_DELAY))
     }
 
+    /// Identifies the rule that concerns a request of `team` with these shared parts.
+    pub fn rule_for(&self, parts: &[u64], team: u64) -> Option<u64> {
+        let held = self.rules.iter().find(|h| h.rule.matches(parts, team));
+        held.map(|h| h.rule.id)
+    }
+
     /// Whether a request of `team` with these shared parts is withheld although a trial is due, so
     /// that the leader may permit it.
     pub fn is_trial_due(&mut self, parts: &[u64], team: u64, now: clock::Millis) -> bool {
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -173,6 +173,22 @@
     let _ = time::timeout(TRIAL_REQUEST_TIMEOUT.duration(), rulings.changed()).await;
 }
 
+/// Waits until a rule is added that concerns the request.
+pub async fn wait_for_rule(host: &host::Host, call: &attempt::Call) {
+    let (parts, team) = (call.shared_parts(), call.team_hash());
+    let rule = || host.quarantine.borrow().rule_for(&parts, team);
+    let known = rule();
+    let mut rulings = host.rulings.subscribe();
+    loop {
+        if rulings.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if rule().is_some_and(|id| Some(id) != known) {
+            return;
+        }
+    }
+}
+
 /// Reports to the leader every second, and soon after a crash of an upstream. If a report fails, the
 /// counts are written into the store, less often while the store does not answer either. Each report
 /// contains all counts, so a skipped one loses nothing.
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -131,6 +131,7 @@
     let upstream = history.tried.last();
     if let Some(name) = upstream
         && failure != attempt::Failure::Refused
+        && failure != attempt::Failure::Withheld
     {
         host.fleet.borrow_mut().record_failure(name, now);
         prompt_evidence::record_failure(host, call, name, failure, history.begun_at);
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -9,7 +9,9 @@
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
-use crate::{attempt, crash_log, headers, host, prompt_evidence, response, retry, serve, sse};
+use crate::{
+    attempt, crash_log, headers, host, prompt_evidence, reports, response, retry, serve, sse,
+};
 
 /// Number of events buffered for a client that reads too slowly.
 const EVENT_QUEUE_CAPACITY: usize = 16;
@@ -147,12 +149,28 @@
     Failed,
 }
 
-/// Makes one attempt, up to the first event after `last_event_id`.
+/// Makes one attempt, up to the first event after `last_event_id`. It is given up when a part of the
+/// prompt is found to crash upstreams: the one that it waits at would end as well.
 async fn start_stream(
     host: &rc::Rc<host::Host>,
     call: &rc::Rc<attempt::Call>,
     history: &mut retry::AttemptHistory,
     last_event_id: Option<u64>,
+) -> Result<StartOutcome, refusal::Reason> {
+    tokio::select! {
+        started = make_attempt(host, call, history, last_event_id) => started,
+        () = reports::wait_for_rule(host, call) => {
+            retry::record_failure(host, call, history, attempt::Failure::Withheld, true);
+            Ok(StartOutcome::Failed)
+        }
+    }
+}
+
+async fn make_attempt(
+    host: &rc::Rc<host::Host>,
+    call: &rc::Rc<attempt::Call>,
+    history: &mut retry::AttemptHistory,
+    last_event_id: Option<u64>,
 ) -> Result<StartOutcome, refusal::Reason> {
     let selection = retry::select_upstream(host, call, history)?;
     let base_latency = selection.base_latency;
