Withheld parts: bounds on answers kept, no trial of two parts at once, plainer names

From reading the change as a newcomer. What a faulty host could fill without bound was the table of answers; a prompt with two withheld parts could have used the permit of one.

--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -82,6 +82,7 @@
 struct HeldRule {
     rule: Rule,
     next_trial: clock::Millis,
+    /// Whether a request was withheld since the last report.
     was_used: bool,
     /// Whether a request waits for a permit.
     is_wanted: bool,
@@ -91,8 +92,11 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     rules: Vec<HeldRule>,
+    /// When a host last told the rules.
     confirmed_at: clock::Millis,
+    /// Rule that one request may be tried against, and until when.
     permit: Option<(u64, clock::Millis)>,
+    /// Rules whose permit was used.
     tried: Vec<u64>,
     /// Number of elements of `tried` that the latest report contained.
     told_tried: usize,
@@ -106,11 +110,19 @@
         if now.since(self.confirmed_at) >= UNCONFIRMED_TTL {
             self.rules.clear();
         }
-        let Some(held) = self.rules.iter_mut().find(|h| h.rule.matches(parts, team)) else {
+        let mut matching = self
+            .rules
+            .iter_mut()
+            .filter(|h| h.rule.matches(parts, team));
+        let Some(held) = matching.next() else {
             return Admission::Open;
         };
         held.was_used = true;
-        let permit = self.permit.take_if(|(id, _)| *id == held.rule.id);
+        // A trial with two such parts would tell of neither.
+        let is_other = matching.next().is_some();
+        let permit = self
+            .permit
+            .take_if(|(id, _)| !is_other && *id == held.rule.id);
         if permit.is_some_and(|(_, until)| now < until) {
             self.tried.push(held.rule.id);
             return Admission::Trial;
@@ -127,8 +139,12 @@
     /// Whether a request of `team` with these shared parts is withheld although a trial is due, so
     /// that the leader may permit it.
     pub fn is_trial_due(&mut self, parts: &[u64], team: u64, now: clock::Millis) -> bool {
-        let held = self.rules.iter_mut().find(|h| h.rule.matches(parts, team));
-        let Some(held) = held.filter(|h| now >= h.next_trial) else {
+        let mut matching = self
+            .rules
+            .iter_mut()
+            .filter(|h| h.rule.matches(parts, team));
+        let held = matching.next().filter(|h| now >= h.next_trial);
+        let (Some(held), None) = (held, matching.next()) else {
             return false;
         };
         held.is_wanted = true;
--- a/crates/router/src/quarantine_leader.rs
+++ b/crates/router/src/quarantine_leader.rs
@@ -10,9 +10,9 @@
 
 use crate::{blame, crash_log, quarantine};
 
-/// Time from the first rule, or a trial that crashed an upstream, until the next trial.
+/// Time from a new rule until the first trial.
 const TRIAL_DELAY: clock::Millis = clock::Millis::secs(20);
-/// Factor by which the delay grows with each trial, and its upper bound.
+/// Factor by which the time until the next trial grows with each one, and its upper bound.
 const TRIAL_DELAY_FACTOR: u64 = 3;
 const MAX_TRIAL_DELAY: clock::Millis = clock::Millis::secs(600);
 /// Time after a permit was granted within which the host reports that it was used.
@@ -37,6 +37,7 @@
 const MAX_PARTS: usize = 16;
 const MAX_RULES: usize = 32;
 const MAX_QUESTIONS: usize = 64;
+const MAX_ANSWERED_PARTS: usize = 4_096;
 
 /// A process that reports.
 #[derive(Debug, Default)]
@@ -53,6 +54,7 @@
 struct RuleState {
     rule: quarantine::Rule,
     next_trial: clock::Millis,
+    /// When a host last reported a request that the rule withheld.
     last_withheld: clock::Millis,
     made_at: clock::Millis,
     /// Time of the latest crash that the rule explains.
@@ -70,6 +72,7 @@
     /// Parts that hosts are asked about, since when.
     questions: collections::HashMap<u64, clock::Millis>,
     rules: Vec<RuleState>,
+    /// Rules that ended, and when.
     ended: Vec<(u64, clock::Millis)>,
     next_decision: clock::Millis,
 }
@@ -97,6 +100,9 @@
         }
         // Some answers are to questions of an earlier leader.
         for (part, ages) in findings.answers.into_iter().take(MAX_QUESTIONS) {
+            if self.answers.len() >= MAX_ANSWERED_PARTS && !self.answers.contains_key(&part) {
+                continue;
+            }
             let times = self.answers.entry(part).or_default();
             for age in ages {
                 insert_answer(times, clock::Millis(now.since(age).0));
@@ -143,8 +149,11 @@
         self.end_refuted_rules(now);
         self.widen_rules();
         loop {
-            let unexplained: Vec<&blame::Record> =
-                self.records.iter().filter(|r| !self.explain(r)).collect();
+            let unexplained: Vec<&blame::Record> = self
+                .records
+                .iter()
+                .filter(|r| !self.is_explained(r))
+                .collect();
             let cases = blame::cases(&unexplained, &self.answers);
             self.questions
                 .retain(|part, _| cases.contains_key(part) || has_rule(&self.rules, *part));
@@ -158,7 +167,7 @@
                 return;
             };
             let case = &cases[&part];
-            if !self.is_answered(part, case, now) || self.rules.len() >= MAX_RULES {
+            if !self.have_hosts_replied(part, case, now) || self.rules.len() >= MAX_RULES {
                 return;
             }
             self.add_rule(part, case, now);
@@ -168,23 +177,23 @@
     /// Extends rules on one team to all when another team's prompt with the part crashes an upstream.
     fn widen_rules(&mut self) {
         for state in &mut self.rules {
-            let others = self.records.iter().filter(|r| {
-                r.crash.parts.contains(&state.rule.part)
+            let Some(team) = state.rule.team else {
+                continue;
+            };
+            let is_widened = self.records.iter().any(|r| {
+                r.at > state.made_at
+                    && r.crash.team != team
                     && r.crash.progress == crash_log::Progress::HeadOnly
-                    && r.at > state.made_at
+                    && r.crash.parts.contains(&state.rule.part)
             });
-            if state.rule.team.is_some()
-                && others
-                    .clone()
-                    .any(|r| Some(r.crash.team) != state.rule.team)
-            {
+            if is_widened {
                 state.rule.team = None;
             }
         }
     }
 
     /// Whether a rule explains the crash, so that it speaks against no other part.
-    fn explain(&self, record: &blame::Record) -> bool {
+    fn is_explained(&self, record: &blame::Record) -> bool {
         let crash = &record.crash;
         self.rules
             .iter()
@@ -270,7 +279,7 @@
     }
 
     /// Whether the hosts have told what answers to the part they know, as far as is needed.
-    fn is_answered(&self, part: u64, case: &blame::Case, now: clock::Millis) -> bool {
+    fn have_hosts_replied(&self, part: u64, case: &blame::Case, now: clock::Millis) -> bool {
         let Some(asked_at) = self.questions.get(&part) else {
             return false;
         };
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -83,7 +83,11 @@
 }
 
 impl Uplink {
-    /// Reports to the leader. Returns whether it has the report.
+    /// Reports to the leader, and takes over its answer.
+    ///
+    /// # Errors
+    ///
+    /// There is no leader, it does not answer, or the host that answers is not the leader any more.
     async fn report(
         &mut self,
         host: &host::Host,
