--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -193,3 +193,9 @@
     });
     address
 }
+
+/// Address of 127.0.0.1 with a port that is free now, for a process that binds it later.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,8 +1,10 @@
-//! Runs one case of the review: `rig CASE FOLDER`, from the root of the repository.
+//! Runs one case of the review: `rig CASE FOLDER`, from the root of the repository. As `rig worker
+//! ADDRESS KIND FRAMING` it is a worker of such a case.
 //!
 //! Writes `record.txt` into FOLDER. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod crash;
 mod endless;
 mod host;
 mod http;
@@ -83,11 +85,18 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, word, address, kind, framing] = &args[..]
+        && word == "worker"
+    {
+        let ended = crash::run_worker(address, kind == "deadly", framing == "chunked");
+        return ExitCode::from(if ended.is_ok() { 0 } else { 2 });
+    }
     let [_, case, folder] = &args[..] else {
         eprintln!("usage: rig CASE FOLDER");
         return ExitCode::from(2);
     };
     let run = match case.as_str() {
+        "crash" => crash::run,
         "endless" => endless::run,
         "slow_reader" => slow_reader::run,
         "late_request" => late_request::run,
--- a/review/rig/site.rs
+++ b/review/rig/site.rs
@@ -44,6 +44,9 @@
     )
 }
 
+/// Start time of a worker in its entry, in Unix milliseconds.
+pub const BORN: &str = "1764900000000";
+
 /// Store entry of a ready worker.
 pub fn entry(service: &str, address: SocketAddr, slots: u32, seq: u64) -> String {
     entry_in_state(service, address, slots, seq, "ready")
@@ -60,7 +63,7 @@
     format!(
         "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"amman-a\",\
          \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_left_ms\":0,\
-         \"seq\":{seq},\"born\":1764900000000}}"
+         \"seq\":{seq},\"born\":{BORN}}}"
     )
 }
 
