--- a/review/rig/crash.rs
+++ b/review/rig/crash.rs
@@ -1,5 +1,5 @@
-//! Case: a prompt part crashes each worker that begins to answer it, and the workers send streams that
-//! have neither a length nor chunks.
+//! Cases: a prompt part crashes each worker that begins to answer it. In one case the workers send
+//! streams that have neither a length nor chunks, in the other all prompts have many shared parts.
 //!
 //! Each worker is a process of its own (`rig worker`), so that the kernel ends its connections.
 
@@ -30,6 +30,15 @@
 const CRASHES: usize = 5;
 const CONTACT_MS: u64 = 4_000;
 const ALLOWED: usize = 3;
+/// What the two cases differ in.
+#[derive(Clone, Copy)]
+struct Variant {
+    /// Whether answers are sent in chunks, or end with their connections.
+    is_chunked: bool,
+    /// Shared parts of each prompt besides the first two.
+    more_parts: u32,
+}
+
 /// Time that a worker reads a prompt, and events of its answer.
 const PROMPT_TIME: Duration = Duration::from_millis(100);
 const EVENTS: u32 = 10;
@@ -99,6 +108,7 @@
 /// A worker process and its place in the store.
 struct Worker<'a> {
     rig: &'a Rig,
+    variant: Variant,
     name: String,
     address: SocketAddr,
 }
@@ -107,9 +117,9 @@
     fn start(&self, born: u64, log: &Arc<Log>) -> Result<Child, String> {
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
         let kind = if self.rig.trouble { "deadly" } else { "sound" };
-        let framing = std::env::var("FRAMING").unwrap_or("none".to_owned());
+        let framing = if self.variant.is_chunked { "chunked" } else { "none" };
         let mut child = Command::new(program)
-            .args(["worker", &self.address.to_string(), kind, &framing])
+            .args(["worker", &self.address.to_string(), kind, framing])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
@@ -172,13 +182,38 @@
     answer.status() == 200 && whole && events == 0
 }
 
+/// Runs the case of streams without length or chunks. `FRAMING=chunked` in the environment runs it
+/// with chunks, for comparison.
 pub fn run(rig: &Rig) -> Result<Outcome, String> {
+    let variant = Variant {
+        is_chunked: std::env::var("FRAMING").as_deref() == Ok("chunked"),
+        more_parts: 0,
+    };
+    run_variant(rig, variant)
+}
+
+/// Runs the case of prompts with many shared parts. `MORE_PARTS` in the environment sets another
+/// number, for comparison.
+pub fn run_many_parts(rig: &Rig) -> Result<Outcome, String> {
+    let more_parts = std::env::var("MORE_PARTS").ok().and_then(|n| n.parse().ok());
+    let variant = Variant {
+        is_chunked: true,
+        more_parts: more_parts.unwrap_or(16),
+    };
+    run_variant(rig, variant)
+}
+
+fn run_variant(rig: &Rig, variant: Variant) -> Result<Outcome, String> {
+    let more: String = (0..variant.more_parts).map(|i| format!("e{i:x}:20,")).collect();
+    let more = &more;
     let log: Arc<Log> = Arc::default();
     let (end, empty) = (AtomicBool::new(false), AtomicU64::new(0));
+    rig.record.line(&format!("case    {WORKERS} workers, shared parts: {}", 2 + variant.more_parts));
     let mut workers = Vec::new();
     for n in 0..WORKERS {
         let worker = Worker {
             rig,
+            variant,
             name: format!("i-{n}"),
             address: http::free_address(),
         };
@@ -198,12 +233,13 @@
             if begin.elapsed() >= SOUND_INTERVAL * sound {
                 sound += 1;
                 let (id, n) = (format!("sound-{sound}"), sound % 20);
-                scope.spawn(move || send(front, record, &id, &format!("a1:800,c{n:x}:400,b{sound:x}:260")));
+                let parts = format!("a1:800,c{n:x}:400,{more}b{sound:x}:260");
+                scope.spawn(move || send(front, record, &id, &parts));
             }
             if begin.elapsed() >= DEADLY_INTERVAL * deadly {
                 deadly += 1;
                 let id = format!("deadly-{deadly}");
-                let parts = format!("a1:800,{DEADLY_PART}:400,f{deadly:x}:260");
+                let parts = format!("a1:800,{DEADLY_PART}:400,{more}f{deadly:x}:260");
                 scope.spawn(move || {
                     if send(front, record, &id, &parts) {
                         empty.fetch_add(1, Ordering::SeqCst);
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -97,6 +97,7 @@
     };
     let run = match case.as_str() {
         "crash" => crash::run,
+        "crash_parts" => crash::run_many_parts,
         "endless" => endless::run,
         "slow_reader" => slow_reader::run,
         "late_request" => late_request::run,
