--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # review/build.sh. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] && [ -x target/release/jacinthslip ] || exit 2
-exec target/review/rig crash_parts review/4
+exec target/review/rig crash_first review/4
--- a/review/rig/crash.rs
+++ b/review/rig/crash.rs
@@ -1,5 +1,8 @@
-//! Cases: a prompt part crashes each worker that begins to answer it. In one case the workers send
-//! streams that have neither a length nor chunks, in the other all prompts have many shared parts.
+//! Cases: a prompt part crashes each worker that begins to answer it.
+//!
+//! In the first case the workers send streams that have neither a length nor chunks. In the second the
+//! part is the first one of its prompts, and the workers end before they have written a byte. In a
+//! third trial all prompts have many shared parts.
 //!
 //! Each worker is a process of its own (`rig worker`), so that the kernel ends its connections.
 
@@ -22,10 +25,9 @@
 const WORKERS: usize = 4;
 /// Time until a worker that crashed is back.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
-/// Time between two requests with the part, and between two sound ones.
-const DEADLY_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two sound requests.
 const SOUND_INTERVAL: Duration = Duration::from_millis(200);
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(45);
 /// Bounds of the rule: the crashes after which it holds, `contact_ms`, and the requests allowed.
 const CRASHES: usize = 5;
 const CONTACT_MS: u64 = 4_000;
@@ -35,8 +37,36 @@
 struct Variant {
     /// Whether answers are sent in chunks, or end with their connections.
     is_chunked: bool,
+    /// Whether a worker ends before it writes the head of its answer, instead of after it.
+    is_early: bool,
+    /// Whether the part is the first of its prompts, instead of the second.
+    is_first: bool,
     /// Shared parts of each prompt besides the first two.
     more_parts: u32,
+    /// Time between two requests with the part.
+    interval: Duration,
+}
+
+impl Variant {
+    /// Parts of the `n`-th request with the part. No two requests are alike, and their other parts
+    /// are those of sound requests but for the last.
+    fn deadly_parts(&self, n: u32, more: &str) -> String {
+        if self.is_first {
+            format!("{DEADLY_PART}:800,c{:x}:400,{more}f{n:x}:260", n % 20)
+        } else {
+            format!("a1:800,{DEADLY_PART}:400,{more}f{n:x}:260")
+        }
+    }
+
+    /// Words by which a worker process is told of the case.
+    fn words(&self, is_deadly: bool) -> [&'static str; 2] {
+        let kind = match (is_deadly, self.is_early) {
+            (false, _) => "sound",
+            (true, true) => "early",
+            (true, false) => "deadly",
+        };
+        [kind, if self.is_chunked { "chunked" } else { "none" }]
+    }
 }
 
 /// Time that a worker reads a prompt, and events of its answer.
@@ -46,13 +76,17 @@
 
 /// Runs a worker on `address` until it is killed or gets a request with the part. Prints the id of
 /// each request that it begins to answer.
-pub fn run_worker(address: &str, is_deadly: bool, is_chunked: bool) -> std::io::Result<()> {
+/// `kind` and `framing` are those of [`Variant::words`].
+pub fn run_worker(address: &str, kind: &str, framing: &str) -> std::io::Result<()> {
     let listener = TcpListener::bind(address)?;
+    let (is_early, is_deadly) = (kind == "early", kind != "sound");
+    let is_chunked = framing == "chunked";
     for stream in listener.incoming().flatten() {
         thread::spawn(move || {
             let mut conn = Connection::new(stream);
             while let Some(request) = conn.read() {
-                let answered = answer(&mut conn, &request, is_deadly, is_chunked);
+                let crashes = is_deadly && request.header("prefix-hash").contains(DEADLY_PART);
+                let answered = answer(&mut conn, &request, crashes, is_early, is_chunked);
                 if answered.is_err() || !is_chunked {
                     return;
                 }
@@ -65,12 +99,16 @@
 fn answer(
     conn: &mut Connection,
     request: &http::Message,
-    is_deadly: bool,
+    crashes: bool,
+    is_early: bool,
     is_chunked: bool,
 ) -> std::io::Result<()> {
     let id = request.header("request-id");
     thread::sleep(PROMPT_TIME);
     println!("{id}");
+    if crashes && is_early {
+        std::process::exit(1);
+    }
     let framing = if is_chunked {
         "Transfer-Encoding: chunked\r\n"
     } else {
@@ -79,7 +117,7 @@
     let head = site::signed(id);
     let head = format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n");
     conn.send(head.as_bytes())?;
-    if is_deadly && request.header("prefix-hash").contains(DEADLY_PART) {
+    if crashes {
         std::process::exit(1);
     }
     for n in 1..=EVENTS {
@@ -116,10 +154,9 @@
 impl Worker<'_> {
     fn start(&self, born: u64, log: &Arc<Log>) -> Result<Child, String> {
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
-        let kind = if self.rig.trouble { "deadly" } else { "sound" };
-        let framing = if self.variant.is_chunked { "chunked" } else { "none" };
         let mut child = Command::new(program)
-            .args(["worker", &self.address.to_string(), kind, framing])
+            .args(["worker", &self.address.to_string()])
+            .args(self.variant.words(self.rig.trouble))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
@@ -182,23 +219,43 @@
     answer.status() == 200 && whole && events == 0
 }
 
+const USUAL: Variant = Variant {
+    is_chunked: true,
+    is_early: false,
+    is_first: false,
+    more_parts: 0,
+    interval: Duration::from_millis(1_000),
+};
+
 /// Runs the case of streams without length or chunks. `FRAMING=chunked` in the environment runs it
 /// with chunks, for comparison.
 pub fn run(rig: &Rig) -> Result<Outcome, String> {
     let variant = Variant {
         is_chunked: std::env::var("FRAMING").as_deref() == Ok("chunked"),
-        more_parts: 0,
+        ..USUAL
+    };
+    run_variant(rig, variant)
+}
+
+/// Runs the case of a first part and of workers that end before they write a byte. `POSITION=second`
+/// in the environment makes it the second part, for comparison.
+pub fn run_first_part(rig: &Rig) -> Result<Outcome, String> {
+    let variant = Variant {
+        is_early: true,
+        is_first: std::env::var("POSITION").as_deref() != Ok("second"),
+        interval: Duration::from_millis(2_000),
+        ..USUAL
     };
     run_variant(rig, variant)
 }
 
-/// Runs the case of prompts with many shared parts. `MORE_PARTS` in the environment sets another
+/// Runs the trial of prompts with many shared parts. `MORE_PARTS` in the environment sets another
 /// number, for comparison.
 pub fn run_many_parts(rig: &Rig) -> Result<Outcome, String> {
     let more_parts = std::env::var("MORE_PARTS").ok().and_then(|n| n.parse().ok());
     let variant = Variant {
-        is_chunked: true,
         more_parts: more_parts.unwrap_or(16),
+        ..USUAL
     };
     run_variant(rig, variant)
 }
@@ -236,10 +293,10 @@
                 let parts = format!("a1:800,c{n:x}:400,{more}b{sound:x}:260");
                 scope.spawn(move || send(front, record, &id, &parts));
             }
-            if begin.elapsed() >= DEADLY_INTERVAL * deadly {
+            if begin.elapsed() >= variant.interval * deadly {
                 deadly += 1;
                 let id = format!("deadly-{deadly}");
-                let parts = format!("a1:800,{DEADLY_PART}:400,{more}f{deadly:x}:260");
+                let parts = variant.deadly_parts(deadly, more);
                 scope.spawn(move || {
                     if send(front, record, &id, &parts) {
                         empty.fetch_add(1, Ordering::SeqCst);
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod late_request;
+mod leaving;
 mod record;
 mod site;
 mod slow_reader;
@@ -88,7 +89,7 @@
     if let [_, word, address, kind, framing] = &args[..]
         && word == "worker"
     {
-        let ended = crash::run_worker(address, kind == "deadly", framing == "chunked");
+        let ended = crash::run_worker(address, kind, framing);
         return ExitCode::from(if ended.is_ok() { 0 } else { 2 });
     }
     let [_, case, folder] = &args[..] else {
@@ -97,8 +98,10 @@
     };
     let run = match case.as_str() {
         "crash" => crash::run,
+        "crash_first" => crash::run_first_part,
         "crash_parts" => crash::run_many_parts,
         "endless" => endless::run,
+        "leaving" => leaving::run,
         "slow_reader" => slow_reader::run,
         "late_request" => late_request::run,
         "smuggle" => smuggle::run,
