--- a/review/rig/crash.rs
+++ b/review/rig/crash.rs
@@ -179,7 +179,9 @@
         }
         let entry = site::entry(site::ENGINES, self.address, 128, 1);
         let entry = entry.replace(site::BORN, &(1_764_900_000_000 + born).to_string());
-        self.rig.store.put(&format!("servers/{}", self.name), &entry);
+        self.rig
+            .store
+            .put(&format!("servers/{}", self.name), &entry);
         Ok(child)
     }
 
@@ -187,7 +189,9 @@
     fn keep_running(&self, log: &Arc<Log>, mut child: Child, end: &AtomicBool) {
         while !end.load(Ordering::SeqCst) {
             if matches!(child.try_wait(), Ok(Some(_))) {
-                self.rig.record.line(&format!("worker  {} has crashed", self.name));
+                self.rig
+                    .record
+                    .line(&format!("worker  {} has crashed", self.name));
                 let now = self.rig.record.now_ms();
                 log.crashes.lock().expect("log").push(now);
                 thread::sleep(DOWN_TIME);
@@ -213,9 +217,13 @@
         record.line(&format!("client  {id} no answer"));
         return false;
     };
-    let events = String::from_utf8_lossy(&answer.body).matches("\n\n").count();
+    let events = String::from_utf8_lossy(&answer.body)
+        .matches("\n\n")
+        .count();
     let (start, whole) = (&answer.start, answer.is_whole);
-    record.line(&format!("client  {id} gets {start}, {events} events, whole: {whole}"));
+    record.line(&format!(
+        "client  {id} gets {start}, {events} events, whole: {whole}"
+    ));
     answer.status() == 200 && whole && events == 0
 }
 
@@ -252,7 +260,9 @@
 /// Runs the trial of prompts with many shared parts. `MORE_PARTS` in the environment sets another
 /// number, for comparison.
 pub fn run_many_parts(rig: &Rig) -> Result<Outcome, String> {
-    let more_parts = std::env::var("MORE_PARTS").ok().and_then(|n| n.parse().ok());
+    let more_parts = std::env::var("MORE_PARTS")
+        .ok()
+        .and_then(|n| n.parse().ok());
     let variant = Variant {
         more_parts: more_parts.unwrap_or(16),
         ..USUAL
@@ -261,11 +271,16 @@
 }
 
 fn run_variant(rig: &Rig, variant: Variant) -> Result<Outcome, String> {
-    let more: String = (0..variant.more_parts).map(|i| format!("e{i:x}:20,")).collect();
+    let more: String = (0..variant.more_parts)
+        .map(|i| format!("e{i:x}:20,"))
+        .collect();
     let more = &more;
     let log: Arc<Log> = Arc::default();
     let (end, empty) = (AtomicBool::new(false), AtomicU64::new(0));
-    rig.record.line(&format!("case    {WORKERS} workers, shared parts: {}", 2 + variant.more_parts));
+    rig.record.line(&format!(
+        "case    {WORKERS} workers, shared parts: {}",
+        2 + variant.more_parts
+    ));
     let mut workers = Vec::new();
     for n in 0..WORKERS {
         let worker = Worker {
@@ -312,9 +327,9 @@
     crashes.sort_unstable();
     let held_from = crashes.get(CRASHES - 1).map(|fifth| fifth + CONTACT_MS);
     let begun = log.begun.lock().expect("log");
-    let late = begun.iter().filter(|(at, id)| {
-        id.starts_with("deadly") && held_from.is_some_and(|from| *at > from)
-    });
+    let late = begun
+        .iter()
+        .filter(|(at, id)| id.starts_with("deadly") && held_from.is_some_and(|from| *at > from));
     let late = late.count();
     rig.record.line(&format!(
         "result  {} crashes; {late} requests with the part reached workers later than {CONTACT_MS} ms \
--- a/review/rig/endless.rs
+++ b/review/rig/endless.rs
@@ -1,7 +1,7 @@
-//! Case: a worker in trouble answers with a failure whose body does not end.
+//! Case: workers in trouble answer with a failure whose body does not end.
 //!
 //! The stand-in of the platform kills the host when its memory exceeds that of its machine. What
-//! counts is what becomes of the requests that the sound worker is running at that moment.
+//! counts is what becomes of the requests that sound workers are running at that moment.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -24,7 +24,10 @@
 /// Bytes of an endless body that are sent in each interval: 1 MB a second.
 const CHUNK: usize = 50_000;
 const CHUNK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time that the sound worker reads a prompt, then sends events.
+/// Workers that are sound, and workers that are in trouble.
+const SOUND: usize = 2;
+const TROUBLED: usize = 2;
+/// Time that a sound worker reads a prompt, then sends events.
 const PROMPT_TIME: Duration = Duration::from_millis(1_000);
 const EVENTS: u32 = 20;
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
@@ -59,11 +62,10 @@
     }
 }
 
-/// Starts a worker and returns its address and the ids of the requests that it runs at the moment.
-fn start_worker(name: &'static str, is_sound: bool, record: Arc<Record>) -> (SocketAddr, Ids) {
-    let running = Ids::default();
+/// Starts a worker and returns its address. While it runs a request, the id is in `running`.
+fn start_worker(name: String, is_sound: bool, record: Arc<Record>, running: &Ids) -> SocketAddr {
     let ids = running.clone();
-    let address = http::serve(move |mut conn| {
+    http::serve(move |mut conn| {
         while let Some(request) = conn.read() {
             let id = request.header("request-id").to_owned();
             record.line(&format!("{name}  runs id {id}"));
@@ -78,8 +80,7 @@
             }
             ids.lock().expect("ids").remove(&id);
         }
-    });
-    (address, running)
+    })
 }
 
 /// Sends requests on one kept connection until the end of the run. Adds to `lost` the id of a
@@ -95,10 +96,14 @@
         let id = format!("q-{n}-{turn}");
         let is_kept = kept.is_some();
         let timeout = Duration::from_secs(10);
-        let Some(mut conn) = kept.take().or_else(|| Connection::open(front, timeout).ok()) else {
+        let Some(mut conn) = kept
+            .take()
+            .or_else(|| Connection::open(front, timeout).ok())
+        else {
             return;
         };
-        let part = format!("Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: a{n:x}:800,b{n:x}:660\r\n");
+        let part =
+            format!("Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: a{n:x}:800,b{n:x}:660\r\n");
         let text = site::request("POST", "/stream/quote", &id, &part, "the prompt");
         let answer = match conn.send(text.as_bytes()) {
             Ok(()) => conn.read_head().ok().flatten(),
@@ -106,7 +111,9 @@
         };
         match answer {
             None => {
-                record.line(&format!("client  {id} no answer, connection was kept: {is_kept}"));
+                record.line(&format!(
+                    "client  {id} no answer, connection was kept: {is_kept}"
+                ));
                 if is_kept {
                     lost.lock().expect("ids").insert(id);
                 }
@@ -125,9 +132,15 @@
 }
 
 pub fn run(rig: &Rig) -> Result<Outcome, String> {
-    let (sound, running) = start_worker("sound", true, rig.record.clone());
-    let (troubled, _) = start_worker("second", !rig.trouble, rig.record.clone());
-    rig.store.put("servers/i-1", &site::entry(site::ENGINES, sound, 128, 1));
+    // Requests that sound workers run, and those of workers in trouble.
+    let (running, others) = (Ids::default(), Ids::default());
+    for n in 0..SOUND {
+        let address = start_worker(format!("sound-{n}"), true, rig.record.clone(), &running);
+        rig.store.put(
+            &format!("servers/i-{n}"),
+            &site::entry(site::ENGINES, address, 128, 1),
+        );
+    }
     let mut host = Host::start(&rig.site(), "edge-amman-a-1")?;
     let (end, lost) = (AtomicBool::new(false), Ids::default());
     let mut interrupted = HashSet::new();
@@ -136,28 +149,38 @@
             let (front, record, end, lost) = (host.front, &rig.record, &end, &lost);
             scope.spawn(move || run_client(front, n, record, end, lost));
         }
-        // Each client has a kept connection when the second worker is listed.
+        // Each client has a kept connection when the other workers are listed.
         thread::sleep(PAUSE + PAUSE / 2);
-        rig.store.put("servers/i-2", &site::entry(site::ENGINES, troubled, 128, 1));
+        for n in 0..TROUBLED {
+            let name = format!("other-{n}");
+            let address = start_worker(name.clone(), !rig.trouble, rig.record.clone(), &others);
+            rig.store.put(
+                &format!("servers/{name}"),
+                &site::entry(site::ENGINES, address, 128, 1),
+            );
+        }
         let begin = Instant::now();
         let mut most = 0.0_f64;
         while begin.elapsed() < LENGTH && !host.has_ended() {
             let memory = host.memory_mb();
             most = most.max(memory);
             if memory > MEMORY_MB as f64 {
-                rig.record.line(&format!("platform kills the host: {memory:.0} MB of {MEMORY_MB}"));
+                rig.record.line(&format!(
+                    "platform kills the host: {memory:.0} MB of {MEMORY_MB}"
+                ));
                 interrupted = running.lock().expect("ids").clone();
                 host.signal("KILL");
             }
             thread::sleep(Duration::from_millis(20));
         }
-        rig.record.line(&format!("platform saw at most {most:.0} MB"));
+        rig.record
+            .line(&format!("platform saw at most {most:.0} MB"));
         end.store(true, Ordering::SeqCst);
     });
     let lost = lost.lock().expect("ids");
     let count = interrupted.intersection(&lost).count();
     rig.record.line(&format!(
-        "result  {count} requests of kept connections, run by the sound worker, got no answer"
+        "result  {count} requests of kept connections, run by a sound worker, got no answer"
     ));
     Ok(Outcome::broken_if(count > ALLOWED))
 }
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Message with its start line, headers and body.
 #[derive(Clone, Debug, Default)]
@@ -20,7 +20,10 @@
 impl Message {
     /// Value of the first header `name`, or an empty text.
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
@@ -96,13 +99,6 @@
         }))
     }
 
-    /// Receives bytes for `time`, which are read later.
-    pub fn receive_for(&mut self, time: Duration) -> io::Result<()> {
-        let end = Instant::now() + time;
-        while Instant::now() < end && self.fill()? > 0 {}
-        Ok(())
-    }
-
     fn take(&mut self, wanted: usize) -> io::Result<Vec<u8>> {
         while self.buffer.len() < wanted {
             if self.fill()? == 0 {
--- a/review/rig/late_request.rs
+++ b/review/rig/late_request.rs
@@ -43,7 +43,8 @@
             }
         }
     });
-    rig.store.put("servers/i-1", &site::entry(site::ENGINES, worker, 128, 1));
+    rig.store
+        .put("servers/i-1", &site::entry(site::ENGINES, worker, 128, 1));
     let mut host = Host::start(&rig.site(), "edge-amman-b-1")?;
     thread::sleep(Duration::from_secs(1));
     if rig.trouble {
@@ -62,10 +63,14 @@
                     record.line(&format!("client  {id} can't connect"));
                     return;
                 };
-                let more = format!("Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: a:800,b{n:x}:660\r\n");
+                let more = format!(
+                    "Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: a:800,b{n:x}:660\r\n"
+                );
                 let text = site::request("POST", "/stream-once/quote", &id, &more, "the prompt");
                 let after = begin.elapsed().as_millis();
-                record.line(&format!("client  {id} sends its request, {after} ms after the signal"));
+                record.line(&format!(
+                    "client  {id} sends its request, {after} ms after the signal"
+                ));
                 if conn.send(text.as_bytes()).is_err() {
                     return;
                 }
@@ -88,11 +93,14 @@
             }
             let after = begin.elapsed().as_millis();
             let ended = host.has_ended();
-            rig.record.line(&format!("platform host has ended by itself: {ended}, {after} ms after the signal"));
+            rig.record.line(&format!(
+                "platform host has ended by itself: {ended}, {after} ms after the signal"
+            ));
             host.signal("KILL");
         }
     });
     let cut = cut.lock().expect("cut");
-    rig.record.line(&format!("result  passed on and cut off: {cut:?}"));
+    rig.record
+        .line(&format!("result  passed on and cut off: {cut:?}"));
     Ok(Outcome::broken_if(!cut.is_empty()))
 }
--- a/review/rig/leaving.rs
+++ b/review/rig/leaving.rs
@@ -39,7 +39,11 @@
                 let id = request.header("request-id").to_owned();
                 // The client puts the time at which it sends the request into the path.
                 let (_, target) = request.request();
-                let sent_at: u64 = target.rsplit('/').next().and_then(|t| t.parse().ok()).unwrap_or(0);
+                let sent_at: u64 = target
+                    .rsplit('/')
+                    .next()
+                    .and_then(|t| t.parse().ok())
+                    .unwrap_or(0);
                 record.line(&format!("worker  {name} runs id {id}"));
                 if name == "i-1" {
                     let mut log = log.lock().expect("log");
@@ -49,7 +53,11 @@
                 }
                 thread::sleep(WORK);
                 let is_leaving = name == "i-1" && log.lock().expect("log").is_leaving;
-                let more = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+                let more = if is_leaving {
+                    "Server-Leaving: 1\r\n"
+                } else {
+                    ""
+                };
                 let head = format!("{}{more}", site::signed(&id));
                 if conn.send(&http::response(200, &head, b"done")).is_err() {
                     return;
@@ -60,7 +68,8 @@
     let (first, second) = (start("i-1"), start("i-2"));
     let entry = site::entry(site::DESK, first, 6, 4);
     rig.store.put("servers/i-1", &entry);
-    rig.store.put("servers/i-2", &site::entry(site::DESK, second, 6, 4));
+    rig.store
+        .put("servers/i-2", &site::entry(site::DESK, second, 6, 4));
     let host = Host::start(&rig.site(), "edge-amman-a-1")?;
     let begin = Instant::now();
     thread::scope(|scope| {
@@ -90,7 +99,9 @@
                 let answer = http::exchange(front, text.as_bytes(), Duration::from_secs(5));
                 let status = answer.as_ref().map_or(0, http::Message::status);
                 let leaving = answer.is_some_and(|a| a.header("server-leaving") == "1");
-                record.line(&format!("client  {id} gets {status}, server leaving: {leaving}"));
+                record.line(&format!(
+                    "client  {id} gets {status}, server leaving: {leaving}"
+                ));
                 if leaving {
                     let now = record.now_ms();
                     log.lock().expect("log").told_at.get_or_insert(now);
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -115,7 +115,8 @@
             return ExitCode::from(2);
         }
     };
-    rig.record.line(&format!("case    {case}, disruption: {}", rig.trouble));
+    rig.record
+        .line(&format!("case    {case}, disruption: {}", rig.trouble));
     let result = run(&rig);
     let (text, code) = match result {
         Ok(Outcome::Held) => ("the rule held".to_owned(), 0),
--- a/review/rig/site.rs
+++ b/review/rig/site.rs
@@ -14,9 +14,10 @@
 fn route(name: &str, kind: &str, service: &str, attempts: u32, timeout_ms: u32) -> String {
     let resumable = kind == "streaming" && attempts > 1;
     let is_stream = kind == "streaming";
+    let goal_ms = if is_stream { 2_000 } else { 400 };
     format!(
         "{{\"name\":\"{name}\",\"host\":\"{HOST_NAME}\",\"path_prefix\":\"/{name}/\",\
-         \"route_kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"goal_ms\":400,\"priority\":1,\
+         \"route_kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"goal_ms\":{goal_ms},\"priority\":1,\
          \"service\":\"{service}\",\"attempts\":{attempts},\"public\":false,\
          \"sticky\":{is_stream},\"resumable\":{resumable},\"gap_target_ms\":400}}"
     )
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -80,7 +80,10 @@
         while let Some(request) = conn.read() {
             let (status, body) = self.respond(&request);
             let head = "Content-Type: application/json\r\n";
-            if conn.send(&http::response(status, head, body.as_bytes())).is_err() {
+            if conn
+                .send(&http::response(status, head, body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -142,7 +145,8 @@
             created: self.items.get(key).map_or(self.rev, |i| i.created),
             lease,
         };
-        self.events.push((self.rev, key.to_owned(), Some(item.clone())));
+        self.events
+            .push((self.rev, key.to_owned(), Some(item.clone())));
         self.items.insert(key.to_owned(), item);
     }
 
@@ -242,7 +246,9 @@
 
 fn param<'a>(query: &'a str, name: &str) -> &'a str {
     let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.find(|(n, _)| *n == name).map_or("", |(_, value)| value)
+    pairs
+        .find(|(n, _)| *n == name)
+        .map_or("", |(_, value)| value)
 }
 
 fn base64(bytes: &[u8]) -> String {
