A stopping host refuses new requests in time, whatever the store does

With a store that takes 2 s for each response, requests sent up to 4 s after the signal got no response at all.

Cause: the time from which new requests were refused was the sum of two pauses, 2.6 s and 0.5 s, and of a write to the store between them. The phase was asked for when a request's head had arrived, not when its body had. What was in progress at the end was dropped with the process.

The write of the counts runs beside the phases.

Conclusion: the bound no longer depends on what a step of the stop waits for. A signal that the machine hands over more than 50 ms late still shortens the margin.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -98,6 +98,8 @@
     KeyReused = "key_reused", 422;
     /// A part of the prompt is withheld because it crashes upstreams.
     Withheld = "withheld", 503;
+    /// The host ended before the upstream had responded.
+    Interrupted = "interrupted", 502;
 }
 
 /// A refusal of a request, returned to the client.
--- a/crates/host/src/response.rs
+++ b/crates/host/src/response.rs
@@ -217,6 +217,7 @@
         Reason::OutcomeUnknown => "an earlier call with this idempotency key has no known outcome",
         Reason::KeyReused => "this idempotency key was used with another request",
         Reason::Withheld => "a part of the prompt crashes upstreams",
+        Reason::Interrupted => "this host ended before the upstream had responded",
     }
 }
 
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     budget, crash_log, fleet, freshness, http_client, location, membership, metrics, model, ports,
-    quarantine, quarantine_leader, store_cache, store_watch, windows,
+    quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -63,10 +63,12 @@
     Serving,
     /// The readiness probe fails, and responses ask clients to close their connections.
     Unready,
-    /// Idle client connections are closed.
+    /// Idle client connections are closed, and new connections serve a single request.
     Closing,
     /// New requests are refused: a request that began now might be cut off when the process ends.
     Refusing,
+    /// Requests still in progress are given up and get their final response.
+    Ending,
 }
 
 /// Dependencies of a host on its environment.
@@ -137,6 +139,8 @@
     pub metrics: metrics::Metrics,
     /// Phase of the shutdown; tasks subscribe to its changes.
     pub phase: watch::Sender<Phase>,
+    /// Schedule of the shutdown; `None` until the stop signal.
+    pub shutdown: cell::Cell<Option<shutdown::Schedule>>,
     /// Open client connections.
     pub open_connections: cell::Cell<u32>,
 }
@@ -178,6 +182,7 @@
             is_leader: cell::Cell::new(false),
             metrics: metrics::Metrics::new()?,
             phase: watch::Sender::new(Phase::Serving),
+            shutdown: cell::Cell::new(None),
             open_connections: cell::Cell::new(0),
         })
     }
@@ -198,6 +203,22 @@
         *self.phase.borrow() != Phase::Serving
     }
 
+    /// Whether new requests are passed on. Decided by the clock, since the task that changes the
+    /// phase may run late.
+    pub fn accepts_requests(&self) -> bool {
+        let schedule = self.shutdown.get();
+        schedule.is_none_or(|s| s.phase(self.now()) < Phase::Refusing)
+    }
+
+    /// Waits until the shutdown has reached `phase`.
+    pub async fn wait_for_phase(&self, phase: Phase) {
+        let mut phases = self.phase.subscribe();
+        if phases.wait_for(|p| *p >= phase).await.is_err() {
+            // The sender is a field of the host, so it outlives this wait.
+            std::future::pending().await
+        }
+    }
+
     /// Whether this host is ready for clients: it has a configuration and upstreams and is not
     /// shutting down.
     pub fn is_ready(&self) -> bool {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod scale;
 pub mod selection;
 pub mod serve;
+pub mod shutdown;
 pub mod slowdown;
 pub mod sources;
 pub mod sse;
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -5,24 +5,16 @@
 
 use base::clock;
 use tokio::signal::unix;
-use tokio::{net, time};
+use tokio::{net, task, time};
 
 use crate::{
-    follower, host, leader, listeners, membership, ports, relay, reports, store_watch, supervisor,
+    follower, host, leader, listeners, membership, ports, relay, reports, shutdown, store_watch,
+    supervisor,
 };
 
-/// Time after the stop signal for which client connections stay open and new ones are accepted as
-/// usual: the load balancer probes readiness twice in it.
-const UNREADY_PERIOD: clock::Millis = clock::Millis(2_600);
-/// Time after `UNREADY_PERIOD` for which new requests are still accepted while idle connections are
-/// closed.
-const CLOSING_PERIOD: clock::Millis = clock::Millis(500);
-/// Safety margin before the process is killed: this long before it, the process stops waiting for
-/// requests and passes on what others need of it.
-const KILL_MARGIN: clock::Millis = clock::Millis(500);
-/// Time before the process is killed at which it ends by itself, whether or not the store and other
-/// hosts have answered.
-const EXIT_MARGIN: clock::Millis = clock::Millis(100);
+/// Longest time that a stopping process waits until clients have been sent the responses to requests
+/// that were given up.
+const LAST_RESPONSES_TIMEOUT: clock::Millis = clock::Millis(100);
 /// Time between checks whether all connections have ended during shutdown.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(50);
 /// Time between two removals of expired idle connections from the pool.
@@ -136,34 +128,39 @@
     });
 }
 
-/// Shuts down without cutting off a request: the host first reports that it is not ready, then
-/// closes idle connections, then refuses new requests, and ends when the last connection has ended
-/// or the time is up.
-async fn stop(host: &host::Host, writer: &membership::ReportWriter) {
-    let begin = host.now();
+/// Shuts down in the phases of [`shutdown::Schedule`], and ends when the last client connection has
+/// ended or the time is up. No phase waits for the store or another host.
+async fn stop(host: &rc::Rc<host::Host>, writer: &rc::Rc<membership::ReportWriter>) {
+    let schedule = shutdown::Schedule::new(host.now(), host.settings.timing.shutdown_grace);
     let open_connections = host.open_connections.get();
     tracing::info!(event = "stop", connections = open_connections);
+    host.shutdown.set(Some(schedule));
     host.phase.send_replace(host::Phase::Unready);
-    time::sleep(UNREADY_PERIOD.duration()).await;
+    sleep_until(host, schedule.begin(host::Phase::Closing)).await;
     host.phase.send_replace(host::Phase::Closing);
-    let deadline = begin + clock::Millis(host.settings.timing.shutdown_grace.since(KILL_MARGIN).0);
-    let written_at = host.now();
-    writer.write(host, &writer.report(host)).await;
-    time::sleep(CLOSING_PERIOD.duration()).await;
+    let early_write = task::spawn_local({
+        let (host, writer) = (host.clone(), writer.clone());
+        async move { writer.write(&host, &writer.report(&host)).await }
+    });
+    sleep_until(host, schedule.begin(host::Phase::Refusing)).await;
     host.phase.send_replace(host::Phase::Refusing);
-    while host.open_connections.get() > 0 && host.now() < deadline {
-        time::sleep(CHECK_INTERVAL.duration()).await;
-    }
-    let exit_at = begin + clock::Millis(host.settings.timing.shutdown_grace.since(EXIT_MARGIN).0);
+    tracing::info!(
+        event = "refusing",
+        connections = host.open_connections.get()
+    );
+    wait_for_connections(host, schedule.begin(host::Phase::Ending)).await;
+    host.phase.send_replace(host::Phase::Ending);
+    let responses_end = (host.now() + LAST_RESPONSES_TIMEOUT).min(schedule.exit_at());
+    wait_for_connections(host, responses_end).await;
     let farewell = async {
         let write = async {
-            if host.now() > written_at {
-                writer.write(host, &writer.report(host)).await;
-            }
+            // The store refuses a write beside an unfinished one of the same key.
+            let _ = early_write.await;
+            writer.write(host, &writer.report(host)).await;
         };
         tokio::join!(write, reports::hand_over(host, writer));
     };
-    let time_left = exit_at.since(host.now());
+    let time_left = schedule.exit_at().since(host.now());
     if time::timeout(time_left.duration(), farewell).await.is_err() {
         tracing::warn!(event = "farewell_unfinished", time_left_ms = time_left.0);
     }
@@ -171,6 +168,17 @@
     tracing::info!(event = "stopped", connections = remaining);
 }
 
+async fn sleep_until(host: &host::Host, end: clock::Millis) {
+    time::sleep(end.since(host.now()).duration()).await;
+}
+
+/// Waits until no client connection is open, at most until `end`.
+async fn wait_for_connections(host: &host::Host, end: clock::Millis) {
+    while host.open_connections.get() > 0 && host.now() < end {
+        time::sleep(CHECK_INTERVAL.duration()).await;
+    }
+}
+
 async fn clean_pool(host: rc::Rc<host::Host>) {
     loop {
         time::sleep(POOL_CLEANUP_INTERVAL.duration()).await;
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -15,6 +15,8 @@
 pub struct AttemptHistory {
     /// Number of attempts, whether they succeeded or not.
     pub sent_count: u32,
+    /// When the latest attempt began.
+    pub sent_at: clock::Millis,
     /// Number of failed attempts that may have reached an upstream.
     pub reached_count: u32,
     /// Number of failed attempts that may have run at an upstream.
@@ -67,6 +69,10 @@
     if history.run_count >= attempts || history.sent_count >= attempts + EXTRA_ATTEMPTS {
         return Err(refusal::Reason::UpstreamFailed);
     }
+    // A request may wait between its acceptance and its first attempt.
+    if history.sent_count == 0 && !host.accepts_requests() {
+        return Err(refusal::Reason::Stopping);
+    }
     if is_withheld(host, call, history) {
         return Err(refusal::Reason::Withheld);
     }
@@ -106,6 +112,7 @@
     let demand = demand.entry(call.service.clone()).or_default();
     demand.record_request(selection.unread_tokens);
     history.sent_count += 1;
+    history.sent_at = now;
     history.details = selection.details;
     history.begun_at = None;
     history.tried.push(selection.name.clone());
@@ -172,6 +179,35 @@
     } else {
         refusal::Refusal::unknown(refusal::Reason::UpstreamFailed)
     };
+    end_refused(host, call, history, &refusal)
+}
+
+/// Refuses a request whose attempts were given up because the host ends.
+pub fn refuse_interrupted(
+    host: &host::Host,
+    call: &attempt::Call,
+    history: &AttemptHistory,
+) -> response::Response {
+    let refusal = if history.sent_count == 0 {
+        refusal::Refusal::not_run(refusal::Reason::Stopping)
+            .with_retry_after(serve::RETRY_AFTER_DELAY)
+    } else {
+        // A stream counts from its first event, and this one has none.
+        if call.route.kind != model::RouteKind::Streaming {
+            serve::count_started(host, call, history.sent_at);
+        }
+        refusal::Refusal::unknown(refusal::Reason::Interrupted)
+    };
+    end_refused(host, call, history, &refusal)
+}
+
+/// Logs and counts the end of a refused request, and builds its response.
+fn end_refused(
+    host: &host::Host,
+    call: &attempt::Call,
+    history: &AttemptHistory,
+    refusal: &refusal::Refusal,
+) -> response::Response {
     host.metrics.record_refusal(refusal.reason);
     log_request(
         host,
@@ -181,7 +217,7 @@
         refusal.reason.status(),
         None,
     );
-    response::from_refusal(&refusal)
+    response::from_refusal(refusal)
 }
 
 /// Writes the log line and the metrics of an ended request.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -34,10 +34,19 @@
     };
     record_arrival(&host, &call);
     reports::request_trial(&host, &call).await;
-    match call.route.kind {
-        model::RouteKind::Streaming => stream::serve(&host, &call).await,
-        model::RouteKind::Idempotent | model::RouteKind::NonIdempotent => {
-            serve_plain(&host, &call).await
+    let mut history = retry::AttemptHistory::default();
+    let attempts = async {
+        match call.route.kind {
+            model::RouteKind::Streaming => stream::serve(&host, &call, &mut history).await,
+            model::RouteKind::Idempotent | model::RouteKind::NonIdempotent => {
+                serve_plain(&host, &call, &mut history).await
+            }
+        }
+    };
+    tokio::select! {
+        response = attempts => response,
+        () = host.wait_for_phase(host::Phase::Ending) => {
+            retry::refuse_interrupted(&host, &call, &history)
         }
     }
 }
@@ -88,7 +97,7 @@
         Ok(meta) => meta,
         Err(_) => return Err(refuse("", refusal::Reason::BadRequest)),
     };
-    if *host.phase.borrow() == host::Phase::Refusing {
+    if !host.accepts_requests() {
         let mut rejection = refuse(&meta.id, refusal::Reason::Stopping);
         rejection.refusal = rejection.refusal.with_retry_after(RETRY_AFTER_DELAY);
         return Err(rejection);
@@ -191,17 +200,17 @@
 async fn serve_plain(
     host: &rc::Rc<host::Host>,
     call: &rc::Rc<attempt::Call>,
+    history: &mut retry::AttemptHistory,
 ) -> response::Response {
-    let mut history = retry::AttemptHistory::default();
     let mut error_response: Option<response::Response> = None;
     let reason = loop {
-        let selection = match retry::select_upstream(host, call, &mut history) {
+        let selection = match retry::select_upstream(host, call, history) {
             Ok(selection) => selection,
             Err(reason) => break reason,
         };
         let sent_at = host.now();
-        let timeout = retry::attempt_timeout(host, call, &history);
-        let stall_timeout = retry::stall_timeout(host, call, &history, PLAIN_STALL_SHARE);
+        let timeout = retry::attempt_timeout(host, call, history);
+        let stall_timeout = retry::stall_timeout(host, call, history, PLAIN_STALL_SHARE);
         let attempt = attempt::send(
             host,
             call,
@@ -234,7 +243,7 @@
                             retry::log_request(
                                 host,
                                 call,
-                                &history,
+                                history,
                                 "whole",
                                 status.as_u16(),
                                 Some(first_latency),
@@ -247,15 +256,15 @@
                 }
             }
         };
-        retry::record_failure(host, call, &mut history, failure, possibly_ran);
+        retry::record_failure(host, call, history, failure, possibly_ran);
         if possibly_ran && !call.route.is_retryable() || host.now() >= call.finish_by {
             break refusal::Reason::UpstreamFailed;
         }
     };
     if let Some(response) = error_response {
         let status = response.status().as_u16();
-        retry::log_request(host, call, &history, "failed", status, None);
+        retry::log_request(host, call, history, "failed", status, None);
         return response;
     }
-    retry::refuse_after_attempts(host, call, &history, reason)
+    retry::refuse_after_attempts(host, call, history, reason)
 }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -104,17 +104,21 @@
 }
 
 /// Serves a request whose response is a stream.
-pub async fn serve(host: &rc::Rc<host::Host>, call: &rc::Rc<attempt::Call>) -> response::Response {
-    let mut history = retry::AttemptHistory::default();
+pub async fn serve(
+    host: &rc::Rc<host::Host>,
+    call: &rc::Rc<attempt::Call>,
+    history: &mut retry::AttemptHistory,
+) -> response::Response {
     let mut error_response = None;
     let reason = loop {
-        let started = match start_stream(host, call, &mut history, call.meta.last_event_id).await {
+        let started = match start_stream(host, call, history, call.meta.last_event_id).await {
             Err(reason) => break reason,
             Ok(started) => started,
         };
         match started {
             StartOutcome::Stream(started) => {
                 let (parts, source, event) = *started;
+                let history = std::mem::take(history);
                 return spawn_forwarder(host, call, history, parts, source, event);
             }
             StartOutcome::Other(response) if response.status().is_server_error() => {
@@ -122,7 +126,7 @@
             }
             StartOutcome::Other(response) => {
                 let status = response.status().as_u16();
-                retry::log_request(host, call, &history, "whole", status, None);
+                retry::log_request(host, call, history, "whole", status, None);
                 return response;
             }
             StartOutcome::Failed => {}
@@ -133,10 +137,10 @@
     };
     if let Some(response) = error_response {
         let status = response.status().as_u16();
-        retry::log_request(host, call, &history, "failed", status, None);
+        retry::log_request(host, call, history, "failed", status, None);
         return response;
     }
-    retry::refuse_after_attempts(host, call, &history, reason)
+    retry::refuse_after_attempts(host, call, history, reason)
 }
 
 /// Result of an attempt to start a stream.
@@ -356,6 +360,7 @@
             let next = tokio::select! {
                 next = source.next_event(remaining, stall_timeout) => next,
                 () = client.closed() => return Err("caller_gone"),
+                () = self.host.wait_for_phase(host::Phase::Ending) => return Err("interrupted"),
             };
             let failure = match next {
                 NextEvent::Event(event) if already_sent(&event, self.last_event_id) => continue,
@@ -406,6 +411,7 @@
                     self.last_event_id,
                 ) => started,
                 () = client.closed() => return Err("caller_gone"),
+                () = self.host.wait_for_phase(host::Phase::Ending) => return Err("interrupted"),
             };
             match started {
                 Ok(StartOutcome::Stream(started)) => {
