A first part of prompts that crashes engines early is found in time

Cause: a part that others follow needed 24 points, since parts behind it may be the causes of its crashes, and an early crash and the repeat's together give two. Whether the parts behind could explain the crashes was not asked.

Change: such a part is blamed at the usual 12 points if four requests with it crashed and at least four different parts behind it would have to be causes; parts answered since can't be. A request that crashes a second engine at once counts twice for this. What broke with an engine beside a known cause is no evidence any more.

Conclusion: the threshold stays where causes behind are possible. A first part with the same three parts behind it, which no other prompt has, is still found late: known red first_part_before_three_others_of_its_own_is_withheld.

--- a/crates/router/src/blame.rs
+++ b/crates/router/src/blame.rs
@@ -14,13 +14,16 @@
 
 /// Crashes within this time count once for a part: one disturbance may break many connections. Those
 /// between head and first event are so rarely without a cause that they count apart much sooner.
-const MOMENT: clock::Millis = clock::Millis(250);
+pub const MOMENT: clock::Millis = clock::Millis(250);
 const HEAD_ONLY_MOMENT: clock::Millis = clock::Millis(50);
 /// Points for a moment with an attempt that broke early, or between its head and its first event.
 const EARLY_POINTS: i32 = 2;
 const HEAD_ONLY_POINTS: i32 = 4;
 /// Points deducted for each of the latest two answers.
 const ANSWER_POINTS: i32 = 2;
+/// Points for a request that crashes one upstream and at once another one, where its repeat falls into
+/// the same moment. Requests beside the cause rarely do.
+const REPEAT_POINTS: i32 = 2;
 /// Points that blame a part, and those that do if a single host reports all of its crashes: the fault
 /// may be that host's.
 const BLAME_POINTS: i32 = 12;
@@ -37,6 +40,14 @@
 const BRANCH_CRASHES_SHARE: f64 = 0.3;
 /// Points that blame a part although parts further back may be the causes of its crashes.
 const UNSPLIT_POINTS: i32 = 24;
+/// Number of requests among the crashes of a part that is blamed because its prompts have nothing else
+/// in common.
+const LONE_REQUESTS: usize = 4;
+/// Number of parts further back that would all have to be causes for the part not to be one. Each of its
+/// latest answers, which came before the crashes, adds one.
+const MANY_CAUSES: usize = 4;
+/// Share of a part's upstreams that crashed with another part, more often seen, to be beside it.
+const BESIDE_SHARE: f64 = 0.8;
 
 /// A crash, with the time by the clock of the host that decides.
 #[derive(Clone, Debug)]
@@ -73,8 +84,20 @@
     pub position: usize,
     /// Whether the part was the last shared one of a prompt.
     pub is_last: bool,
-    /// When the latest moment began, and the points counted for it.
-    moment: Option<(clock::Millis, i32)>,
+    /// Number of crashes before the latest answer.
+    pub refuted: usize,
+    /// Points for requests that crashed a second upstream at once; see [`REPEAT_POINTS`].
+    pub repeat_points: i32,
+    moment: Option<Moment>,
+}
+
+/// Crashes that count once.
+#[derive(Clone, Copy, Debug)]
+struct Moment {
+    begin: clock::Millis,
+    points: i32,
+    /// Whether a request that crashed a second upstream was counted.
+    has_repeat: bool,
 }
 
 impl Case {
@@ -84,15 +107,25 @@
             crash_log::Progress::Early => (EARLY_POINTS, MOMENT),
             crash_log::Progress::HeadOnly => (HEAD_ONLY_POINTS, HEAD_ONLY_MOMENT),
         };
+        let is_repeat =
+            self.requests.contains(&crash.request) && !self.upstreams.contains(&crash.upstream);
         match &mut self.moment {
             // A stronger sign replaces the weaker one of its moment.
-            Some((begin, counted)) if *counted < points && record.at.since(*begin) < MOMENT => {
-                self.points += points - *counted;
-                *counted = points;
+            Some(m) if m.points < points && record.at.since(m.begin) < MOMENT => {
+                self.points += points - m.points;
+                m.points = points;
+            }
+            Some(m) if record.at.since(m.begin) < window => {
+                if is_repeat && !std::mem::replace(&mut m.has_repeat, true) {
+                    self.repeat_points += REPEAT_POINTS;
+                }
             }
-            Some((begin, _)) if record.at.since(*begin) < window => {}
             moment => {
-                *moment = Some((record.at, points));
+                *moment = Some(Moment {
+                    begin: record.at,
+                    points,
+                    has_repeat: false,
+                });
                 self.points += points;
             }
         }
@@ -106,15 +139,30 @@
     }
 
     fn is_conclusive(&self, is_only_host: bool) -> bool {
-        let (points, requests) = if self.processes.len() > 1 || is_only_host {
-            (BLAME_POINTS, MIN_REQUESTS)
+        let requests = if self.is_seen_by_all(is_only_host) {
+            MIN_REQUESTS
         } else {
-            (SINGLE_HOST_POINTS, SINGLE_HOST_REQUESTS)
+            SINGLE_HOST_REQUESTS
         };
-        self.points >= points
+        self.has_points(self.points, is_only_host)
             && self.requests.len() >= requests
             && self.upstreams.len() >= MIN_UPSTREAMS
     }
+
+    /// Whether `points` are enough for the hosts that reported them.
+    fn has_points(&self, points: i32, is_only_host: bool) -> bool {
+        let needed = if self.is_seen_by_all(is_only_host) {
+            BLAME_POINTS
+        } else {
+            SINGLE_HOST_POINTS
+        };
+        points >= needed
+    }
+
+    /// Whether more than one host reported the crashes, or no other one could.
+    fn is_seen_by_all(&self, is_only_host: bool) -> bool {
+        self.processes.len() > 1 || is_only_host
+    }
 }
 
 fn insert<const N: usize>(set: &mut SmallVec<[u64; N]>, value: u64) {
@@ -135,6 +183,15 @@
             cases.entry(*part).or_default().add(record, position);
         }
     }
+    for record in records {
+        for part in &record.crash.parts {
+            let Some(case) = cases.get_mut(part) else {
+                continue;
+            };
+            let answered = answers.get(part).and_then(|times| times.first());
+            case.refuted += usize::from(answered.is_some_and(|at| *at >= record.at));
+        }
+    }
     for (part, case) in &mut cases {
         case.answers = answers.get(part).map_or(0, |times| times.len());
         case.points -= ANSWER_POINTS * case.answers as i32;
@@ -149,6 +206,9 @@
     cases: &collections::HashMap<u64, Case>,
     is_only_host: bool,
 ) -> Option<u64> {
+    if let Some(part) = find_only_common(records, cases, is_only_host) {
+        return Some(part);
+    }
     let (first, case) = cases
         .iter()
         .filter(|(_, case)| case.is_conclusive(is_only_host))
@@ -194,3 +254,93 @@
     }
     best
 }
+
+/// Returns a part that several requests have in common which nothing else explains: their prompts share
+/// no part further back that was not answered since, or too many different ones.
+fn find_only_common(
+    records: &[&Record],
+    cases: &collections::HashMap<u64, Case>,
+    is_only_host: bool,
+) -> Option<u64> {
+    let candidates = cases.iter().filter(|(part, case)| {
+        let points = case.points + case.repeat_points;
+        !case.is_last
+            && case.refuted == 0
+            && case.requests.len() >= LONE_REQUESTS
+            && case.has_points(points, is_only_host)
+            && has_many_causes(records, cases, **part)
+            && !is_beside(cases, case)
+    });
+    let best = candidates.max_by_key(|(part, case)| (case.upstreams.len(), **part));
+    best.map(|(part, _)| *part)
+}
+
+/// Parts that may be the cause of a crash.
+type Suspects = SmallVec<[u64; 4]>;
+
+/// Whether too many parts further back would have to be causes to explain the crashes of `first`. A
+/// request whose parts further back were all answered since counts as one of them.
+fn has_many_causes(
+    records: &[&Record],
+    cases: &collections::HashMap<u64, Case>,
+    first: u64,
+) -> bool {
+    let case = &cases[&first];
+    let needed = MANY_CAUSES + case.answers;
+    let mut at_upstream: collections::HashMap<u64, Suspects> = collections::HashMap::new();
+    let mut crashes: Vec<(u64, u64)> = Vec::new();
+    for record in records {
+        let crash = &record.crash;
+        let Some(position) = crash.parts.iter().position(|p| *p == first) else {
+            continue;
+        };
+        if !case.requests.contains(&crash.request) {
+            continue;
+        }
+        let suspects = at_upstream.entry(crash.upstream).or_default();
+        for part in &crash.parts[position + 1..] {
+            let other = cases.get(part);
+            if other.is_some_and(|c| c.requests.contains(&crash.request)) {
+                insert(suspects, *part);
+            }
+        }
+        crashes.push((crash.request, crash.upstream));
+    }
+    // A request beside the cause breaks with the upstream, so the cause may be in another prompt.
+    let mut requests: collections::HashMap<u64, Suspects> = collections::HashMap::new();
+    for (request, upstream) in crashes {
+        let suspects = requests.entry(request).or_default();
+        for part in &at_upstream[&upstream] {
+            insert(suspects, *part);
+        }
+    }
+    let mut unexplained: Vec<_> = requests.into_values().collect();
+    let mut count = 0;
+    while !unexplained.is_empty() && count < needed {
+        count += 1;
+        let mut shares: collections::HashMap<u64, usize> = collections::HashMap::new();
+        for suspect in unexplained.iter().flatten() {
+            *shares.entry(*suspect).or_default() += 1;
+        }
+        match shares.into_iter().max_by_key(|(part, n)| (*n, *part)) {
+            Some((part, _)) => unexplained.retain(|s| !s.contains(&part)),
+            None => {
+                unexplained.pop();
+            }
+        }
+    }
+    count == needed
+}
+
+/// Whether another part crashed nearly all upstreams that the part of `case` did, and more: the
+/// requests of a part that is often asked for break beside the cause.
+fn is_beside(cases: &collections::HashMap<u64, Case>, case: &Case) -> bool {
+    let own: collections::HashSet<u64> = case.upstreams.iter().copied().collect();
+    cases.values().any(|other| {
+        if other.upstreams.len() <= own.len() {
+            return false;
+        }
+        let shared = other.upstreams.iter().filter(|u| own.contains(u)).count();
+        shared as f64 >= BESIDE_SHARE * own.len() as f64
+    })
+}
--- a/crates/router/src/quarantine_leader.rs
+++ b/crates/router/src/quarantine_leader.rs
@@ -149,10 +149,21 @@
         self.end_refuted_rules(now);
         self.widen_rules();
         loop {
+            let explained: collections::HashMap<u64, clock::Millis> = self
+                .records
+                .iter()
+                .filter(|r| r.crash.upstream != 0 && self.is_explained(r))
+                .map(|r| (r.crash.upstream, r.at))
+                .collect();
+            // Requests beside a known cause break with it.
+            let is_beside = |r: &blame::Record| {
+                let cause = explained.get(&r.crash.upstream);
+                cause.is_some_and(|at| r.at.since(*at).max(at.since(r.at)) < blame::MOMENT)
+            };
             let unexplained: Vec<&blame::Record> = self
                 .records
                 .iter()
-                .filter(|r| !self.is_explained(r))
+                .filter(|r| !self.is_explained(r) && !is_beside(r))
                 .collect();
             let cases = blame::cases(&unexplained, &self.answers);
             self.questions
--- a/crates/router/tests/crash_model/mod.rs
+++ b/crates/router/tests/crash_model/mod.rs
@@ -5,7 +5,6 @@
 use base::clock;
 use rand::{Rng as _, SeedableRng as _, rngs};
 use router::{crash_log, quarantine, quarantine_leader};
-use smallvec::smallvec;
 
 const STEP_MS: u64 = 10;
 /// Time for which a crashed engine is away.
@@ -16,13 +15,24 @@
 /// Time from the loss of a leader until the next one takes reports: its lease, and the wait for its
 /// calls in flight.
 const LEADER_GAP_MS: u64 = 2_700;
-/// Engines that one request is sent to.
-const ATTEMPTS: u32 = 2;
 /// Shared first part of the sound prompts that resemble the deadly ones, and number of the second
 /// parts among which prompts choose.
 pub(crate) const FIRST: u64 = 1;
 const SECOND_PARTS: u64 = 300;
 
+/// Where deadly parts stand in their prompts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Place {
+    /// Last of the shared parts, behind a part that sound prompts begin with too.
+    Last,
+    /// First, with a part behind it that is different in each prompt.
+    FirstBeforeUnique,
+    /// First, with parts behind it that sound prompts have behind other first parts.
+    FirstBeforeCommon,
+    /// First, with one of so many parts behind it that no other prompt has.
+    FirstBefore(u64),
+}
+
 /// What is played.
 #[derive(Clone)]
 pub(crate) struct Load {
@@ -32,6 +42,13 @@
     pub(crate) rate: f64,
     /// Parts that crash engines, each with its share of the requests.
     pub(crate) deadly: Vec<(u64, f64)>,
+    pub(crate) place: Place,
+    /// Whether engines end before the head of the response, instead of after it.
+    pub(crate) is_early: bool,
+    /// Time between requests with the first deadly part that come beside the shares.
+    pub(crate) interval_ms: Option<u64>,
+    /// Engines that one request is sent to.
+    pub(crate) attempts: u32,
     /// From when until when they do.
     pub(crate) deadly_ms: std::ops::Range<u64>,
     /// Mean time between crashes of one engine for reasons of its own.
@@ -51,6 +68,10 @@
             engines: 12,
             rate: 60.0,
             deadly: vec![(666, 0.02)],
+            place: Place::Last,
+            is_early: false,
+            interval_ms: None,
+            attempts: 2,
             deadly_ms: 4_000..26_000,
             own_crash_ms: None,
             mass_crash_ms: None,
@@ -105,6 +126,9 @@
     host: usize,
     request: u64,
     parts: crash_log::SharedParts,
+    /// Deadly part of the prompt.
+    deadly: Option<u64>,
+    /// Whether that part crashes engines now.
     is_deadly: bool,
     is_trial: bool,
     attempts: u32,
@@ -181,6 +205,14 @@
             }
             expected -= 50.0;
         }
+        if let Some((part, _)) = self.load.deadly.first()
+            && self
+                .load
+                .interval_ms
+                .is_some_and(|ms| self.now_ms.is_multiple_of(ms))
+        {
+            self.arrive_with(Some(*part));
+        }
         let is_moment =
             |every: Option<u64>| every.is_some_and(|ms| self.now_ms % ms == ms - STEP_MS);
         let mass_crash = is_moment(self.load.mass_crash_ms);
@@ -221,6 +253,10 @@
                 deadly = Some(*part);
             }
         }
+        self.arrive_with(deadly);
+    }
+
+    fn arrive_with(&mut self, deadly: Option<u64>) {
         let is_time = self.load.deadly_ms.contains(&self.now_ms);
         // One in a hundred sound prompts begins like the deadly ones; the others begin in five ways.
         let first = if deadly.is_some() || self.rng.random::<f64>() < 0.01 {
@@ -230,10 +266,20 @@
         };
         // Of the second parts, the first ones are frequent.
         let second = (self.rng.random::<f64>().powi(3) * SECOND_PARTS as f64) as u64;
+        let common = self.load.place == Place::FirstBeforeCommon;
+        let second = if common { 1_000 } else { 1_000 * first } + second;
+        let parts = match (deadly, self.load.place) {
+            (None, _) => [first, second],
+            (Some(part), Place::Last) => [first, part],
+            (Some(part), Place::FirstBeforeUnique) => [part, self.rng.random()],
+            (Some(part), Place::FirstBeforeCommon) => [part, second],
+            (Some(part), Place::FirstBefore(n)) => [part, 500 + self.rng.random_range(0..n)],
+        };
         let run = Run {
             host: self.rng.random_range(0..self.hosts.len()),
             request: self.rng.random(),
-            parts: smallvec![first, deadly.unwrap_or(1_000 * first + second)],
+            parts: parts.into_iter().collect(),
+            deadly,
             is_deadly: deadly.is_some() && is_time,
             is_trial: false,
             attempts: 0,
@@ -246,7 +292,7 @@
 
     fn send(&mut self, mut run: Run) {
         let now = self.now();
-        if run.attempts >= ATTEMPTS || run.is_trial {
+        if run.attempts >= self.load.attempts || run.is_trial {
             return;
         }
         let quarantine = &mut self.hosts[run.host].quarantine;
@@ -257,12 +303,7 @@
             quarantine::Admission::Open => {}
             quarantine::Admission::Trial => run.is_trial = true,
             quarantine::Admission::Withheld(_) => {
-                if self
-                    .load
-                    .deadly
-                    .iter()
-                    .any(|(part, _)| run.parts.contains(part))
-                {
+                if run.deadly.is_some() {
                     self.outcome.last_withheld_ms = self.now_ms;
                 } else {
                     self.outcome.withheld_sound += 1;
@@ -280,8 +321,8 @@
         run.attempts += 1;
         run.begins_ms = self.now_ms + self.rng.random_range(60..700);
         run.ends_ms = run.begins_ms + self.rng.random_range(200..2_000);
-        if run.is_deadly {
-            let arrivals = self.outcome.arrivals.entry(run.parts[1]).or_default();
+        if let Some(part) = run.deadly.filter(|_| run.is_deadly) {
+            let arrivals = self.outcome.arrivals.entry(part).or_default();
             arrivals.push(self.now_ms);
         }
         self.engines[engine].runs.push(run);
@@ -294,8 +335,8 @@
             .runs
             .iter()
             .find(|r| r.is_deadly && begun(r));
-        if let Some(run) = cause {
-            let crashes = self.outcome.crashes.entry(run.parts[1]).or_default();
+        if let Some(part) = cause.and_then(|r| r.deadly) {
+            let crashes = self.outcome.crashes.entry(part).or_default();
             crashes.push(now_ms);
             return self.crash(n);
         }
@@ -318,7 +359,7 @@
         for run in std::mem::take(&mut self.engines[n].runs) {
             let progress = if run.begins_ms > now_ms {
                 crash_log::Progress::Early
-            } else if run.is_deadly {
+            } else if run.is_deadly && !self.load.is_early {
                 crash_log::Progress::HeadOnly
             } else if now_ms < run.begins_ms + crash_log::SURVIVAL_TIME.0 {
                 crash_log::Progress::Early
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -3,7 +3,7 @@
 mod crash_model;
 
 use base::clock;
-use crash_model::{Load, play};
+use crash_model::{Load, Place, play};
 use router::{crash_log, quarantine, quarantine_leader};
 use smallvec::smallvec;
 
@@ -77,6 +77,88 @@
     }
 }
 
+/// Loads with a part that stands first in its prompts and crashes engines before the head of their
+/// response.
+fn first_part_loads(places: &[Place]) -> Vec<(String, Load)> {
+    let mut loads = Vec::new();
+    for place in places.iter().copied() {
+        let base = Load {
+            deadly_ms: 0..40_000,
+            place,
+            is_early: true,
+            ..Load::small()
+        };
+        for (hosts, engines, rate) in [(1, 9, 5.0), (6, 12, 30.0)] {
+            for (attempts, interval_ms) in [1, 2]
+                .into_iter()
+                .flat_map(|a| [500, 2_000, 3_500, 5_000].map(|ms| (a, ms)))
+            {
+                let load = Load {
+                    hosts,
+                    engines,
+                    rate,
+                    deadly: vec![(666, 0.0)],
+                    attempts,
+                    interval_ms: Some(interval_ms),
+                    ..base.clone()
+                };
+                let name = format!("{place:?}, {hosts} hosts, {attempts}, every {interval_ms} ms");
+                loads.push((name, load));
+            }
+        }
+        loads.push((format!("{place:?}, small"), base.clone()));
+        let large = Load {
+            hosts: Load::large().hosts,
+            engines: Load::large().engines,
+            rate: Load::large().rate,
+            ..base
+        };
+        loads.push((format!("{place:?}, large"), large));
+    }
+    loads
+}
+
+/// Load of the pattern: a part that is followed by other parts crashes engines before the head of their
+/// response, rarely or often, at one host or many. It was withheld only after some 25 crashes, since
+/// each of the parts behind it might have been the cause of its crash.
+#[test]
+fn first_part_that_crashes_engines_early_is_withheld() {
+    for (name, load) in first_part_loads(&[Place::FirstBeforeUnique, Place::FirstBeforeCommon]) {
+        check(&name, &load);
+    }
+}
+
+/// Load of the pattern: the same, with one of three parts behind it that no other prompt has. Each of
+/// them may be a cause, as far as crashes tell.
+#[test]
+fn first_part_before_three_others_of_its_own_is_withheld() {
+    for (name, load) in first_part_loads(&[Place::FirstBefore(3)]) {
+        check(&name, &load);
+    }
+}
+
+/// Load of the pattern: one to three parts behind a common first one crash engines before the head of
+/// their response, so that the first part, which is sound, is in all crashes. It must not be withheld.
+#[test]
+fn sound_first_part_beside_causes_behind_it_is_served() {
+    for count in 1..=3 {
+        let parts = 666..666 + count;
+        let deadly: Vec<_> = parts.map(|p| (p, 0.02 / count as f64)).collect();
+        for load in [Load::small(), Load::large()] {
+            let load = Load {
+                deadly: deadly.clone(),
+                is_early: true,
+                ..load
+            };
+            for seed in SEEDS {
+                let withheld = play(&load, seed).withheld_sound;
+                let hosts = load.hosts;
+                assert_eq!(withheld, 0, "{count} parts, {hosts} hosts, seed {seed}");
+            }
+        }
+    }
+}
+
 /// Load of the pattern: the leader is lost before the part is found, or after. Hosts repeat what they
 /// know to the next one.
 #[test]
