A stream that ends without an event is a failed attempt

Cause: the end of a body without an error was taken for success, also where nothing but the connection ended it.

Change: an end before the first event is a failure between head and first event: recorded, repeated where the route allows it, else answered with 502, may have run.

What ends between two events without a length can't be told from a whole stream.

--- a/crates/router/src/blame.rs
+++ b/crates/router/src/blame.rs
@@ -255,8 +255,8 @@
     best
 }
 
-/// Returns a part that several requests have in common which nothing else explains: their prompts share
-/// no part further back that was not answered since, or too many different ones.
+/// Returns a part that others follow and that is the only thing in common of several requests that
+/// crashed upstreams: no few parts further back explain their crashes.
 fn find_only_common(
     records: &[&Record],
     cases: &collections::HashMap<u64, Case>,
@@ -278,15 +278,37 @@
 /// Parts that may be the cause of a crash.
 type Suspects = SmallVec<[u64; 4]>;
 
-/// Whether too many parts further back would have to be causes to explain the crashes of `first`. A
-/// request whose parts further back were all answered since counts as one of them.
+/// Whether too many parts further back would have to be causes to explain the crashes of `first`.
 fn has_many_causes(
     records: &[&Record],
     cases: &collections::HashMap<u64, Case>,
     first: u64,
 ) -> bool {
-    let case = &cases[&first];
-    let needed = MANY_CAUSES + case.answers;
+    let needed = MANY_CAUSES + cases[&first].answers;
+    let mut unexplained = suspects_behind(records, cases, first);
+    for _ in 0..needed {
+        let mut shares: collections::HashMap<u64, usize> = collections::HashMap::new();
+        for suspect in unexplained.iter().flatten() {
+            *shares.entry(*suspect).or_default() += 1;
+        }
+        match shares.into_iter().max_by_key(|(part, n)| (*n, *part)) {
+            Some((part, _)) => unexplained.retain(|s| !s.contains(&part)),
+            // Nothing behind `first` explains the remaining requests.
+            None if unexplained.pop().is_none() => return false,
+            None => {}
+        }
+    }
+    true
+}
+
+/// Returns the suspects further back for each request that crashed with `first`. Parts that were
+/// answered since are none. A request beside the cause breaks with the upstream, so those of other
+/// prompts with `first` at the same upstream count too.
+fn suspects_behind(
+    records: &[&Record],
+    cases: &collections::HashMap<u64, Case>,
+    first: u64,
+) -> Vec<Suspects> {
     let mut at_upstream: collections::HashMap<u64, Suspects> = collections::HashMap::new();
     let mut crashes: Vec<(u64, u64)> = Vec::new();
     for record in records {
@@ -294,42 +316,27 @@
         let Some(position) = crash.parts.iter().position(|p| *p == first) else {
             continue;
         };
-        if !case.requests.contains(&crash.request) {
+        let is_open = |part: &u64| {
+            let case = cases.get(part);
+            case.is_some_and(|c| c.requests.contains(&crash.request))
+        };
+        if !is_open(&first) {
             continue;
         }
         let suspects = at_upstream.entry(crash.upstream).or_default();
-        for part in &crash.parts[position + 1..] {
-            let other = cases.get(part);
-            if other.is_some_and(|c| c.requests.contains(&crash.request)) {
-                insert(suspects, *part);
-            }
+        for part in crash.parts[position + 1..].iter().filter(|p| is_open(p)) {
+            insert(suspects, *part);
         }
         crashes.push((crash.request, crash.upstream));
     }
-    // A request beside the cause breaks with the upstream, so the cause may be in another prompt.
-    let mut requests: collections::HashMap<u64, Suspects> = collections::HashMap::new();
+    let mut by_request: collections::HashMap<u64, Suspects> = collections::HashMap::new();
     for (request, upstream) in crashes {
-        let suspects = requests.entry(request).or_default();
+        let suspects = by_request.entry(request).or_default();
         for part in &at_upstream[&upstream] {
             insert(suspects, *part);
         }
     }
-    let mut unexplained: Vec<_> = requests.into_values().collect();
-    let mut count = 0;
-    while !unexplained.is_empty() && count < needed {
-        count += 1;
-        let mut shares: collections::HashMap<u64, usize> = collections::HashMap::new();
-        for suspect in unexplained.iter().flatten() {
-            *shares.entry(*suspect).or_default() += 1;
-        }
-        match shares.into_iter().max_by_key(|(part, n)| (*n, *part)) {
-            Some((part, _)) => unexplained.retain(|s| !s.contains(&part)),
-            None => {
-                unexplained.pop();
-            }
-        }
-    }
-    count == needed
+    by_request.into_values().collect()
 }
 
 /// Whether another part crashed nearly all upstreams that the part of `case` did, and more: the
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -234,10 +234,12 @@
                 host.fleet.borrow_mut().record_success(name, ratio, now);
                 return Ok(StartOutcome::Stream(Box::new((parts, source, event))));
             }
+            // An upstream that crashes after the head of a response without a length ends it like
+            // this, so no stream without events is taken for whole.
             NextEvent::End => {
-                source.stream.keep_connection();
-                let response = response::buffered(headers::response_parts(parts), Bytes::new());
-                return Ok(StartOutcome::Other(response));
+                drop(source);
+                retry::record_failure(host, call, history, attempt::Failure::Truncated, true);
+                return Ok(StartOutcome::Failed);
             }
             NextEvent::Failed(failure) => {
                 drop(source);
