The body of a stream is complete only where that is said

Cause: the body ended when its channel was closed. The task that forwards events gave up sending at the timeout, took the client for gone and dropped the channel without the message that aborts the body.

Change: Piece::End completes a body, sent in one place; a sender dropped without it aborts the body. What a client does not take in time is logged as caller_slow.

Conclusion: timeouts, panics and cancelled tasks can no longer make a stream look complete.

--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -21,13 +21,24 @@
 
 impl std::error::Error for BodyAborted {}
 
+/// Piece of a body that is sent as it is received from the upstream.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
+
 /// Body of a response to a client.
 #[derive(Debug)]
 pub enum Body {
     /// Body that is complete in memory; `None` for an empty body.
     Buffered(Option<Bytes>),
-    /// Body whose parts are sent as they are received from the upstream.
-    Stream(mpsc::Receiver<Result<Bytes, BodyAborted>>),
+    /// Body whose parts are sent as they are received from the upstream. Only [`Piece::End`] completes
+    /// it: if the sender is dropped without it, by a timeout, a panic or a cancelled task, the body is
+    /// aborted.
+    Stream(mpsc::Receiver<Piece>),
 }
 
 impl body::Body for Body {
@@ -40,7 +51,11 @@
     ) -> task::Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match &mut *self {
             Self::Buffered(bytes) => task::Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Stream(rx) => rx.poll_recv(cx).map(|m| m.map(|r| r.map(Frame::data))),
+            Self::Stream(rx) => rx.poll_recv(cx).map(|piece| match piece {
+                Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Piece::End) => None,
+                None => Some(Err(BodyAborted)),
+            }),
         }
     }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -4,7 +4,6 @@
 use std::rc;
 
 use base::{clock, refusal};
-use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use tokio::sync::mpsc;
 use tokio::{task, time};
@@ -100,7 +99,7 @@
     is_answered: bool,
     /// When the latest event was forwarded.
     last_forwarded: clock::Millis,
-    client: mpsc::Sender<Result<Bytes, response::BodyAborted>>,
+    client: mpsc::Sender<response::Piece>,
 }
 
 /// Serves a request whose response is a stream.
@@ -285,7 +284,16 @@
 
 impl Forwarder {
     async fn run(mut self, first: sse::Event) {
-        let end = self.forward_events(first).await;
+        let mut end = self.forward_events(first).await;
+        // Without `End` the client sees that the response is incomplete.
+        if end == "whole" {
+            if let Some(source) = self.source.take() {
+                source.stream.keep_connection();
+            }
+            if !self.send(response::Piece::End).await {
+                end = self.unsent_end();
+            }
+        }
         let status = http::StatusCode::OK.as_u16();
         let first_latency = Some(self.first_latency);
         retry::log_request(
@@ -296,18 +304,6 @@
             status,
             first_latency,
         );
-        match end {
-            "whole" => {
-                if let Some(source) = self.source {
-                    source.stream.keep_connection();
-                }
-            }
-            "caller_gone" => {}
-            // Ending the body with an error tells the client that the response is incomplete.
-            _ => {
-                let _ = self.client.send(Err(response::BodyAborted)).await;
-            }
-        }
     }
 
     /// Forwards events until the stream ends. Returns the text that the request's log line gives as
@@ -316,7 +312,7 @@
         let mut event = first;
         loop {
             if !self.forward(event).await {
-                return "caller_gone";
+                return self.unsent_end();
             }
             event = match self.next_event().await {
                 Ok(event) => event,
@@ -335,8 +331,22 @@
             self.record_answer();
         }
         self.last_forwarded = now;
-        let remaining = self.call.finish_by.since(now);
-        let sending = time::timeout(remaining.duration(), self.client.send(Ok(event.bytes)));
+        self.send(response::Piece::Data(event.bytes)).await
+    }
+
+    /// Why a piece of the body could not be sent, as the text that the log line gives.
+    fn unsent_end(&self) -> &'static str {
+        if self.client.is_closed() {
+            "caller_gone"
+        } else {
+            "caller_slow"
+        }
+    }
+
+    /// Sends a piece of the body to the client. Returns whether the client accepted it in time.
+    async fn send(&self, piece: response::Piece) -> bool {
+        let remaining = self.call.finish_by.since(self.host.now());
+        let sending = time::timeout(remaining.duration(), self.client.send(piece));
         matches!(sending.await, Ok(Ok(())))
     }
 
