--- a/crates/router/src/blame.rs
+++ b/crates/router/src/blame.rs
@@ -86,7 +86,8 @@
     pub is_last: bool,
     /// Number of crashes before the latest answer.
     pub refuted: usize,
-    /// Points for requests that crashed a second upstream at once; see [`REPEAT_POINTS`].
+    /// Points for requests that crashed a second upstream at once. They count only where the part is the
+    /// one thing that the requests have in common.
     pub repeat_points: i32,
     moment: Option<Moment>,
 }
