A resumed reporter trims nothing by a window that was reported long ago

Callers saw: complete responses that were never billed.

Cause: a window is sealed by creating its header if it is absent, and the headers of windows that were reported two windows ago are removed. A host that is suspended between its reads of the store and the sealing, for longer than that, creates the header of its old number anew, with entries that no window of the others contains yet, and trims the journals by it. Its report is not sent, as its term is over, so the entries are lost.

Change: after the header is written, the number of the last reported window is written again under the revision that was read at the beginning. If another host has reported since, this fails, and nothing is trimmed or sent. Removing old windows also removes such leftover headers.

--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -24,6 +24,8 @@
 const PAGE_ENTRIES: usize = 256;
 /// Number of reported windows that are kept in the store.
 const KEPT_WINDOWS: u64 = 2;
+/// Maximum number of windows that are removed after each report.
+const MAX_REMOVED_WINDOWS: usize = 4;
 /// Maximum number of lines in a part; such a part stays well under the largest value of the store.
 const MAX_PART_LINES: usize = 4_000;
 /// Time since the last write at which a journal without pending entries is removed.
@@ -101,21 +103,30 @@
             continue;
         }
         checked_at = now;
-        if let Err(e) = seal_and_report(context, reports, term) {
+        let window = settings.durations.usage_window;
+        let unix_time = context.clock.unix_time();
+        let store = &*context.store;
+        if let Err(e) = seal_and_report(store, window, unix_time, reports, term) {
             tracing::debug!(event = "usage_not_reported", error = %e);
         }
     }
     leader.release();
 }
 
-/// Seals a window if it is due, and reports all sealed windows that have not been reported, in
-/// their order.
-fn seal_and_report(
-    context: &context::Context,
+/// Seals a window if the last one was sealed at least `usage_window` before the Unix time `now`,
+/// and reports all sealed windows that have not been reported, in their order.
+///
+/// # Errors
+///
+/// Returns the error of the store; the next call goes on where this one ended. `Conflict` means
+/// that another host has reported windows meanwhile.
+pub fn seal_and_report(
+    store: &dyn store::Store,
+    usage_window: clock::Millis,
+    now: clock::Millis,
     reports: &dyn reports::ReportSender,
     term: orders::Term,
 ) -> Result<(), store::Error> {
-    let store = &*context.store;
     let (mut reported, mut expected) = match store.get(REPORTED_KEY)? {
         Some(e) => (parse_number(&e), store::Expect::Revision(e.revision)),
         None => (0, store::Expect::Absent),
@@ -127,8 +138,12 @@
         (None, None) if reported == 0 => WindowHeader::default(),
         (None, None) => return Err(store::Error::Unknown),
     };
-    if let Some(header) = seal(context, &last)? {
-        trim_journals(context, &header)?;
+    let is_due = now.since(clock::Millis(last.sealed_ms)) >= usage_window;
+    if is_due && let Some(header) = seal(store, &last, now)? {
+        // The header may be one that this call created anew after others had reported its window
+        // and removed it. Nothing may be trimmed or sent by that one.
+        expected = store_reported(store, reported, expected)?;
+        trim_journals(store, &header, now)?;
         unreported.push(header);
     }
     for header in unreported {
@@ -136,16 +151,23 @@
             return Ok(());
         }
         reported = header.number;
-        expected = store::Expect::Revision(store.put(
-            REPORTED_KEY,
-            reported.to_string().as_bytes(),
-            expected,
-        )?);
+        expected = store_reported(store, reported, expected)?;
         remove_old_windows(store, reported)?;
     }
     Ok(())
 }
 
+/// Writes the number of the last reported window, unless another host has written it since
+/// `expected`. Returns the precondition of the next write.
+fn store_reported(
+    store: &dyn store::Store,
+    reported: u64,
+    expected: store::Expect,
+) -> Result<store::Expect, store::Error> {
+    let revision = store.put(REPORTED_KEY, reported.to_string().as_bytes(), expected)?;
+    Ok(store::Expect::Revision(revision))
+}
+
 /// Lists the headers of the sealed windows after window `reported`, in their order.
 fn list_unreported(
     store: &dyn store::Store,
@@ -192,17 +214,13 @@
     serde_json::from_slice(e.bytes()).map_err(|_| store::Error::Unknown)
 }
 
-/// Seals the window after `previous` if it is due and has any usage. Returns its header in the
-/// store, which may be that of another host.
+/// Seals the window after `previous` if it has any usage. Returns its header in the store, which
+/// may be that of another host.
 fn seal(
-    context: &context::Context,
+    store: &dyn store::Store,
     previous: &WindowHeader,
+    now: clock::Millis,
 ) -> Result<Option<WindowHeader>, store::Error> {
-    let store = &*context.store;
-    let now = context.clock.unix_time();
-    if now.since(clock::Millis(previous.sealed_ms)) < context.settings.durations.usage_window {
-        return Ok(None);
-    }
     let journals: Vec<_> = list_journals(store)?
         .into_iter()
         .map(|(journal, _)| journal)
@@ -272,22 +290,27 @@
     }
 }
 
-/// Removes the window that was reported `KEPT_WINDOWS` windows before `reported`.
+/// Removes windows that were reported `KEPT_WINDOWS` windows or more before `reported`.
 fn remove_old_windows(store: &dyn store::Store, reported: u64) -> Result<(), store::Error> {
-    let Some(expired) = reported.checked_sub(KEPT_WINDOWS) else {
-        return Ok(());
-    };
-    store.delete(&window_key(expired), store::Expect::Any)?;
-    for part in store.list(&part_prefix(expired), "", PAGE_ENTRIES)? {
-        store.delete(&part.key, store::Expect::Any)?;
+    for header in store.list(WINDOW_PREFIX, "", MAX_REMOVED_WINDOWS)? {
+        let number = read_header(&header)?.number;
+        if number + KEPT_WINDOWS > reported {
+            break;
+        }
+        for part in store.list(&part_prefix(number), "", PAGE_ENTRIES)? {
+            store.delete(&part.key, store::Expect::Any)?;
+        }
+        store.delete(&header.key, store::Expect::Any)?;
     }
     Ok(())
 }
 
 /// Removes the entries of a sealed window from the journals, and removes expired journals.
-fn trim_journals(context: &context::Context, sealed: &WindowHeader) -> Result<(), store::Error> {
-    let store = &*context.store;
-    let now = context.clock.unix_time();
+fn trim_journals(
+    store: &dyn store::Store,
+    sealed: &WindowHeader,
+    now: clock::Millis,
+) -> Result<(), store::Error> {
     for (journal, revision) in list_journals(store)? {
         let key = ledger::journal_key(&journal.incarnation);
         let expected = store::Expect::Revision(revision);
