What a host holds for requests and responses is bounded as a sum

The host went over the memory of its machine within seconds, was killed, and requests that sound engines were running got no answer.

Cause: each body, event and head had a limit of its own and their sum had none. A server error counted as a failure only when its body had ended, so more requests were sent there meanwhile.

Change: `memory.rs` accounts for what is held, with a bound on the sum (`--held-mb`, by default a third of the machine's memory). A holder may grow while it holds no more than what is left free, so the largest are stopped first and small ones find room. At the bound, requests that are still being received are refused (503 `host_full`, not run, Retry-After), growing responses fail their attempt, and events for slow clients wait. A server error counts when its head is there, and 64 kB of its body are kept at most. Heads and reads from upstreams are limited to 64 kB.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -72,7 +72,8 @@
     TooLarge = "too_large", 413;
     /// The client sent its request body too slowly or stopped before its end.
     SlowCaller = "slow_caller", 408;
-    /// The host already serves its maximum number of concurrent requests.
+    /// The host already serves as many concurrent requests, or holds as many of their bytes, as it
+    /// can.
     HostFull = "host_full", 503;
     /// The latency target of the request class can no longer be met.
     TargetMissed = "target_missed", 503;
--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -23,6 +23,9 @@
         cmd platform {
             /// Path of the settings file; defaults to the value of JACINTHSLIP_CONFIG.
             optional --settings file: PathBuf
+            /// Bytes of all requests and responses that are held at the same time, in MB; defaults to
+            /// a third of the machine's memory.
+            optional --held-mb mb: u32
             /// Check the settings file, report all errors and exit.
             optional --check
         }
@@ -59,6 +62,7 @@
 #[derive(Debug)]
 pub struct Platform {
     pub settings: Option<PathBuf>,
+    pub held_mb: Option<u32>,
     pub check: bool,
 }
 
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -22,7 +22,7 @@
         );
         return exit_codes::ExitCode::Usage;
     };
-    let settings = match settings::read(&file) {
+    let mut settings = match settings::read(&file) {
         Ok(settings) => settings,
         Err(diagnostics) => {
             eprintln!("{diagnostics}");
@@ -33,6 +33,14 @@
         println!("{}: no fault found", file.display());
         return exit_codes::ExitCode::Success;
     }
+    match args.held_mb {
+        None => {}
+        Some(0) => {
+            eprintln!("jacinthslip: --held-mb 0 leaves no memory for requests. Give 1 or more.");
+            return exit_codes::ExitCode::Usage;
+        }
+        Some(mb) => settings.host.held_bytes = mb as usize * 1_000_000,
+    }
     let _logs = logs::start();
     match serve(settings, &file) {
         Ok(()) => exit_codes::ExitCode::Success,
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -5,11 +5,13 @@
 
 use base::{clock, hash, name};
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::Full;
 use hyper::body;
 use tokio::time;
 
-use crate::{crash_log, host, http_client, model, ports, selection, stream_class};
+use crate::{
+    bodies, crash_log, headers, host, http_client, model, ports, response, selection, stream_class,
+};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(300);
@@ -21,6 +23,10 @@
 const REFUSAL_BODY_TIMEOUT: clock::Millis = clock::Millis(20);
 /// Maximum size of a response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Maximum size of the body of a server error that is kept for the client, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+/// Time limit for reading the body of a server error if another attempt may be made.
+const ERROR_BODY_TIMEOUT: clock::Millis = clock::Millis(20);
 
 /// A client's request after routing and authentication, ready to be sent to an upstream.
 #[derive(Debug)]
@@ -91,6 +97,8 @@
     Stalled,
     /// The response ended before it was complete, or could not be parsed.
     Truncated,
+    /// The response is larger than the host can hold.
+    TooLarge,
     /// A part of the prompt was found to crash upstreams while the attempt waited for its answer.
     Withheld,
     /// A stream contains bytes that are none of its events.
@@ -112,6 +120,7 @@
             Self::Timeout => "slow",
             Self::Stalled => "silent",
             Self::Truncated => "broken",
+            Self::TooLarge => "too_large",
             Self::Withheld => "withheld",
             Self::NotAnEvent => "not_an_event",
             Self::ServerError => "failed",
@@ -152,11 +161,44 @@
         self,
         timeout: clock::Millis,
     ) -> Result<(http::response::Parts, Bytes, InFlight), Failure> {
-        let limited = http_body_util::Limited::new(self.body, MAX_RESPONSE_BYTES);
-        let bytes = match time::timeout(timeout.duration(), limited.collect()).await {
+        self.read_limited(timeout, MAX_RESPONSE_BYTES).await
+    }
+
+    /// Reads the body of a server error and builds the response that the client gets if no attempt
+    /// succeeds. With `may_retry`, the body is given up soon, so that it does not delay the next
+    /// attempt.
+    ///
+    /// # Errors
+    ///
+    /// The body ended early, is too large, or did not arrive in time.
+    pub async fn read_error_body(
+        self,
+        timeout: clock::Millis,
+        may_retry: bool,
+    ) -> Result<response::Response, Failure> {
+        let timeout = if may_retry {
+            timeout.min(ERROR_BODY_TIMEOUT)
+        } else {
+            timeout
+        };
+        let (parts, bytes, _) = self.read_limited(timeout, MAX_ERROR_BYTES).await?;
+        Ok(response::buffered(headers::response_parts(parts), bytes))
+    }
+
+    async fn read_limited(
+        self,
+        timeout: clock::Millis,
+        max_bytes: usize,
+    ) -> Result<(http::response::Parts, Bytes, InFlight), Failure> {
+        let memory = self.in_flight.host.memory.clone();
+        let reading = bodies::read(self.body, max_bytes, &memory);
+        let bytes = match time::timeout(timeout.duration(), reading).await {
             Err(_) => return Err(Failure::Timeout),
-            Ok(Err(_)) => return Err(Failure::Truncated),
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(bodies::Error::Broken)) => return Err(Failure::Truncated),
+            Ok(Err(bodies::Error::TooLarge | bodies::Error::Exhausted)) => {
+                return Err(Failure::TooLarge);
+            }
+            Ok(Ok(bytes)) => bytes,
         };
         self.in_flight.keep_connection(self.conn, &self.meta);
         Ok((self.parts, bytes, self.in_flight))
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget, crash_log, fleet, freshness, http_client, location, membership, metrics, model, ports,
-    quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
+    budget, crash_log, fleet, freshness, http_client, location, membership, memory, metrics, model,
+    ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -32,6 +32,8 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Address at which metrics are served.
     pub metrics_address: net::SocketAddr,
+    /// Limit of the bytes held for all requests and responses together.
+    pub held_bytes: usize,
     /// Limit on the retries of each service.
     pub retry_limit: budget::RetryLimit,
     /// Deadlines and periods given by the platform.
@@ -107,6 +109,8 @@
     pub upstreams_listed: cell::Cell<bool>,
     /// Idle connections to upstreams.
     pub pool: http_client::Pool,
+    /// Memory for requests and responses.
+    pub memory: memory::Budget,
     /// Retry budgets by service.
     pub retry_budgets: cell::RefCell<collections::HashMap<name::Service, budget::RetryBudget>>,
     /// Counts of requests that began, by usage window.
@@ -154,6 +158,7 @@
     pub fn new(settings: Settings, dependencies: Dependencies) -> eyre::Result<Self> {
         let location = settings.location.clone();
         let change_deadline = settings.timing.change_deadline;
+        let memory = memory::Budget::new(settings.held_bytes);
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
@@ -166,6 +171,8 @@
             fleet: cell::RefCell::new(fleet::Fleet::new(location, change_deadline)),
             upstreams_listed: cell::Cell::new(false),
             pool: http_client::Pool::default(),
+            metrics: metrics::Metrics::new(&memory)?,
+            memory,
             retry_budgets: cell::RefCell::default(),
             usage_counter: cell::RefCell::default(),
             demand: cell::RefCell::default(),
@@ -180,7 +187,6 @@
             store_health: store_watch::StoreHealth::default(),
             leader: cell::Cell::new(None),
             is_leader: cell::Cell::new(false),
-            metrics: metrics::Metrics::new()?,
             phase: watch::Sender::new(Phase::Serving),
             shutdown: cell::Cell::new(None),
             open_connections: cell::Cell::new(0),
--- a/crates/router/src/http_client.rs
+++ b/crates/router/src/http_client.rs
@@ -22,6 +22,8 @@
 const IDLE_MARGIN: clock::Millis = clock::Millis(500);
 /// Time for which an idle connection is kept if the server announces no idle timeout.
 const DEFAULT_IDLE_TIMEOUT: clock::Millis = clock::Millis(4_000);
+/// Limit of a response head, and of the body bytes read at a time.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Time for a pooled connection to become ready for the next request.
 const READY_TIMEOUT: clock::Millis = clock::Millis(20);
 
@@ -70,7 +72,10 @@
             tracing::warn!(event = "socket_option", %address, error = %e);
         }
         let io = rt::TokioIo::new(stream);
-        let handshake = http1::Builder::new().handshake(io).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(io)
+            .await;
         let Ok((sender, connection)) = handshake else {
             return Err(OpenError::Refused);
         };
--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt as util;
 use tokio::{net as tokio_net, task as tokio_task, time};
 
-use crate::{framing, host, response, serve};
+use crate::{framing, host, memory, response, serve};
 
 /// Delay after a connection could not be accepted, as when the process has no free file
 /// descriptors.
@@ -56,16 +56,19 @@
     receiving_since: cell::Cell<Option<clock::Millis>>,
     /// Scanner of the request head that is being received.
     head_scanner: cell::RefCell<framing::HeadScanner>,
+    /// Memory of the request head, until the end of the request.
+    head_hold: cell::RefCell<memory::Hold>,
     clock: clock::Clock,
 }
 
 impl ConnectionActivity {
-    fn new(clock: clock::Clock) -> Self {
+    fn new(clock: clock::Clock, memory: &memory::Budget) -> Self {
         Self {
             in_flight: cell::Cell::new(0),
             idle_since: cell::Cell::new(clock.now()),
             receiving_since: cell::Cell::new(None),
             head_scanner: cell::RefCell::default(),
+            head_hold: cell::RefCell::new(memory.open()),
             clock,
         }
     }
@@ -81,16 +84,22 @@
     fn end_request(&self) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.idle_since.set(self.clock.now());
+        // Shrinking never fails.
+        let _ = self.head_hold.borrow_mut().resize(0);
     }
 
-    fn record_bytes(&self, bytes: &[u8]) {
+    /// Records bytes of a request head. Fails if there is no memory for them.
+    fn record_bytes(&self, bytes: &[u8]) -> io::Result<()> {
         if self.in_flight.get() > 0 || bytes.is_empty() {
-            return;
+            return Ok(());
         }
+        let grown = self.head_hold.borrow_mut().grow(bytes.len());
+        grown.map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))?;
         self.head_scanner.borrow_mut().push(bytes);
         if self.receiving_since.get().is_none() {
             self.receiving_since.set(Some(self.clock.now()));
         }
+        Ok(())
     }
 
     /// Whether a request head, or the next request, has not arrived in time.
@@ -122,7 +131,7 @@
         let capacity = buf.remaining().min(MAX_READ_BYTES);
         let mut received = rt::ReadBuf::new(&mut bytes[..capacity]);
         task::ready!(pin::Pin::new(&mut self.io).poll_read(cx, received.unfilled()))?;
-        self.activity.record_bytes(received.filled());
+        self.activity.record_bytes(received.filled())?;
         buf.put_slice(received.filled());
         task::Poll::Ready(Ok(()))
     }
@@ -204,7 +213,7 @@
     }
     let limits = host.current_config().map(|c| c.limits);
     let max_head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes);
-    let activity = rc::Rc::new(ConnectionActivity::new(host.clock.clone()));
+    let activity = rc::Rc::new(ConnectionActivity::new(host.clock.clone(), &host.memory));
     let io = MonitoredSocket {
         io: util::TokioIo::new(stream),
         activity: activity.clone(),
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::metrics as sdk;
 
+use crate::memory;
+
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] = [
     1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 64.0, 100.0, 200.0, 400.0, 670.0, 1_000.0, 5_000.0, 30_000.0,
@@ -25,12 +27,13 @@
 }
 
 impl Metrics {
-    /// Registers every instrument. Each refusal reason is exported as zero from the start.
+    /// Registers every instrument. Each refusal reason is exported as zero from the start. The bytes
+    /// held of `memory` are exported as a gauge.
     ///
     /// # Errors
     ///
     /// The Prometheus exporter cannot be built.
-    pub fn new() -> eyre::Result<Self> {
+    pub fn new(memory: &memory::Budget) -> eyre::Result<Self> {
         let registry = prometheus::Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -46,6 +49,11 @@
                 .with_boundaries(LATENCY_BOUNDS_MS.to_vec());
             h.with_unit("ms").build()
         };
+        let memory = memory.clone();
+        meter
+            .u64_observable_gauge("held_bytes")
+            .with_callback(move |gauge| gauge.observe(memory.held() as u64, &[]))
+            .build();
         let instruments = Self {
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -3,11 +3,12 @@
 use std::rc;
 
 use base::{clock, refusal};
-use http_body_util::BodyExt as _;
 use hyper::body;
 use tokio::time;
 
-use crate::{attempt, headers, host, model, reports, response, retry, stream, stream_class};
+use crate::{
+    attempt, bodies, headers, host, model, reports, response, retry, stream, stream_class,
+};
 
 /// Suggested delay before a client retries when the host is stopping or no upstream ran the
 /// request.
@@ -97,15 +98,17 @@
         Ok(meta) => meta,
         Err(_) => return Err(refuse("", refusal::Reason::BadRequest)),
     };
+    let refuse_for_now = |id: &str, reason, delay| Rejection {
+        id: id.to_owned(),
+        refusal: refusal::Refusal::not_run(reason).with_retry_after(delay),
+    };
     if !host.accepts_requests() {
-        let mut rejection = refuse(&meta.id, refusal::Reason::Stopping);
-        rejection.refusal = rejection.refusal.with_retry_after(RETRY_AFTER_DELAY);
-        return Err(rejection);
+        let reason = refusal::Reason::Stopping;
+        return Err(refuse_for_now(&meta.id, reason, RETRY_AFTER_DELAY));
     }
     let Some(config) = host.current_config() else {
-        let mut rejection = refuse(&meta.id, refusal::Reason::NotReady);
-        rejection.refusal = rejection.refusal.with_retry_after(NOT_READY_RETRY_DELAY);
-        return Err(rejection);
+        let reason = refusal::Reason::NotReady;
+        return Err(refuse_for_now(&meta.id, reason, NOT_READY_RETRY_DELAY));
     };
     let route =
         find_route(&config, &parts).ok_or_else(|| refuse(&meta.id, refusal::Reason::NotFound))?;
@@ -116,9 +119,12 @@
     if config.keys_required && !route.public && team.is_none() {
         return Err(refuse(&meta.id, refusal::Reason::BadKey));
     }
-    let body = read_body(body, &config.limits)
+    let body = read_body(host, body, &config.limits)
         .await
-        .map_err(|reason| refuse(&meta.id, reason))?;
+        .map_err(|reason| match reason {
+            refusal::Reason::HostFull => refuse_for_now(&meta.id, reason, RETRY_AFTER_DELAY),
+            _ => refuse(&meta.id, reason),
+        })?;
     let client_deadline = received_at + meta.timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
     let finish_by =
         (received_at + route.timeout).min(clock::Millis(client_deadline.since(RESPONSE_MARGIN).0));
@@ -159,15 +165,17 @@
 }
 
 async fn read_body(
+    host: &host::Host,
     body: body::Incoming,
     limits: &model::Limits,
 ) -> Result<bytes::Bytes, refusal::Reason> {
-    let limited = http_body_util::Limited::new(body, limits.body_bytes);
-    match time::timeout(limits.idle_timeout.duration(), limited.collect()).await {
+    let reading = bodies::read(body, limits.body_bytes, &host.memory);
+    match time::timeout(limits.idle_timeout.duration(), reading).await {
         Err(_) => Err(refusal::Reason::SlowCaller),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(refusal::Reason::TooLarge),
-        Ok(Err(_)) => Err(refusal::Reason::BadRequest),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(bodies::Error::TooLarge)) => Err(refusal::Reason::TooLarge),
+        Ok(Err(bodies::Error::Exhausted)) => Err(refusal::Reason::HostFull),
+        Ok(Err(bodies::Error::Broken)) => Err(refusal::Reason::BadRequest),
+        Ok(Ok(bytes)) => Ok(bytes),
     }
 }
 
@@ -210,6 +218,7 @@
         };
         let sent_at = host.now();
         let timeout = retry::attempt_timeout(host, call, history);
+        let remaining = || clock::Millis(timeout.since(host.now().since(sent_at)).0);
         let stall_timeout = retry::stall_timeout(host, call, history, PLAIN_STALL_SHARE);
         let attempt = attempt::send(
             host,
@@ -219,44 +228,50 @@
             timeout,
             stall_timeout,
         );
+        let may_retry = retry::may_retry(host, call, history);
+        let mut error_head = None;
         let (failure, possibly_ran) = match attempt.await {
             attempt::Outcome::NotRun(failure) => (failure, false),
             attempt::Outcome::MayHaveRun(failure) => {
                 count_started(host, call, sent_at);
                 (failure, true)
             }
+            attempt::Outcome::Response(head) if head.parts.status.is_server_error() => {
+                count_started(host, call, sent_at);
+                error_head = Some(head);
+                (attempt::Failure::ServerError, true)
+            }
             attempt::Outcome::Response(head) => {
                 count_started(host, call, sent_at);
-                let remaining = clock::Millis(timeout.since(host.now().since(sent_at)).0);
-                match head.read_body(remaining).await {
+                match head.read_body(remaining()).await {
                     Err(failure) => (failure, true),
                     Ok((parts, bytes, in_flight)) => {
                         let status = parts.status;
                         let name = in_flight.selection.name.clone();
                         drop(in_flight);
                         let response = response::buffered(headers::response_parts(parts), bytes);
-                        if !status.is_server_error() {
-                            host.fleet
-                                .borrow_mut()
-                                .record_success(&name, 1.0, host.now());
-                            let first_latency = host.now().since(call.received_at);
-                            retry::log_request(
-                                host,
-                                call,
-                                history,
-                                "whole",
-                                status.as_u16(),
-                                Some(first_latency),
-                            );
-                            return response;
-                        }
-                        error_response = Some(response);
-                        (attempt::Failure::ServerError, true)
+                        host.fleet
+                            .borrow_mut()
+                            .record_success(&name, 1.0, host.now());
+                        let first_latency = host.now().since(call.received_at);
+                        retry::log_request(
+                            host,
+                            call,
+                            history,
+                            "whole",
+                            status.as_u16(),
+                            Some(first_latency),
+                        );
+                        return response;
                     }
                 }
             }
         };
         retry::record_failure(host, call, history, failure, possibly_ran);
+        if let Some(head) = error_head {
+            let read = head.read_error_body(remaining(), may_retry).await;
+            error_response = read.ok().or(error_response);
+        }
         if possibly_ran && !call.route.is_retryable() || host.now() >= call.finish_by {
             break refusal::Reason::UpstreamFailed;
         }
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -23,9 +23,14 @@
     }
 }
 
-/// An event is too long or its id is not a number; the rest of the stream can't be parsed.
+/// Why the rest of a stream can't be parsed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct InvalidEvent;
+pub enum InvalidEvent {
+    /// An event is too long.
+    TooLong,
+    /// The id of an event is not a number.
+    BadId,
+}
 
 /// Buffers received bytes until they form a complete event.
 #[derive(Debug, Default)]
@@ -54,7 +59,7 @@
         let Some(offset) = end else {
             self.scanned = self.buffer.len();
             if self.scanned > MAX_EVENT_BYTES {
-                return Err(InvalidEvent);
+                return Err(InvalidEvent::TooLong);
             }
             return Ok(None);
         };
@@ -67,6 +72,11 @@
         Ok(Some(Event { bytes, id }))
     }
 
+    /// Number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds the beginning of an incomplete event.
     pub fn is_partial(&self) -> bool {
         self.buffer.has_remaining()
@@ -78,8 +88,12 @@
         let Some(value) = line.strip_prefix(b"id:") else {
             continue;
         };
-        let text = std::str::from_utf8(value).map_err(|_| InvalidEvent)?;
-        return text.trim().parse().map(Some).map_err(|_| InvalidEvent);
+        let text = std::str::from_utf8(value).map_err(|_| InvalidEvent::BadId)?;
+        return text
+            .trim()
+            .parse()
+            .map(Some)
+            .map_err(|_| InvalidEvent::BadId);
     }
     Ok(None)
 }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -4,16 +4,20 @@
 use std::rc;
 
 use base::{clock, refusal};
+use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
 use crate::{
-    attempt, crash_log, headers, host, prompt_evidence, reports, response, retry, serve, sse,
+    attempt, crash_log, headers, host, memory, prompt_evidence, reports, response, retry, serve,
+    sse,
 };
 
 /// Number of events buffered for a client that reads too slowly.
 const EVENT_QUEUE_CAPACITY: usize = 16;
+/// Time between two attempts to get memory for an event.
+const HOLD_RETRY_DELAY: clock::Millis = clock::Millis(20);
 /// Minimum time without data from an upstream after which a stream is resumed elsewhere.
 const MIN_STALL_TIMEOUT: clock::Millis = clock::Millis(500);
 /// Delay before a broken stream is resumed, so that other upstreams that fail at the same moment
@@ -29,6 +33,8 @@
 struct EventSource {
     stream: attempt::RunningStream,
     parser: sse::Parser,
+    /// Memory of the bytes in the parser.
+    hold: memory::Hold,
 }
 
 /// Result of waiting for the next event.
@@ -46,9 +52,14 @@
         timeout: clock::Millis,
         stall_timeout: clock::Millis,
     ) -> NextEvent {
-        let in_flight = &self.stream.in_flight;
+        let Self {
+            stream,
+            parser,
+            hold,
+        } = self;
+        let in_flight = &stream.in_flight;
         tokio::select! {
-            next = read_event(&mut self.stream.body, &mut self.parser, in_flight) => next,
+            next = read_event(&mut stream.body, parser, hold, in_flight) => next,
             () = time::sleep(timeout.duration()) => NextEvent::Failed(attempt::Failure::Timeout),
             () = in_flight.wait_for_stall(stall_timeout) => {
                 NextEvent::Failed(attempt::Failure::Stalled)
@@ -61,13 +72,19 @@
 async fn read_event(
     body: &mut hyper::body::Incoming,
     parser: &mut sse::Parser,
+    hold: &mut memory::Hold,
     in_flight: &attempt::InFlight,
 ) -> NextEvent {
     loop {
         match parser.next_event() {
             Ok(Some(event)) => return NextEvent::Event(event),
             Ok(None) => {}
-            Err(sse::InvalidEvent) => return NextEvent::Failed(attempt::Failure::Truncated),
+            Err(sse::InvalidEvent::TooLong) => {
+                return NextEvent::Failed(attempt::Failure::TooLarge);
+            }
+            Err(sse::InvalidEvent::BadId) => {
+                return NextEvent::Failed(attempt::Failure::Truncated);
+            }
         }
         match body.frame().await {
             Some(Ok(frame)) => {
@@ -75,6 +92,9 @@
                 if let Some(data) = frame.data_ref() {
                     parser.push(data);
                 }
+                if hold.resize(parser.buffered_bytes()).is_err() {
+                    return NextEvent::Failed(attempt::Failure::TooLarge);
+                }
             }
             Some(Err(_)) => return NextEvent::Failed(attempt::Failure::Truncated),
             None if parser.is_partial() => {
@@ -197,23 +217,29 @@
             }
         };
     let remaining = || clock::Millis(timeout.since(host.now().since(sent_at)).0);
+    if head.parts.status.is_server_error() {
+        let may_retry = retry::may_retry(host, call, history);
+        retry::record_failure(host, call, history, attempt::Failure::ServerError, true);
+        let read = head.read_error_body(remaining(), may_retry).await;
+        return Ok(read.map_or(StartOutcome::Failed, StartOutcome::Other));
+    }
     if !head.parts.status.is_success() {
-        let response = match head.read_body(remaining()).await {
-            Ok((parts, bytes, _)) => response::buffered(headers::response_parts(parts), bytes),
+        return Ok(match head.read_body(remaining()).await {
+            Ok((parts, bytes, _)) => {
+                let parts = headers::response_parts(parts);
+                StartOutcome::Other(response::buffered(parts, bytes))
+            }
             Err(failure) => {
                 retry::record_failure(host, call, history, failure, true);
-                return Ok(StartOutcome::Failed);
+                StartOutcome::Failed
             }
-        };
-        if response.status().is_server_error() {
-            retry::record_failure(host, call, history, attempt::Failure::ServerError, true);
-        }
-        return Ok(StartOutcome::Other(response));
+        });
     }
     let (parts, stream) = head.into_stream();
     let mut source = EventSource {
         stream,
         parser: sse::Parser::default(),
+        hold: host.memory.open(),
     };
     loop {
         match source.next_event(remaining(), stall_timeout).await {
@@ -331,7 +357,23 @@
             self.record_answer();
         }
         self.last_forwarded = now;
-        self.send(response::Piece::Data(event.bytes)).await
+        match self.hold(event.bytes).await {
+            Some(bytes) => self.send(response::Piece::Data(bytes)).await,
+            None => false,
+        }
+    }
+
+    /// Waits until there is memory for bytes that the client has yet to read. Returns `None` if there
+    /// is none in time.
+    async fn hold(&self, bytes: Bytes) -> Option<Bytes> {
+        let mut hold = self.host.memory.open();
+        while hold.grow(bytes.len()).is_err() {
+            if self.client.is_closed() || self.host.now() >= self.call.finish_by {
+                return None;
+            }
+            time::sleep(HOLD_RETRY_DELAY.duration()).await;
+        }
+        Some(hold.attach(bytes))
     }
 
     /// Why a piece of the body could not be sent, as the text that the log line gives.
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -360,6 +360,7 @@
         peer_address: ([127, 0, 0, 1], peer).into(),
         seeds: Vec::new(),
         metrics_address: any_address,
+        held_bytes: 64 << 20,
         retry_limit: budget::RetryLimit {
             ratio: 0.2,
             base_retries: 50.0,
