An announced leaving holds for the process that said it, listed or not

Cause: what a response says of its upstream was recorded by looking its process up in the list, and passed over if the upstream was not listed at that moment.

Change: the selection carries the process that the request is sent to, and the announcement is recorded for that one. So it can't be taken for that of the next process of the same name either.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -398,7 +398,8 @@
     Some(request)
 }
 
-/// Records what the upstream says of itself in a response to this host.
+/// Records what the upstream says of itself in a response to this host. It holds for the process that
+/// the request was sent to, also if that is no longer listed: its entry may come back.
 fn record_announcements(
     host: &host::Host,
     selection: &selection::Selection,
@@ -407,11 +408,8 @@
 ) {
     let now = host.now();
     let upstream = &selection.name;
+    let process = selection.process;
     let mut fleet = host.fleet.borrow_mut();
-    // An upstream that is not listed any more gets no requests anyway.
-    let Some(process) = fleet.get(upstream).map(|t| t.process()) else {
-        return;
-    };
     let announcements = &mut fleet.announcements;
     if meta.leaving && announcements.record_leaving(process, now) {
         host.pool.close_idle(selection.address);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -276,6 +276,7 @@
         Some(selection::Selection {
             details,
             name: tracked.upstream.name.clone(),
+            process: tracked.process(),
             address: tracked.upstream.address,
             unread_tokens,
             base_latency: clock::Millis(base_latency_ms as u64),
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -39,6 +39,8 @@
 pub struct Selection {
     /// Name of the selected upstream.
     pub name: name::Upstream,
+    /// Identifies the process of the upstream, see [`crate::tracked::TrackedUpstream::process`].
+    pub process: u64,
     /// Address on which the selected upstream accepts connections.
     pub address: std::net::SocketAddr,
     /// Prompt tokens that the upstream is expected to process, excluding a cached prefix.
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -282,6 +282,7 @@
     let mut fleet = fleet(1);
     let selection = selection::Selection {
         name: "u0".into(),
+        process: 0,
         address: ([10, 0, 0, 0], 80).into(),
         unread_tokens: 5,
         base_latency: clock::Millis(50),
