Ambiguous request heads are found wherever they stand on a connection

Callers saw: a request with both a length and a transfer coding, behind an empty line or behind a request that has no response yet, was passed on with an empty body (request smuggling).

Cause: the scanner took an empty line before the request for the end of its head, and received bytes were scanned only while no request was in progress.

Change: the scanner follows the whole connection, bodies included, and keeps a verdict for each head until its request begins. Where the end of a body is not known, as behind an ambiguous head, it stops: the connection closes there.

The product's own hosts (`crates/host`) look at parsed headers and were not affected (by reading).

--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -54,8 +54,8 @@
     idle_since: cell::Cell<clock::Millis>,
     /// Time of the first byte of a request head that is not complete; `None` between requests.
     receiving_since: cell::Cell<Option<clock::Millis>>,
-    /// Scanner of the request head that is being received.
-    head_scanner: cell::RefCell<framing::HeadScanner>,
+    /// Scanner of all bytes of the connection.
+    scanner: cell::RefCell<framing::RequestScanner>,
     /// Memory of the request head, until the end of the request.
     head_hold: cell::RefCell<memory::Hold>,
     clock: clock::Clock,
@@ -67,7 +67,7 @@
             in_flight: cell::Cell::new(0),
             idle_since: cell::Cell::new(clock.now()),
             receiving_since: cell::Cell::new(None),
-            head_scanner: cell::RefCell::default(),
+            scanner: cell::RefCell::default(),
             head_hold: cell::RefCell::new(memory.open()),
             clock,
         }
@@ -78,7 +78,7 @@
     fn begin_request(&self) -> bool {
         self.in_flight.set(self.in_flight.get() + 1);
         self.receiving_since.set(None);
-        self.head_scanner.take().is_ambiguous()
+        self.scanner.borrow_mut().take_head()
     }
 
     fn end_request(&self) {
@@ -88,14 +88,14 @@
         let _ = self.head_hold.borrow_mut().resize(0);
     }
 
-    /// Records bytes of a request head. Fails if there is no memory for them.
+    /// Records received bytes. Fails if there is no memory for those of a request head.
     fn record_bytes(&self, bytes: &[u8]) -> io::Result<()> {
+        self.scanner.borrow_mut().push(bytes);
         if self.in_flight.get() > 0 || bytes.is_empty() {
             return Ok(());
         }
         let grown = self.head_hold.borrow_mut().grow(bytes.len());
         grown.map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))?;
-        self.head_scanner.borrow_mut().push(bytes);
         if self.receiving_since.get().is_none() {
             self.receiving_since.set(Some(self.clock.now()));
         }
