No number of a manifest ends a task or a request

Callers saw: with a scaling `max` of 0, or below `min`, the leader's task panicked at each decision and ordered nothing for any service. Other numbers would have done more: `attempts` of overflowed (debug builds panicked in the request, release builds tried once), as did large weights and counts of upstreams; a header time limit under a millisecond kept a connection's task busy.

What is accepted is used without overflow; `max` 0 with `min` 0 orders nothing.

--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -30,6 +30,8 @@
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Time for a request head to arrive while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: clock::Millis = clock::Millis(3_000);
+/// Least time between two checks of a connection's timeouts.
+const MIN_CHECK_INTERVAL: clock::Millis = clock::Millis(50);
 /// Time between two requests on a connection while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: clock::Millis = clock::Millis(15_000);
 
@@ -239,7 +241,7 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = time::sleep(head_timeout.duration()) => {
+            () = time::sleep(head_timeout.max(MIN_CHECK_INTERVAL).duration()) => {
                 if activity.is_timed_out(head_timeout, idle_timeout) {
                     connection.as_mut().graceful_shutdown();
                     if activity.receiving_since.get().is_some() {
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -68,13 +68,14 @@
 
     /// Returns the service for a request. `draw` is a random number that selects a share by weight.
     pub fn pick_service(&self, draw: u32) -> &name::Service {
-        let total: u32 = self.shares.iter().map(|s| s.weight).sum();
-        let mut offset = if total == 0 { 0 } else { draw % total };
+        let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut offset = u64::from(draw).checked_rem(total).unwrap_or(0);
         for share in &self.shares {
-            if offset < share.weight {
+            let weight = u64::from(share.weight);
+            if offset < weight {
                 return &share.service;
             }
-            offset -= share.weight;
+            offset -= weight;
         }
         &self.shares[0].service
     }
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -66,7 +66,9 @@
     history: &mut AttemptHistory,
 ) -> Result<selection::Selection, refusal::Reason> {
     let attempts = call.route.max_attempts.max(1);
-    if history.run_count >= attempts || history.sent_count >= attempts + EXTRA_ATTEMPTS {
+    if history.run_count >= attempts
+        || history.sent_count >= attempts.saturating_add(EXTRA_ATTEMPTS)
+    {
         return Err(refusal::Reason::UpstreamFailed);
     }
     // A request may wait between its acceptance and its first attempt.
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -147,7 +147,7 @@
         }
         let dcs = dcs_by_price(scaling);
         let per_dc = (target * PREEMPTIBLE_HEADROOM / dcs.len().max(1) as f64).ceil() as u32;
-        let per_dc = per_dc.clamp(scaling.min.max(1), scaling.max);
+        let per_dc = per_dc.max(scaling.min.max(1)).min(scaling.max);
         for (price_rank, dc) in dcs.iter().enumerate() {
             let count = per_dc - min_on_demand(price_rank).min(per_dc);
             let dc_state = self.dcs.entry((*dc).clone()).or_default();
@@ -177,16 +177,13 @@
     ) -> Vec<ports::Order> {
         let dcs = dcs_by_price(scaling);
         let preemptible = |dc: &name::Dc| ready.get(dc).map_or(0, |r| r.preemptible);
-        let ready_preemptible: u32 = dcs.iter().map(|dc| preemptible(dc)).sum();
+        let ready_preemptible = saturating_sum(dcs.iter().map(|dc| preemptible(dc)));
         let startup_period = scaling.startup_time + STARTUP_MARGIN;
-        let starting_preemptible: u32 = self
-            .dcs
-            .values()
-            .map(|s| s.starting(now, startup_period))
-            .sum();
+        let starting = self.dcs.values().map(|s| s.starting(now, startup_period));
+        let starting_preemptible = saturating_sum(starting);
         let wanted = (target * ON_DEMAND_HEADROOM).ceil() as u32;
         let min = wanted
-            .saturating_sub(ready_preemptible + starting_preemptible)
+            .saturating_sub(ready_preemptible.saturating_add(starting_preemptible))
             .max(min_on_demand(0));
         // Preemptible engines that are still starting replace on-demand ones only while there are
         // no requests.
@@ -206,7 +203,8 @@
             let capacity = scaling
                 .max
                 .saturating_sub(preemptible(dc))
-                .max(min_on_demand(price_rank));
+                .max(min_on_demand(price_rank))
+                .min(scaling.max);
             let even_share = on_demand.div_ceil((dcs.len() - price_rank) as u32);
             let count = even_share.min(capacity);
             on_demand -= count;
@@ -288,6 +286,10 @@
     }
 }
 
+fn saturating_sum(counts: impl Iterator<Item = u32>) -> u32 {
+    counts.fold(0, u32::saturating_add)
+}
+
 /// On-demand engines that are always kept in a data centre, in case all preemptible ones are
 /// reclaimed. `price_rank` 0 is the cheapest data centre.
 fn min_on_demand(price_rank: usize) -> u32 {
