One cap for what an upstream without a start time says of itself

An upstream whose entry has no start time can't be told from the next process of its name, so a leaving that it announced kept that one without requests for an hour. What such an upstream says now holds for 300 s at most, as a pause does.

Tests: `leaving_of_an_upstream_without_a_start_time_is_believed_for_as_long_as_a_pause` fails if an hour is put there, holds now.

--- a/crates/router/src/announcements.rs
+++ b/crates/router/src/announcements.rs
@@ -8,7 +8,8 @@
 
 use base::clock;
 
-/// Longest pause that an upstream is granted.
+/// Longest pause that an upstream is granted, and longest time for which an upstream without a start time
+/// is believed that it leaves: it can't be told from the next process of its name.
 const MAX_PAUSE: clock::Millis = clock::Millis::secs(300);
 /// Time for which it is remembered that an upstream leaves.
 const LEAVING_MEMORY: clock::Millis = clock::Millis::secs(3_600);
@@ -16,10 +17,20 @@
 /// oldest one.
 const MAX_PROCESSES: usize = 4_096;
 
+/// A process of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Process {
+    /// Hash of the upstream's name and start time.
+    pub id: u64,
+    /// Whether the start time is known.
+    pub has_start: bool,
+}
+
 /// What is known about one process of an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct Announcement {
-    leaving_since: Option<clock::Millis>,
+    /// When it first said that it leaves, and until when that holds.
+    leaving: Option<(clock::Millis, clock::Millis)>,
     paused_until: clock::Millis,
     heard_at: clock::Millis,
 }
@@ -42,8 +53,8 @@
 }
 
 impl Announcements {
-    fn entry(&mut self, process: u64, now: clock::Millis) -> &mut Announcement {
-        if self.processes.len() >= MAX_PROCESSES && !self.processes.contains_key(&process) {
+    fn entry(&mut self, process: Process, now: clock::Millis) -> &mut Announcement {
+        if self.processes.len() >= MAX_PROCESSES && !self.processes.contains_key(&process.id) {
             self.processes
                 .retain(|_, a| now.since(a.heard_at) < LEAVING_MEMORY);
             let oldest = self.processes.iter().min_by_key(|(_, a)| a.heard_at);
@@ -52,24 +63,30 @@
                 self.processes.remove(&oldest);
             }
         }
-        let announcement = self.processes.entry(process).or_default();
+        let announcement = self.processes.entry(process.id).or_default();
         announcement.heard_at = now;
         announcement
     }
 
     /// Records that the process leaves. Returns whether this is new.
-    pub fn record_leaving(&mut self, process: u64, now: clock::Millis) -> bool {
+    pub fn record_leaving(&mut self, process: Process, now: clock::Millis) -> bool {
         let announcement = self.entry(process, now);
-        let is_new = announcement.leaving_since.is_none();
-        announcement.leaving_since.get_or_insert(now);
-        is_new
+        let known = announcement.leaving.filter(|(_, until)| now < *until);
+        let memory = if process.has_start {
+            LEAVING_MEMORY
+        } else {
+            MAX_PAUSE
+        };
+        let since = known.map_or(now, |(since, _)| since);
+        announcement.leaving = Some((since, now + memory));
+        known.is_none()
     }
 
     /// Records that the process wants no request for `pause`, and returns until when it gets none.
     /// `spread` is a random number; hosts that were told the same do not return at the same moment.
     pub fn record_pause(
         &mut self,
-        process: u64,
+        process: Process,
         pause: clock::Millis,
         spread: u32,
         now: clock::Millis,
@@ -84,11 +101,13 @@
     }
 
     /// Whether the process takes requests.
-    pub fn willingness(&self, process: u64, now: clock::Millis) -> Willingness {
-        let Some(announcement) = self.processes.get(&process) else {
+    pub fn willingness(&self, process: Process, now: clock::Millis) -> Willingness {
+        let Some(announcement) = self.processes.get(&process.id) else {
             return Willingness::Willing;
         };
-        if let Some(since) = announcement.leaving_since {
+        if let Some((since, until)) = announcement.leaving
+            && now < until
+        {
             Willingness::Leaving(since)
         } else if now < announcement.paused_until {
             Willingness::Paused(announcement.paused_until)
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -328,7 +328,7 @@
         let Some((id, tokens)) = shared_prefix else {
             return prompt_tokens;
         };
-        let instance_id = tracked.process();
+        let instance_id = tracked.process().id;
         let cached = self.prefix_cache.contains(id, instance_id, now);
         if cached || preferred == Some(&tracked.upstream.name) {
             return prompt_tokens.saturating_sub(tokens);
@@ -383,7 +383,7 @@
         };
         tracked.in_flight += 1;
         tracked.unread_tokens += selection.unread_tokens;
-        let instance_id = tracked.process();
+        let instance_id = tracked.process().id;
         let Some((_, shared_parts)) = parts.split_last() else {
             return;
         };
--- a/crates/router/src/prompt_evidence.rs
+++ b/crates/router/src/prompt_evidence.rs
@@ -26,7 +26,7 @@
     if parts.is_empty() {
         return;
     }
-    let process = host.fleet.borrow().get(upstream).map(|t| t.process());
+    let process = host.fleet.borrow().get(upstream).map(|t| t.process().id);
     let crash = crash_log::Crash {
         number: 0,
         age: clock::Millis::ZERO,
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -2,7 +2,7 @@
 
 use base::{clock, name};
 
-use crate::{ports, stream_class};
+use crate::{announcements, ports, stream_class};
 
 /// Properties of a request that determine which upstream is selected for it.
 #[derive(Clone, Debug)]
@@ -39,8 +39,8 @@
 pub struct Selection {
     /// Name of the selected upstream.
     pub name: name::Upstream,
-    /// Identifies the process of the upstream, see [`crate::tracked::TrackedUpstream::process`].
-    pub process: u64,
+    /// Process of the upstream that gets the request.
+    pub process: announcements::Process,
     /// Address on which the selected upstream accepts connections.
     pub address: std::net::SocketAddr,
     /// Prompt tokens that the upstream is expected to process, excluding a cached prefix.
--- a/crates/router/src/tracked.rs
+++ b/crates/router/src/tracked.rs
@@ -2,7 +2,7 @@
 
 use base::{clock, hash};
 
-use crate::{failures, model, reported_load, slowdown, stream_class};
+use crate::{announcements, failures, model, reported_load, slowdown, stream_class};
 
 /// An upstream and what this host has observed about it.
 #[derive(Debug)]
@@ -56,7 +56,10 @@
 
     /// Identifies the process of the upstream: a restarted one has an empty prefix cache and has said
     /// nothing of itself yet.
-    pub fn process(&self) -> u64 {
-        self.name_hash() ^ self.upstream.started_at
+    pub fn process(&self) -> announcements::Process {
+        announcements::Process {
+            id: self.name_hash() ^ self.upstream.started_at,
+            has_start: self.upstream.started_at != 0,
+        }
     }
 }
--- a/crates/router/tests/announcements.rs
+++ b/crates/router/tests/announcements.rs
@@ -2,7 +2,7 @@
 //! pattern of load.
 
 use base::{clock, name};
-use router::{fleet, location, model, selection, stream_class};
+use router::{announcements, fleet, location, model, selection, stream_class};
 
 const DRAIN_DEADLINE: clock::Millis = clock::Millis(2_500);
 const START: clock::Millis = clock::Millis(1_000_000);
@@ -32,7 +32,7 @@
     fleet
 }
 
-fn process(fleet: &fleet::Fleet, name: &str) -> u64 {
+fn process(fleet: &fleet::Fleet, name: &str) -> announcements::Process {
     fleet
         .get(&name.into())
         .expect("a listed upstream")
@@ -120,6 +120,41 @@
     assert_eq!(select(&fleet, later), Ok("u1".to_owned()));
 }
 
+/// Load of the pattern: an upstream without a start time leaves, and another process comes under its name.
+/// It can't be told from the first, so the mark must end by itself.
+#[test]
+fn leaving_of_an_upstream_without_a_start_time_is_believed_for_as_long_as_a_pause() {
+    let mut fleet = fleet(&[]);
+    fleet.put(upstream("u1", 0));
+    say_leaving(&mut fleet, "u1", START);
+    let end = START + clock::Millis::secs(300);
+    let last = clock::Millis(end.0 - 1);
+    assert_eq!(select(&fleet, last), Err(selection::Shortage::None));
+    assert_eq!(select(&fleet, end), Ok("u1".to_owned()));
+    assert!(say_leaving(&mut fleet, "u1", end));
+    assert_eq!(
+        select(&fleet, end + DRAIN_DEADLINE),
+        Err(selection::Shortage::None)
+    );
+}
+
+/// Load of the pattern: two upstreams were started in the same millisecond, or their entries name the same
+/// address. What one of them says is not taken for the other's.
+#[test]
+fn upstreams_with_one_start_time_or_address_speak_for_themselves_alone() {
+    let mut fleet = fleet(&["u1", "u2"]);
+    say_leaving(&mut fleet, "u1", START);
+    ask_pause(&mut fleet, "u1", PAUSE, 0);
+    for ms in [0, 1_000, 3_000_000] {
+        assert_eq!(
+            select(&fleet, START + clock::Millis(ms)),
+            Ok("u2".to_owned())
+        );
+    }
+    fleet.remove(&"u1".into());
+    assert_eq!(select(&fleet, START), Ok("u2".to_owned()));
+}
+
 /// Load of the pattern: all upstreams of a small service ask for a pause. They got the requests of every
 /// host again and again; callers must hear when there is room.
 #[test]
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use base::{clock, name};
-use router::{fleet, location, model, ports, selection, stream_class};
+use router::{announcements, fleet, location, model, ports, selection, stream_class};
 
 fn location() -> location::Location {
     let regions = [("a", "x"), ("b", "x"), ("c", "y")];
@@ -282,7 +282,10 @@
     let mut fleet = fleet(1);
     let selection = selection::Selection {
         name: "u0".into(),
-        process: 0,
+        process: announcements::Process {
+            id: 0,
+            has_start: false,
+        },
         address: ([10, 0, 0, 0], 80).into(),
         unread_tokens: 5,
         base_latency: clock::Millis(50),
