A request's line tells how old the announcements are that it was routed by

`said_age_ms` is the time since the latest of these responses.

Test: `details_tell_the_age_of_the_latest_announcement`.

--- a/crates/router/src/announcements.rs
+++ b/crates/router/src/announcements.rs
@@ -100,6 +100,12 @@
         announcement.paused_until
     }
 
+    /// Time since the process said something of itself; zero if it never has.
+    pub fn age(&self, process: Process, now: clock::Millis) -> clock::Millis {
+        let announcement = self.processes.get(&process.id);
+        announcement.map_or(clock::Millis::ZERO, |a| now.since(a.heard_at))
+    }
+
     /// Whether the process takes requests.
     pub fn willingness(&self, process: Process, now: clock::Millis) -> Willingness {
         let Some(announcement) = self.processes.get(&process.id) else {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -190,15 +190,16 @@
         let mut details = selection::Details::default();
         let mut is_full = false;
         let mut pause: Option<clock::Millis> = None;
-        for (_, willingness) in self.untried(criteria, now) {
+        for (tracked, willingness) in self.untried(criteria, now) {
+            let age = self.announcements.age(tracked.process(), now);
+            details.record_passed_over(willingness, age);
             match willingness {
                 announcements::Willingness::Willing => is_full = true,
                 announcements::Willingness::Paused(until) => {
-                    details.paused += 1;
                     let left = until.since(now);
                     pause = Some(pause.map_or(left, |p| p.min(left)));
                 }
-                announcements::Willingness::Leaving(_) => details.leaving += 1,
+                announcements::Willingness::Leaving(_) => {}
             }
         }
         let shortage = match pause {
@@ -227,26 +228,23 @@
             .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
         let mut best: Option<(f64, &tracked::TrackedUpstream, u64)> = None;
         let mut last_resort = None;
-        let (mut usable_count, mut leaving_count, mut paused_count) = (0, 0, 0);
+        let mut details = selection::Details::default();
         for (tracked, willingness) in self.untried(criteria, now) {
-            match willingness {
-                announcements::Willingness::Willing => {}
-                announcements::Willingness::Paused(_) => {
-                    paused_count += 1;
-                    continue;
-                }
-                announcements::Willingness::Leaving(since) => {
-                    leaving_count += 1;
-                    if now.since(since) < self.leaving_use && has_room(&tracked) {
-                        last_resort = Some(tracked);
-                    }
-                    continue;
+            if willingness != announcements::Willingness::Willing {
+                let age = self.announcements.age(tracked.process(), now);
+                details.record_passed_over(willingness, age);
+                if let announcements::Willingness::Leaving(since) = willingness
+                    && now.since(since) < self.leaving_use
+                    && has_room(&tracked)
+                {
+                    last_resort = Some(tracked);
                 }
+                continue;
             }
             if !has_room(&tracked) {
                 continue;
             }
-            usable_count += 1;
+            details.usable += 1;
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
             let cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now);
@@ -258,15 +256,13 @@
         let (cost_ms, tracked, unread_tokens) = best.or(last_resort)?;
         let (reported_requests, report_age_ms) = tracked.reported_load.latest(now);
         let details = selection::Details {
-            usable: usable_count,
-            leaving: leaving_count,
-            paused: paused_count,
             prefix_cached: unread_tokens < u64::from(criteria.prompt_tokens),
             in_flight: tracked.in_flight,
             reported_requests,
             report_age_ms,
             cost_ms: cost_ms as u64,
             upstream_class: tracked.stream_class,
+            ..details
         };
         let base_latency_ms = FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
         let likely_latency_ms = base_latency_ms
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -245,6 +245,7 @@
         usable = history.details.usable,
         said_leaving = history.details.leaving,
         paused = history.details.paused,
+        said_age_ms = history.details.said_age.map(|a| a.0),
         kept = history.details.prefix_cached,
         busy = history.details.in_flight,
         told = history.details.reported_requests,
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -62,6 +62,8 @@
     pub leaving: u32,
     /// Number of ready upstreams that have asked for a pause.
     pub paused: u32,
+    /// Time since the latest of these announcements; `None` without any.
+    pub said_age: Option<clock::Millis>,
     /// Whether the selected upstream is expected to have the shared prefix cached.
     pub prefix_cached: bool,
     /// Requests that this host had in flight at the selected upstream.
@@ -76,6 +78,22 @@
     pub upstream_class: stream_class::StreamClass,
 }
 
+impl Details {
+    /// Counts an upstream that is passed over for what it said `age` ago.
+    pub fn record_passed_over(
+        &mut self,
+        willingness: announcements::Willingness,
+        age: clock::Millis,
+    ) {
+        match willingness {
+            announcements::Willingness::Willing => return,
+            announcements::Willingness::Paused(_) => self.paused += 1,
+            announcements::Willingness::Leaving(_) => self.leaving += 1,
+        }
+        self.said_age = Some(self.said_age.map_or(age, |a| a.min(age)));
+    }
+}
+
 /// Why no upstream can be selected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
--- a/crates/router/tests/announcements.rs
+++ b/crates/router/tests/announcements.rs
@@ -120,6 +120,37 @@
     assert_eq!(select(&fleet, later), Ok("u1".to_owned()));
 }
 
+/// Load of the pattern: upstreams leave and pause one after the other. A request's log line must tell how old
+/// the knowledge is by which they were passed over.
+#[test]
+fn details_tell_the_age_of_the_latest_announcement() {
+    let mut fleet = fleet(&["u1", "u2", "u3"]);
+    let service = name::Service::from("s");
+    let criteria = selection::Criteria {
+        service: &service,
+        prompt_parts: &[],
+        prompt_tokens: 0,
+        tier: 0,
+        stream_class: stream_class::StreamClass::Other,
+        excluded: &[],
+    };
+    let details = |fleet: &fleet::Fleet, ms| {
+        let now = START + clock::Millis(ms);
+        let selected = fleet.select(&criteria, now);
+        selected.map_or_else(|| fleet.shortage(&criteria, now).1, |s| s.details)
+    };
+    assert_eq!(details(&fleet, 0).said_age, None);
+    ask_pause(&mut fleet, "u1", PAUSE, 0);
+    say_leaving(&mut fleet, "u2", START + clock::Millis(300));
+    let both = details(&fleet, 1_000);
+    assert_eq!((both.usable, both.leaving, both.paused), (1, 1, 1));
+    assert_eq!(both.said_age, Some(clock::Millis(700)));
+    say_leaving(&mut fleet, "u3", START + clock::Millis(900));
+    let none_left = details(&fleet, 1_000 + DRAIN_DEADLINE.0);
+    assert_eq!((none_left.leaving, none_left.paused), (2, 0));
+    assert_eq!(none_left.said_age, Some(clock::Millis(2_600)));
+}
+
 /// Load of the pattern: an upstream without a start time leaves, and another process comes under its name.
 /// It can't be told from the first, so the mark must end by itself.
 #[test]
