A fault soak on the real programs

`crates/soak` runs real hosts as processes, with stand-ins for the store and the platform, upstreams and clients; loopback proxies and signals disturb them by a seed, in series and overlapping.

Left: sums of usage, clocks, links between hosts, slow against stalled streams, runs near the limits of the machine, strangers at the hosts' ports and authentication.

--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,297 @@
+//! Faults that come in series and overlap, drawn by a seed.
+
+use std::collections;
+use std::sync;
+use std::thread;
+use std::time;
+
+use rand::{Rng as _, SeedableRng as _, rngs, seq::IndexedRandom as _};
+
+use crate::env::store::Fault as StoreFault;
+use crate::ledger::Check;
+use crate::proxy::Mode;
+use crate::upstream::Behaviour;
+use crate::{Options, host, proxy, site};
+
+/// Largest number of faults at the same time, and of upstreams of one service in trouble.
+const MAX_ACTIVE: usize = 5;
+const MAX_TROUBLED: usize = 2;
+/// Number of faults in a series, time between two of them, and time between two series.
+const SERIES: std::ops::Range<u32> = 6..16;
+const PAUSE_MS: std::ops::Range<u64> = 100..700;
+const CALM_MS: std::ops::Range<u64> = 2_000..8_000;
+/// Length of a fault.
+const LENGTH_MS: std::ops::Range<u64> = 200..4_000;
+/// Time between the entry that says that an upstream leaves and its removal.
+const LEAVING_MS: u64 = 2_500;
+
+/// What a fault acts on. No two faults act on the same at the same time.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Place {
+    Host(usize),
+    StoreEdge(usize),
+    Store,
+    Manifest,
+    Upstream(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    HostKilled,
+    HostPaused,
+    HostStopped,
+    Edge(Mode),
+    EdgeReset,
+    StoreSilent,
+    StoreSlow,
+    StoreFails(StoreFault),
+    StoreForgets,
+    KeysChange,
+    Trouble(Behaviour),
+    UpstreamLeaves,
+}
+
+impl Kind {
+    /// Whether a host may lose its contact to the store by it.
+    fn ends_contact(self) -> bool {
+        match self {
+            Self::Edge(Mode::Silent { .. }) | Self::HostPaused => true,
+            Self::StoreSilent | Self::StoreSlow => true,
+            Self::StoreFails(fault) => fault == StoreFault::NoResponse,
+            _ => false,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::HostKilled => "host_killed",
+            Self::HostPaused => "host_paused",
+            Self::HostStopped => "host_stopped",
+            Self::Edge(Mode::Delay(_)) => "edge_delayed",
+            Self::Edge(Mode::Split) => "edge_split",
+            Self::Edge(_) => "edge_silent",
+            Self::EdgeReset => "edge_reset",
+            Self::StoreSilent => "store_silent",
+            Self::StoreSlow => "store_slow",
+            Self::StoreFails(_) => "store_fails",
+            Self::StoreForgets => "store_forgets",
+            Self::KeysChange => "keys_change",
+            Self::Trouble(_) => "upstream_trouble",
+            Self::UpstreamLeaves => "upstream_leaves",
+        }
+    }
+}
+
+/// Injects faults for the length of the run, and waits for their ends. Returns how many there were of
+/// each kind.
+pub(crate) fn inject(
+    site: &sync::Arc<site::Site>,
+    options: &Options,
+) -> collections::BTreeMap<&'static str, u64> {
+    let mut rng = rngs::SmallRng::seed_from_u64(options.seed);
+    let mut counts: collections::BTreeMap<&'static str, u64> = collections::BTreeMap::new();
+    let mut active: Vec<(Place, thread::JoinHandle<()>)> = Vec::new();
+    let end = time::Instant::now() + options.length;
+    let mut left_in_series = rng.random_range(SERIES);
+    while time::Instant::now() < end {
+        thread::sleep(time::Duration::from_millis(rng.random_range(PAUSE_MS)));
+        if left_in_series == 0 {
+            left_in_series = rng.random_range(SERIES);
+            thread::sleep(time::Duration::from_millis(rng.random_range(CALM_MS)));
+        }
+        left_in_series -= 1;
+        active.retain(|(_, fault)| !fault.is_finished());
+        let place = draw_place(site, &mut rng);
+        let kind = draw_kind(place, &mut rng);
+        let length = time::Duration::from_millis(rng.random_range(LENGTH_MS));
+        if active.len() >= MAX_ACTIVE || !is_allowed(site, &active, place) {
+            continue;
+        }
+        *counts.entry(kind.as_str()).or_default() += 1;
+        let site = site.clone();
+        let fault = thread::spawn(move || run(&site, place, kind, length));
+        active.push((place, fault));
+    }
+    for (place, fault) in active {
+        if fault.join().is_err() {
+            site.ledger.check(Check::Recovery, false, || {
+                format!("a fault of {place:?} panicked")
+            });
+        }
+    }
+    counts
+}
+
+fn draw_place(site: &site::Site, rng: &mut rngs::SmallRng) -> Place {
+    match rng.random_range(0..10) {
+        0..3 => Place::Host(rng.random_range(0..site.hosts.len())),
+        3..5 => Place::StoreEdge(rng.random_range(0..site.hosts.len())),
+        5 => Place::Store,
+        6 => Place::Manifest,
+        _ => Place::Upstream(rng.random_range(0..site.slots.len())),
+    }
+}
+
+fn draw_edge(rng: &mut rngs::SmallRng) -> Kind {
+    let silent = |to_server, to_client| {
+        Kind::Edge(Mode::Silent {
+            to_server,
+            to_client,
+        })
+    };
+    match rng.random_range(0..6) {
+        0 => silent(true, false),
+        1 => silent(false, true),
+        2 => silent(true, true),
+        3 => Kind::Edge(Mode::Delay(time::Duration::from_millis(
+            rng.random_range(10..150),
+        ))),
+        4 => Kind::Edge(Mode::Split),
+        _ => Kind::EdgeReset,
+    }
+}
+
+fn draw_kind(place: Place, rng: &mut rngs::SmallRng) -> Kind {
+    let hosts = [Kind::HostKilled, Kind::HostPaused, Kind::HostStopped];
+    let stores = [
+        Kind::StoreSilent,
+        Kind::StoreSlow,
+        Kind::StoreFails(StoreFault::Unavailable),
+        Kind::StoreFails(StoreFault::RateLimited),
+        Kind::StoreFails(StoreFault::NoResponse),
+        Kind::StoreForgets,
+    ];
+    let troubles = [
+        Behaviour::Refuses,
+        Behaviour::EndlessBody,
+        Behaviour::EndlessHead,
+        Behaviour::LateCopy,
+        Behaviour::Trickle,
+        Behaviour::CutHead,
+        Behaviour::Dead,
+    ];
+    match place {
+        Place::Host(_) => *hosts.choose(rng).unwrap_or(&Kind::HostPaused),
+        Place::StoreEdge(_) => draw_edge(rng),
+        Place::Store => *stores.choose(rng).unwrap_or(&Kind::StoreSlow),
+        Place::Manifest => Kind::KeysChange,
+        Place::Upstream(_) => match rng.random_range(0..4) {
+            0 => draw_edge(rng),
+            1 => Kind::UpstreamLeaves,
+            _ => Kind::Trouble(*troubles.choose(rng).unwrap_or(&Behaviour::Refuses)),
+        },
+    }
+}
+
+/// Whether nothing else acts on the place, and enough upstreams of its service are left.
+fn is_allowed(site: &site::Site, active: &[(Place, thread::JoinHandle<()>)], place: Place) -> bool {
+    let Place::Upstream(n) = place else {
+        return active.iter().all(|(p, _)| *p != place);
+    };
+    let service = site.slots[n].service;
+    let troubled = active
+        .iter()
+        .filter(|(p, _)| matches!(p, Place::Upstream(m) if site.slots[*m].service == service));
+    active.iter().all(|(p, _)| *p != place) && troubled.count() < MAX_TROUBLED
+}
+
+fn run(site: &site::Site, place: Place, kind: Kind, length: time::Duration) {
+    let hosts = match place {
+        _ if !kind.ends_contact() => 0..0,
+        Place::Host(n) | Place::StoreEdge(n) => n..n + 1,
+        Place::Store => 0..site.hosts.len(),
+        Place::Manifest | Place::Upstream(_) => 0..0,
+    };
+    for n in hosts.clone() {
+        site.touches.begin(n);
+    }
+    match place {
+        Place::Host(n) => disturb_host(site, n, kind, length),
+        Place::StoreEdge(n) => disturb_edge(&site.store_edges[n], kind, length),
+        Place::Store => disturb_store(site, kind, length),
+        Place::Manifest => site.change_keys(),
+        Place::Upstream(n) => disturb_upstream(site, &site.slots[n], kind, length),
+    }
+    for n in hosts {
+        site.touches.end(n);
+    }
+}
+
+fn disturb_host(site: &site::Site, n: usize, kind: Kind, length: time::Duration) {
+    match kind {
+        Kind::HostKilled => {
+            site.kill_host(n);
+            thread::sleep(length / 4);
+        }
+        Kind::HostPaused => {
+            site.lock_host(n).signal(libc::SIGSTOP);
+            thread::sleep(length);
+            site.lock_host(n).signal(libc::SIGCONT);
+            return;
+        }
+        _ => {
+            let mut host = site.lock_host(n);
+            host.signal(libc::SIGTERM);
+            let has_ended = host.wait_end(host::GRACE);
+            drop(host);
+            site.ledger.check(Check::PlannedStop, has_ended, || {
+                format!("host {n} has not ended {:?} after the signal", host::GRACE)
+            });
+            if !has_ended {
+                site.kill_host(n);
+            }
+        }
+    }
+    let is_started = site.lock_host(n).spawn().is_ok();
+    site.ledger.check(Check::Recovery, is_started, || {
+        format!("host {n} can't be started")
+    });
+}
+
+fn disturb_edge(edge: &proxy::Proxy, kind: Kind, length: time::Duration) {
+    let Kind::Edge(mode) = kind else {
+        return edge.reset();
+    };
+    edge.set_mode(mode);
+    thread::sleep(length);
+    edge.set_mode(Mode::Pass);
+}
+
+fn disturb_store(site: &site::Site, kind: Kind, length: time::Duration) {
+    match kind {
+        Kind::StoreSilent => {
+            site.store.set_unresponsive(true);
+            thread::sleep(length);
+            site.store.set_unresponsive(false);
+        }
+        Kind::StoreSlow => {
+            site.store.set_delay(length / 4);
+            thread::sleep(length);
+            site.store.set_delay(time::Duration::ZERO);
+        }
+        Kind::StoreFails(fault) => site.store.inject_faults(&[fault; 6]),
+        _ => site.store.compact(),
+    }
+}
+
+fn disturb_upstream(site: &site::Site, slot: &site::Slot, kind: Kind, length: time::Duration) {
+    match kind {
+        Kind::Trouble(behaviour) => {
+            slot.upstream.set_behaviour(behaviour);
+            if behaviour == Behaviour::Dead {
+                slot.edge.reset();
+            }
+            thread::sleep(length);
+            slot.upstream.set_behaviour(Behaviour::Sound);
+        }
+        Kind::UpstreamLeaves => {
+            slot.list(&site.store, "draining");
+            slot.leave();
+            thread::sleep(time::Duration::from_millis(LEAVING_MS) + length);
+            slot.unlist(&site.store);
+            slot.renew();
+            slot.list(&site.store, "ready");
+        }
+        _ => disturb_edge(&slot.edge, kind, length),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,495 @@
+//! The site: hosts, upstreams and a store, with clients that send requests all the time.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use rand::{Rng as _, SeedableRng as _, rngs};
+use serde_json::json;
+
+use crate::env::store::TestStore;
+use crate::ledger::{self, Check, End};
+use crate::{Options, client, host, proxy, upstream};
+
+/// Upstreams of each service.
+const UPSTREAMS: usize = 4;
+const SERVICES: [&str; 2] = ["engines", "desk"];
+const PATHS: [&str; 3] = ["/stream/x", "/read/x", "/write/x"];
+/// Clients of each host.
+const CLIENTS: usize = 4;
+/// Bounds of the platform, in the settings of the hosts, and what is added for the machine that runs all.
+const CHANGE_DEADLINE: time::Duration = time::Duration::from_millis(1_000);
+const SLACK: time::Duration = time::Duration::from_millis(1_000);
+/// Time after a disturbance from which a host counts as in touch again.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(4_000);
+/// Times around the sending of a request within which a kill of its host excuses that it has no response.
+const KILL_BEFORE: time::Duration = time::Duration::from_millis(500);
+const KILL_AFTER: time::Duration = time::Duration::from_millis(9_000);
+/// Time within which all hosts must serve after the last fault.
+const RECOVERY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Responses in a row by which a host serves.
+const RECOVERY_RESPONSES: u32 = 12;
+/// Key that stays valid.
+const KEY: &str = "k-always";
+
+/// When a host was last disturbed.
+struct Touch {
+    ongoing: u32,
+    last_end: time::Instant,
+}
+
+/// Which hosts are in touch with the store.
+pub(crate) struct Touches(Vec<sync::Mutex<Touch>>);
+
+impl Touches {
+    fn lock(&self, host: usize) -> sync::MutexGuard<'_, Touch> {
+        self.0[host]
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    pub(crate) fn begin(&self, host: usize) {
+        self.lock(host).ongoing += 1;
+    }
+
+    pub(crate) fn end(&self, host: usize) {
+        let mut touch = self.lock(host);
+        touch.ongoing -= 1;
+        touch.last_end = time::Instant::now();
+    }
+
+    /// Whether a request that was sent at `sent_at` must be treated by what was written at `written_at`:
+    /// the host was in touch, and the time for changes had passed.
+    fn must_know(&self, host: usize, written_at: time::Instant, sent_at: time::Instant) -> bool {
+        let touch = self.lock(host);
+        let known_from = written_at.max(touch.last_end + SETTLE_TIME) + CHANGE_DEADLINE + SLACK;
+        touch.ongoing == 0 && sent_at > known_from
+    }
+}
+
+/// An upstream with the proxy before it.
+pub(crate) struct Slot {
+    pub(crate) service: usize,
+    pub(crate) upstream: upstream::Upstream,
+    pub(crate) edge: proxy::Proxy,
+    /// Name of its process, and how many it had.
+    name: sync::Mutex<(String, u64)>,
+    /// When it said in the store that it leaves.
+    left_at: sync::Arc<sync::Mutex<Option<time::Instant>>>,
+}
+
+/// API keys besides the one that stays.
+struct Keys {
+    version: u64,
+    current: String,
+    withdrawn: Vec<(String, time::Instant)>,
+    /// Hosts that have refused a withdrawn key.
+    refused: collections::HashSet<(usize, String)>,
+}
+
+pub(crate) struct Site {
+    pub(crate) ledger: sync::Arc<ledger::Ledger>,
+    pub(crate) store: sync::Arc<TestStore>,
+    pub(crate) hosts: Vec<sync::Mutex<host::Host>>,
+    fronts: Vec<std::net::SocketAddr>,
+    /// Proxies between each host and the store.
+    pub(crate) store_edges: Vec<proxy::Proxy>,
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) touches: sync::Arc<Touches>,
+    kills: Vec<sync::Mutex<Vec<time::Instant>>>,
+    keys: sync::Mutex<Keys>,
+    is_over: atomic::AtomicBool,
+    clients: sync::Mutex<Vec<thread::JoinHandle<()>>>,
+}
+
+impl Site {
+    /// Starts all processes and clients, and waits until the hosts are ready.
+    pub(crate) fn start(options: &Options) -> eyre::Result<sync::Arc<Self>> {
+        let ledger = sync::Arc::new(ledger::Ledger::new());
+        let (store, store_address) = TestStore::start();
+        let touch = || Touch {
+            ongoing: 0,
+            last_end: time::Instant::now(),
+        };
+        let touches = (0..options.hosts).map(|_| sync::Mutex::new(touch()));
+        let touches = sync::Arc::new(Touches(touches.collect()));
+        let mut slots = Vec::new();
+        for n in 0..UPSTREAMS * SERVICES.len() {
+            slots.push(start_slot(n, &ledger, &touches)?);
+        }
+        let (mut hosts, mut fronts, mut seeds) = (Vec::new(), Vec::new(), Vec::new());
+        let mut store_edges = Vec::new();
+        let keys = Keys {
+            version: 1,
+            current: "k-1".to_owned(),
+            withdrawn: Vec::new(),
+            refused: collections::HashSet::new(),
+        };
+        store.put("op/config", &manifest(&keys));
+        for slot in &slots {
+            slot.list(&store, "ready");
+        }
+        for n in 0..options.hosts {
+            let (program, dir) = (&options.program, &options.dir);
+            let edge = proxy::Proxy::start(store_address)?;
+            let (host, control) = host::Host::start(n, program, dir, edge.address, &seeds)?;
+            store_edges.push(edge);
+            seeds.push(control);
+            fronts.push(host.front);
+            hosts.push(sync::Mutex::new(host));
+        }
+        for host in &hosts {
+            let host = host.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            eyre::ensure!(host.wait_ready(), "a host is not ready in time");
+        }
+        let site = sync::Arc::new(Self {
+            ledger,
+            store,
+            kills: hosts.iter().map(|_| sync::Mutex::default()).collect(),
+            hosts,
+            fronts,
+            store_edges,
+            slots,
+            touches,
+            keys: sync::Mutex::new(keys),
+            is_over: atomic::AtomicBool::new(false),
+            clients: sync::Mutex::default(),
+        });
+        site.start_clients(options.seed);
+        Ok(site)
+    }
+
+    fn start_clients(self: &sync::Arc<Self>, seed: u64) {
+        let mut clients = Vec::new();
+        for n in 0..self.fronts.len() * CLIENTS {
+            let site = self.clone();
+            let rng = rngs::SmallRng::seed_from_u64(seed ^ (n as u64 + 1) << 32);
+            clients.push(thread::spawn(move || site.run_client(n, rng)));
+        }
+        let site = self.clone();
+        let rng = rngs::SmallRng::seed_from_u64(seed ^ 0xffff);
+        clients.push(thread::spawn(move || site.run_prober(rng)));
+        *self.lock_clients() = clients;
+    }
+
+    fn lock_clients(&self) -> sync::MutexGuard<'_, Vec<thread::JoinHandle<()>>> {
+        self.clients
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn lock_keys(&self) -> sync::MutexGuard<'_, Keys> {
+        self.keys
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    pub(crate) fn lock_host(&self, n: usize) -> sync::MutexGuard<'_, host::Host> {
+        self.hosts[n]
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Sends requests on a kept connection until the end, one after the other.
+    fn run_client(&self, n: usize, mut rng: rngs::SmallRng) {
+        let host = n % self.fronts.len();
+        let mut kept: Option<client::Connection> = None;
+        let mut count = 0;
+        while !self.is_over.load(atomic::Ordering::SeqCst) {
+            thread::sleep(time::Duration::from_millis(rng.random_range(5..60)));
+            let opened = kept
+                .take()
+                .or_else(|| client::Connection::open(self.fronts[host]).ok());
+            let Some(mut connection) = opened else {
+                continue;
+            };
+            let path = PATHS[rng.random_range(0..PATHS.len())];
+            let id = format!("c{n}-{count}");
+            count += 1;
+            let is_closing = self.exchange(&mut connection, host, path, &id, KEY);
+            if !is_closing {
+                kept = Some(connection);
+            }
+        }
+    }
+
+    /// Sends a request and checks its response. Returns whether the connection is closed.
+    fn exchange(
+        &self,
+        connection: &mut client::Connection,
+        host: usize,
+        path: &str,
+        id: &str,
+        key: &str,
+    ) -> bool {
+        let sent = ledger::Sent {
+            host,
+            is_repeatable: path != "/write/x",
+            sent_at: time::Instant::now(),
+            end: None,
+        };
+        self.ledger.record_sent(id, sent);
+        let response = match connection
+            .send(path, id, key)
+            .and_then(|()| connection.read())
+        {
+            Ok(response) => response,
+            Err(e) => {
+                let is_timeout = e.kind() == std::io::ErrorKind::WouldBlock;
+                let end = if is_timeout { End::Silent } else { End::Closed };
+                self.ledger.record_end(id, end);
+                return true;
+            }
+        };
+        let end = client::judge(&self.ledger, id, path, &response);
+        self.ledger.record_end(id, end);
+        !response.is_whole || upstream::header(&response.head, "connection") == "close"
+    }
+
+    /// Tries withdrawn keys at all hosts.
+    fn run_prober(&self, mut rng: rngs::SmallRng) {
+        let mut count = 0;
+        while !self.is_over.load(atomic::Ordering::SeqCst) {
+            thread::sleep(time::Duration::from_millis(50));
+            let host = rng.random_range(0..self.fronts.len());
+            let withdrawn = {
+                let keys = self.lock_keys();
+                let n = keys.withdrawn.len();
+                (n > 0).then(|| keys.withdrawn[rng.random_range(0..n)].clone())
+            };
+            let Some((key, withdrawn_at)) = withdrawn else {
+                continue;
+            };
+            let Ok(mut connection) = client::Connection::open(self.fronts[host]) else {
+                continue;
+            };
+            let id = format!("p-{count}");
+            count += 1;
+            let sent_at = time::Instant::now();
+            let sent = connection.send("/read/x", &id, &key);
+            let Ok(response) = sent.and_then(|()| connection.read()) else {
+                continue;
+            };
+            let is_late = self.touches.must_know(host, withdrawn_at, sent_at);
+            let mut keys = self.lock_keys();
+            let was_refused = keys.refused.contains(&(host, key.clone()));
+            if response.status() == "401" {
+                keys.refused.insert((host, key));
+                self.ledger.check(Check::WithdrawnKey, true, String::new);
+            } else if response.status() == "200" {
+                self.ledger
+                    .check(Check::WithdrawnKey, !is_late && !was_refused, || {
+                        let age = sent_at - withdrawn_at;
+                        format!(
+                            "{key} is accepted at host {host} {age:?} after its withdrawal, \
+                             refused there before: {was_refused}"
+                        )
+                    });
+            }
+        }
+    }
+
+    /// Writes the next version of the manifest, in which one key is replaced by another.
+    pub(crate) fn change_keys(&self) {
+        let mut keys = self.lock_keys();
+        keys.version += 1;
+        let next = format!("k-{}", keys.version);
+        let old = std::mem::replace(&mut keys.current, next);
+        self.store.put("op/config", &manifest(&keys));
+        keys.withdrawn.push((old, time::Instant::now()));
+    }
+
+    /// Kills a host without warning.
+    pub(crate) fn kill_host(&self, n: usize) {
+        let mut kills = self.kills[n]
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        kills.push(time::Instant::now());
+        drop(kills);
+        self.lock_host(n).kill();
+    }
+
+    fn was_killed(&self, host: usize, sent_at: time::Instant) -> bool {
+        let kills = self.kills[host]
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        kills
+            .iter()
+            .any(|at| *at + KILL_BEFORE >= sent_at && *at <= sent_at + KILL_AFTER)
+    }
+
+    /// Waits until all hosts serve, ends the clients and checks what must hold at the end.
+    pub(crate) fn finish(&self) {
+        let end = time::Instant::now() + RECOVERY_TIMEOUT;
+        for host in 0..self.fronts.len() {
+            let serves = self.wait_recovery(host, end);
+            self.ledger.check(Check::Recovery, serves, || {
+                format!("host {host} does not serve {RECOVERY_TIMEOUT:?} after the last fault")
+            });
+        }
+        self.is_over.store(true, atomic::Ordering::SeqCst);
+        for client in self.lock_clients().drain(..) {
+            if client.join().is_err() {
+                self.ledger
+                    .check(Check::Recovery, false, || "a client panicked".to_owned());
+            }
+        }
+        self.ledger
+            .check_requests(|host, sent_at| self.was_killed(host, sent_at));
+        self.check_usage();
+        self.check_tokens();
+    }
+
+    fn wait_recovery(&self, host: usize, end: time::Instant) -> bool {
+        let (mut in_a_row, mut count) = (0, 0);
+        while time::Instant::now() < end {
+            let path = PATHS[count % PATHS.len()];
+            let id = format!("r{host}-{count}");
+            count += 1;
+            let response = client::Connection::open(self.fronts[host])
+                .and_then(|mut c| c.send(path, &id, KEY).and_then(|()| c.read()));
+            let is_whole = response.is_ok_and(|r| r.status() == "200" && r.is_whole);
+            in_a_row = if is_whole { in_a_row + 1 } else { 0 };
+            if in_a_row >= RECOVERY_RESPONSES {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn check_usage(&self) {
+        let mut windows: collections::BTreeMap<u64, serde_json::Value> = Default::default();
+        for report in self.store.usage_reports() {
+            let window = report["window"].as_u64().unwrap_or_default();
+            let first = windows
+                .entry(window)
+                .or_insert_with(|| report["counts"].clone());
+            self.ledger
+                .check(Check::Usage, *first == report["counts"], || {
+                    format!("window {window}: {first} and {}", report["counts"])
+                });
+        }
+        let counts = windows.values().filter_map(|c| c["team-1"].as_u64());
+        let (reported, runs) = (counts.sum::<u64>(), self.ledger.run_count());
+        self.ledger.check(Check::Usage, reported <= runs, || {
+            format!("{reported} requests are reported, {runs} ran")
+        });
+    }
+
+    fn check_tokens(&self) {
+        for calls in [self.store.usage_reports(), self.store.capacity_orders()] {
+            let mut newest = 0;
+            for call in calls {
+                let token = call["token"].as_u64().unwrap_or_default();
+                self.ledger.check(Check::FencingToken, token >= newest, || {
+                    format!("token {token} after {newest}: {call}")
+                });
+                newest = newest.max(token);
+            }
+        }
+    }
+}
+
+impl Slot {
+    fn lock_name(&self) -> sync::MutexGuard<'_, (String, u64)> {
+        self.name
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Writes the entry of the upstream.
+    pub(crate) fn list(&self, store: &TestStore, state: &str) {
+        let (name, born) = self.lock_name().clone();
+        let zone = format!("z{}", born % 2);
+        let entry = json!({"service": SERVICES[self.service], "addr": self.edge.address.to_string(),
+            "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+            "seq": born, "born": born});
+        store.put(&format!("servers/{name}"), &entry);
+    }
+
+    pub(crate) fn unlist(&self, store: &TestStore) {
+        store.remove(&format!("servers/{}", self.lock_name().0));
+    }
+
+    /// Notes that the upstream leaves now.
+    pub(crate) fn leave(&self) {
+        *self
+            .left_at
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner) = Some(time::Instant::now());
+    }
+
+    /// Puts another process in the place of the upstream.
+    pub(crate) fn renew(&self) {
+        let mut name = self.lock_name();
+        name.1 += 1;
+        name.0 = format!(
+            "{}-{}",
+            name.0.split('-').next().unwrap_or_default(),
+            name.1
+        );
+        self.upstream.rename(&name.0);
+        *self
+            .left_at
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner) = None;
+    }
+}
+
+fn start_slot(
+    n: usize,
+    ledger: &sync::Arc<ledger::Ledger>,
+    touches: &sync::Arc<Touches>,
+) -> eyre::Result<Slot> {
+    let left_at: sync::Arc<sync::Mutex<Option<time::Instant>>> = sync::Arc::default();
+    let name = format!("u{n}-1");
+    let on_arrival = {
+        let (ledger, touches) = (ledger.clone(), touches.clone());
+        let (left_at, name) = (left_at.clone(), name.clone());
+        move |id: &str| {
+            let left = *left_at.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            let (Some(left), Some(sent)) = (left, ledger.sent(id)) else {
+                return;
+            };
+            let holds = !touches.must_know(sent.host, left, sent.sent_at);
+            ledger.check(Check::LeftUpstream, holds, || {
+                let age = sent.sent_at - left;
+                format!(
+                    "{id} of host {} reaches {name}, {age:?} after its leaving",
+                    sent.host
+                )
+            });
+        }
+    };
+    let upstream = upstream::Upstream::start(&name, ledger.clone(), Box::new(on_arrival))?;
+    Ok(Slot {
+        service: n / UPSTREAMS,
+        edge: proxy::Proxy::start(upstream.address)?,
+        upstream,
+        name: sync::Mutex::new((name, 1)),
+        left_at,
+    })
+}
+
+fn manifest(keys: &Keys) -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": "h.example", "path_prefix": format!("/{name}/"),
+            "route_kind": kind, "timeout_ms": 3000, "goal_ms": 600, "priority": 1,
+            "service": service, "attempts": attempts, "public": false,
+            "resumable": attempts > 1, "gap_target_ms": 400})
+    };
+    json!({"version": keys.version,
+        "routes": [route("stream", "streaming", SERVICES[0], 2),
+            route("read", "idempotent", SERVICES[1], 2),
+            route("write", "nonidempotent", SERVICES[1], 1)],
+        "services": [{"name": SERVICES[0], "health_path": "/healthz", "max_conns": 100,
+            "engine": {"slots": 8, "kv_capacity": 10000, "stride": 5},
+            "scaling": {"min": 1, "max": 4, "boot_s": 1.0, "spot_price": 0.2,
+                        "zone_prices": {"z0": 1.0, "z1": 1.0}}},
+            {"name": SERVICES[1], "health_path": "/healthz", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+            "header_timeout_ms": 1000, "idle_timeout_ms": 4000},
+        "tenants": [{"name": "team-1", "api_keys": [KEY, keys.current]}]})
+}
--- /dev/null
+++ b/crates/soak/src/upstream.rs
@@ -0,0 +1,226 @@
+//! An upstream that notes what it runs, and that can be in trouble.
+
+use std::io::{self, BufRead as _, BufReader, Read as _, Write as _};
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use crate::ledger;
+
+/// Number of events of a stream, and time before each.
+pub(crate) const EVENT_COUNT: u64 = 8;
+const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Work of a plain request.
+const WORK: time::Duration = time::Duration::from_millis(15);
+/// Time after a response at which a second copy of it is written.
+const COPY_DELAY: time::Duration = time::Duration::from_millis(60);
+/// Time between two bytes of a response that never ends.
+const TRICKLE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Size of the pieces of endless bytes, and time between two.
+const ENDLESS_BYTES: usize = 16 << 10;
+const ENDLESS_INTERVAL: time::Duration = time::Duration::from_millis(10);
+
+/// How an upstream treats requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Behaviour {
+    Sound,
+    /// Refuses each request without running it.
+    Refuses,
+    /// Writes the head of an error and a body without end.
+    EndlessBody,
+    /// Writes a head without end.
+    EndlessHead,
+    /// Writes each response a second time a little later.
+    LateCopy,
+    /// Writes a byte now and then, for ever.
+    Trickle,
+    /// Closes the connection within the head of the response.
+    CutHead,
+    /// Takes no connections.
+    Dead,
+}
+
+struct State {
+    behaviour: sync::Mutex<Behaviour>,
+    name: sync::Mutex<String>,
+    ledger: sync::Arc<ledger::Ledger>,
+    /// Called with the id of each request that arrives.
+    on_arrival: Box<dyn Fn(&str) + Send + Sync>,
+}
+
+impl State {
+    fn behaviour(&self) -> Behaviour {
+        *self
+            .behaviour
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn name(&self) -> String {
+        let name = self.name.lock();
+        name.unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+}
+
+/// An upstream on a loopback address.
+pub(crate) struct Upstream {
+    pub(crate) address: net::SocketAddr,
+    state: sync::Arc<State>,
+}
+
+impl Upstream {
+    /// Starts a sound upstream; it runs until the process ends.
+    pub(crate) fn start(
+        name: &str,
+        ledger: sync::Arc<ledger::Ledger>,
+        on_arrival: Box<dyn Fn(&str) + Send + Sync>,
+    ) -> io::Result<Self> {
+        let listener = net::TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let state = sync::Arc::new(State {
+            behaviour: sync::Mutex::new(Behaviour::Sound),
+            name: sync::Mutex::new(name.to_owned()),
+            ledger,
+            on_arrival,
+        });
+        let shared = state.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = shared.clone();
+                // Ends with an error when the host closes the connection.
+                thread::spawn(move || serve(&state, &stream));
+            }
+        });
+        Ok(Self { address, state })
+    }
+
+    pub(crate) fn set_behaviour(&self, behaviour: Behaviour) {
+        *self
+            .state
+            .behaviour
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner) = behaviour;
+    }
+
+    /// Gives the upstream another name, as the next process at its address has.
+    pub(crate) fn rename(&self, name: &str) {
+        *self
+            .state
+            .name
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner) = name.to_owned();
+    }
+}
+
+/// Value of a header in the text of a head; the name is given in lower case.
+pub(crate) fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let lines = head.lines().skip(1).filter_map(|l| l.split_once(':'));
+    let mut found = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.next().map_or("", |(_, value)| value.trim())
+}
+
+fn serve(state: &State, mut stream: &net::TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        if state.behaviour() == Behaviour::Dead {
+            return Ok(());
+        }
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if reader.read_line(&mut head)? == 0 {
+                return Ok(());
+            }
+        }
+        let length: usize = header(&head, "content-length").parse().unwrap_or(0);
+        reader.read_exact(&mut vec![0; length])?;
+        let behaviour = state.behaviour();
+        if behaviour == Behaviour::Dead {
+            return Ok(());
+        }
+        let id = header(&head, "request-id");
+        (state.on_arrival)(id);
+        let echo = format!("Request-Id: {id}\r\n");
+        if header(&head, "expect-instance") != state.name() {
+            let status = "HTTP/1.1 421 Misdirected Request";
+            write!(stream, "{status}\r\n{echo}Content-Length: 0\r\n\r\n")?;
+            continue;
+        }
+        if behaviour == Behaviour::Refuses {
+            let status = "HTTP/1.1 503 Service Unavailable";
+            write!(
+                stream,
+                "{status}\r\n{echo}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )?;
+            continue;
+        }
+        state.ledger.record_run(id, state.name());
+        let signed = format!("HTTP/1.1 200 OK\r\n{echo}Server-Signature: s\r\n");
+        match behaviour {
+            Behaviour::EndlessBody => {
+                write!(stream, "HTTP/1.1 500 Internal Server Error\r\n{echo}\r\n")?;
+                return write_endlessly(stream, &[b'x'; ENDLESS_BYTES], ENDLESS_INTERVAL);
+            }
+            Behaviour::EndlessHead => {
+                write!(stream, "{signed}X: ")?;
+                return write_endlessly(stream, &[b'x'; ENDLESS_BYTES], ENDLESS_INTERVAL);
+            }
+            Behaviour::Trickle => {
+                write!(stream, "{signed}Content-Length: 1000000\r\n\r\n")?;
+                return write_endlessly(stream, b"x", TRICKLE_INTERVAL);
+            }
+            Behaviour::CutHead => return write!(stream, "{signed}X"),
+            _ => {}
+        }
+        let response = if head
+            .split(' ')
+            .nth(1)
+            .is_some_and(|p| p.starts_with("/stream"))
+        {
+            let last: u64 = header(&head, "last-event-id").parse().unwrap_or(0);
+            write_stream(stream, &signed, id, last)?
+        } else {
+            thread::sleep(WORK);
+            let response = format!("{signed}Content-Length: {}\r\n\r\n{id}", id.len());
+            stream.write_all(response.as_bytes())?;
+            response
+        };
+        if behaviour == Behaviour::LateCopy {
+            thread::sleep(COPY_DELAY);
+            stream.write_all(response.as_bytes())?;
+        }
+    }
+}
+
+fn write_endlessly(
+    mut stream: &net::TcpStream,
+    piece: &[u8],
+    interval: time::Duration,
+) -> io::Result<()> {
+    loop {
+        stream.write_all(piece)?;
+        thread::sleep(interval);
+    }
+}
+
+/// Writes the events after `last`, and returns all bytes of the response.
+fn write_stream(
+    mut stream: &net::TcpStream,
+    signed: &str,
+    id: &str,
+    last: u64,
+) -> io::Result<String> {
+    let mut response =
+        format!("{signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    stream.write_all(response.as_bytes())?;
+    for n in last + 1..=EVENT_COUNT {
+        thread::sleep(EVENT_INTERVAL);
+        let event = format!("id: {n}\ndata: {id} {n}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes())?;
+        response.push_str(&chunk);
+    }
+    stream.write_all(b"0\r\n\r\n")?;
+    Ok(response + "0\r\n\r\n")
+}
