The soak waits for all hosts at the same time

With 60 hosts it called hosts 23 and later not recovered: they were asked one after the other within one time limit. Each has the limit for itself now.

--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -323,12 +323,18 @@
     /// Waits until all hosts serve, ends the clients and checks what must hold at the end.
     pub(crate) fn finish(&self) {
         let end = time::Instant::now() + RECOVERY_TIMEOUT;
-        for host in 0..self.fronts.len() {
-            let serves = self.wait_recovery(host, end);
-            self.ledger.check(Check::Recovery, serves, || {
-                format!("host {host} does not serve {RECOVERY_TIMEOUT:?} after the last fault")
-            });
-        }
+        thread::scope(|scope| {
+            for host in 0..self.fronts.len() {
+                scope.spawn(move || {
+                    let serves = self.wait_recovery(host, end);
+                    self.ledger.check(Check::Recovery, serves, || {
+                        format!(
+                            "host {host} does not serve {RECOVERY_TIMEOUT:?} after the last fault"
+                        )
+                    });
+                });
+            }
+        });
         self.is_over.store(true, atomic::Ordering::SeqCst);
         for client in self.lock_clients().drain(..) {
             if client.join().is_err() {
