--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -357,7 +357,11 @@
             http_client::SendOutcome::Lost => {
                 return Err(Outcome::MayHaveRun(Failure::ConnectionLost));
             }
-            http_client::SendOutcome::Unsent(unsent) => request = unsent,
+            http_client::SendOutcome::Unsent(unsent) => {
+                let upstream = &in_flight.selection.name;
+                tracing::info!(event = "connection_unusable", id = call.meta.id, %upstream);
+                request = unsent;
+            }
         }
     }
     let Ok(conn) = http_client::Connection::open(address, CONNECT_TIMEOUT).await else {
@@ -448,6 +452,18 @@
         // On a reused connection it may be an earlier response, written once more.
         None => !reused && (meta.refused || !parts.status.is_success()),
     };
+    if meta.refused || !parts.status.is_success() {
+        tracing::info!(
+            event = "upstream_status",
+            id = call.meta.id,
+            upstream = %in_flight.selection.name,
+            status = parts.status.as_u16(),
+            says_not_run = meta.refused,
+            signed = meta.signed,
+            id_matches,
+            reused,
+        );
+    }
     if !id_matches {
         return Outcome::MayHaveRun(Failure::WrongRequestId);
     }
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -242,6 +242,7 @@
         tier = call.tier,
         upstream = history.tried.last().map_or("", name::Upstream::as_str),
         sends = history.sent_count,
+        may_have_run = history.run_count,
         usable = history.details.usable,
         said_leaving = history.details.leaving,
         paused = history.details.paused,
