A refusal of a request that may have run has no status that says it did not

Callers of the product's own interface: the first upstream took the request and its answer was lost, the second could not be reached, and the caller got 503 with "run": "unknown" in the text. Clients go by the status, and send again.

Cause: the status came from the reason of the last attempt alone, whatever was known of the earlier ones. Now the refusal decides it from both: where the request may have run, a reason with one of the four statuses that promise gets 502.

The router on the platform chose such pairs nowhere; it uses the same function now.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -4,6 +4,14 @@
 
 use crate::clock;
 
+/// Status of a response that says nothing of whether the request ran.
+const BAD_GATEWAY: u16 = 502;
+
+/// Whether this HTTP status tells the client that the request has not run and never will.
+pub const fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Whether an upstream may have executed the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -45,8 +53,8 @@
                 }
             }
 
-            /// Returns the HTTP status code of the response.
-            pub const fn status(self) -> u16 {
+            /// HTTP status for a request that was not executed.
+            const fn status(self) -> u16 {
                 match self {
                     $(Self::$name => $status,)*
                 }
@@ -135,6 +143,16 @@
         }
     }
 
+    /// Returns the HTTP status code of the response. Of a request that may have been executed it never
+    /// promises the opposite, whatever the reason for giving it up.
+    pub const fn status(&self) -> u16 {
+        let status = self.reason.status();
+        match self.execution {
+            Execution::Unknown if promises_not_run(status) => BAD_GATEWAY,
+            _ => status,
+        }
+    }
+
     /// Sets the delay after which the client may retry.
     pub const fn with_retry_after(mut self, delay: clock::Millis) -> Self {
         self.retry_after = Some(delay);
--- a/crates/host/src/response.rs
+++ b/crates/host/src/response.rs
@@ -91,7 +91,7 @@
         if let Some(retry_after_s) = &retry_after_s {
             headers.push(("Retry-After", retry_after_s));
         }
-        let _ = self.send(refusal.reason.status(), &headers, body.as_bytes());
+        let _ = self.send(refusal.status(), &headers, body.as_bytes());
     }
 
     /// Sends the response headers of a stream of server-sent events.
--- a/crates/host/tests/faults.rs
+++ b/crates/host/tests/faults.rs
@@ -356,7 +356,8 @@
     site.engines[0].set_fault(r#"{"mode":"cut","after":0,"count":1000}"#);
     let url = site.url(0, "/v1/chat/completions");
     let refused = env::chat(&url, &key, "reached one", 5).expect("refusal");
-    assert_eq!(refused.execution(), "unknown", "{refused:?}");
+    let told = (refused.status, refused.execution());
+    assert_eq!(told, (502, "unknown".to_owned()), "{refused:?}");
     assert!(site.engines[0].stats()["started"].as_u64() > Some(0));
 
     site.plain
@@ -364,7 +365,8 @@
     let bearer = format!("Bearer {key}");
     let headers = [("Authorization", bearer.as_str())];
     let refused = env::call("GET", &site.url(0, "/s/ledger/x"), &headers, "").expect("refusal");
-    assert_eq!(refused.execution(), "unknown", "{refused:?}");
+    let told = (refused.status, refused.execution());
+    assert_eq!(told, (502, "unknown".to_owned()), "{refused:?}");
 
     // The upstream's own response to an idempotent request is forwarded if no other upstream is
     // left to try.
--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -92,7 +92,7 @@
     }
     let text = serde_json::json!({ "error": error }).to_string();
     let mut response = http::Response::new(Body::Buffered(Some(text.into())));
-    *response.status_mut() = http::StatusCode::from_u16(refusal.reason.status())
+    *response.status_mut() = http::StatusCode::from_u16(refusal.status())
         .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let json = http::HeaderValue::from_static("application/json");
     response
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -216,7 +216,7 @@
         call,
         history,
         refusal.reason.as_str(),
-        refusal.reason.status(),
+        refusal.status(),
         None,
     );
     response::from_refusal(refusal)
