What follows from the head of a response is decided in a module of its own

No change of behaviour. verdict::of takes the status, what the platform's headers say and whether the connection was used before, so it can be tested without a network.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,5 @@
 //! A single attempt to run a request at one upstream, up to the head of the response.
 
-use std::cell;
 use std::rc;
 
 use base::{clock, hash, name};
@@ -10,7 +9,8 @@
 use tokio::time;
 
 use crate::{
-    bodies, crash_log, headers, host, http_client, model, ports, response, selection, stream_class,
+    bodies, crash_log, headers, host, http_client, in_flight, model, ports, response, selection,
+    stream_class, verdict,
 };
 
 /// Time limit for connecting to an upstream.
@@ -147,7 +147,7 @@
     /// Information from the response's headers.
     pub meta: ports::ResponseMeta,
     /// Accounting entry of the request, removed when dropped.
-    pub in_flight: InFlight,
+    pub in_flight: in_flight::InFlight,
     conn: http_client::Connection,
 }
 
@@ -160,7 +160,7 @@
     pub async fn read_body(
         self,
         timeout: clock::Millis,
-    ) -> Result<(http::response::Parts, Bytes, InFlight), Failure> {
+    ) -> Result<(http::response::Parts, Bytes, in_flight::InFlight), Failure> {
         self.read_limited(timeout, MAX_RESPONSE_BYTES).await
     }
 
@@ -189,7 +189,7 @@
         self,
         timeout: clock::Millis,
         max_bytes: usize,
-    ) -> Result<(http::response::Parts, Bytes, InFlight), Failure> {
+    ) -> Result<(http::response::Parts, Bytes, in_flight::InFlight), Failure> {
         let memory = self.in_flight.host.memory.clone();
         let reading = bodies::read(self.body, max_bytes, &memory);
         let bytes = match time::timeout(timeout.duration(), reading).await {
@@ -223,7 +223,7 @@
     /// Information from the response's headers.
     meta: ports::ResponseMeta,
     /// Accounting entry of the request, removed when dropped.
-    pub in_flight: InFlight,
+    pub in_flight: in_flight::InFlight,
     conn: http_client::Connection,
 }
 
@@ -234,85 +234,6 @@
     }
 }
 
-/// Accounting entry of a request at an upstream. Dropping it ends the request in the fleet's
-/// accounts.
-pub struct InFlight {
-    host: rc::Rc<host::Host>,
-    service: name::Service,
-    /// Upstream that the request was sent to.
-    pub selection: selection::Selection,
-    /// When the request was sent.
-    pub sent_at: clock::Millis,
-    /// Whether the prompt still counts among the upstream's unread tokens.
-    prompt_pending: cell::Cell<bool>,
-}
-
-impl InFlight {
-    fn new(host: &rc::Rc<host::Host>, call: &Call, selection: selection::Selection) -> Self {
-        let now = host.now();
-        host.fleet
-            .borrow_mut()
-            .record_sent(&selection, &call.meta.prompt_parts, now);
-        Self {
-            host: host.clone(),
-            service: call.service.clone(),
-            selection,
-            sent_at: now,
-            prompt_pending: cell::Cell::new(true),
-        }
-    }
-
-    /// Records that the upstream has processed the prompt. Further calls have no effect.
-    pub fn record_prompt_read(&self) {
-        if self.prompt_pending.replace(false) {
-            let mut fleet = self.host.fleet.borrow_mut();
-            fleet.record_prompt_read(&self.selection.name, self.selection.unread_tokens);
-        }
-    }
-
-    /// Records that response bytes arrived from the upstream.
-    pub fn record_data(&self) {
-        let now = self.host.now();
-        self.host
-            .fleet
-            .borrow_mut()
-            .record_data(&self.selection.name, now);
-    }
-
-    /// Waits until no response bytes of any request have arrived from the upstream for
-    /// `stall_timeout` and the retry budget allows another attempt. Without one the request is
-    /// better off where it is: an upstream under load may still send its response.
-    pub async fn wait_for_stall(&self, stall_timeout: clock::Millis) {
-        loop {
-            let since = self.host.now();
-            time::sleep(stall_timeout.duration()).await;
-            let has_data = {
-                let fleet = self.host.fleet.borrow();
-                fleet.has_data_since(&self.selection.name, since)
-            };
-            if !has_data && self.host.can_retry(&self.service) {
-                return;
-            }
-        }
-    }
-
-    fn keep_connection(&self, conn: http_client::Connection, meta: &ports::ResponseMeta) {
-        let now = self.host.now();
-        let pool = &self.host.pool;
-        pool.put(self.selection.address, conn, now, meta.idle_timeout);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.record_prompt_read();
-        self.host
-            .fleet
-            .borrow_mut()
-            .record_end(&self.selection.name);
-    }
-}
-
 /// Sends `call` to the selected upstream and waits for the head of the response. The attempt fails
 /// after `timeout`, or when no data arrives from the upstream for `stall_timeout`.
 pub async fn send(
@@ -323,7 +244,7 @@
     timeout: clock::Millis,
     stall_timeout: clock::Millis,
 ) -> Outcome {
-    let in_flight = InFlight::new(host, call, selection);
+    let in_flight = in_flight::InFlight::new(host, call, selection);
     let Some(request) = build_request(host, call, &in_flight.selection, last_event_id) else {
         return Outcome::NotRun(Failure::Connect);
     };
@@ -345,7 +266,7 @@
 async fn exchange(
     host: &host::Host,
     call: &Call,
-    in_flight: &InFlight,
+    in_flight: &in_flight::InFlight,
     mut request: http::Request<Full<Bytes>>,
 ) -> Result<(http::Response<body::Incoming>, http_client::Connection), Outcome> {
     let address = in_flight.selection.address;
@@ -433,7 +354,7 @@
 async fn classify_response(
     host: &rc::Rc<host::Host>,
     call: &Call,
-    in_flight: InFlight,
+    in_flight: in_flight::InFlight,
     response: http::Response<body::Incoming>,
     conn: http_client::Connection,
 ) -> Outcome {
@@ -446,12 +367,7 @@
             .borrow_mut()
             .record_load(&in_flight.selection.name, load, now);
     }
-    let misdirected = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
-    let id_matches = match &meta.request_id {
-        Some(id) => *id == call.meta.id,
-        // On a reused connection it may be an earlier response, written once more.
-        None => !reused && (meta.refused || !parts.status.is_success()),
-    };
+    let verdict = verdict::of(parts.status, &meta, &call.meta.id, reused);
     if meta.refused || !parts.status.is_success() {
         tracing::info!(
             event = "upstream_status",
@@ -460,41 +376,32 @@
             status = parts.status.as_u16(),
             says_not_run = meta.refused,
             signed = meta.signed,
-            id_matches,
+            named = meta.request_id.is_some(),
             reused,
         );
     }
-    if !id_matches {
-        return Outcome::MayHaveRun(Failure::WrongRequestId);
-    }
-    if !misdirected {
+    let speaks_for_process = !matches!(
+        verdict,
+        verdict::Verdict::MayHaveRun(Failure::WrongRequestId)
+            | verdict::Verdict::NotRun(Failure::Misdirected)
+    );
+    if speaks_for_process {
         record_announcements(host, &in_flight.selection, &parts, &meta);
     }
-    if meta.refused || misdirected {
-        let head = ResponseHead {
-            parts,
-            body,
-            meta,
-            in_flight,
-            conn,
-        };
-        // Without its complete body the connection is closed instead of returned to the pool.
-        let _ = head.read_body(REFUSAL_BODY_TIMEOUT).await;
-        let failure = if misdirected {
-            Failure::Misdirected
-        } else {
-            Failure::Refused
-        };
-        return Outcome::NotRun(failure);
-    }
-    if parts.status.is_success() && !meta.signed {
-        return Outcome::MayHaveRun(Failure::Unsigned);
-    }
-    Outcome::Response(Box::new(ResponseHead {
+    let head = ResponseHead {
         parts,
         body,
         meta,
         in_flight,
         conn,
-    }))
+    };
+    match verdict {
+        verdict::Verdict::PassOn => Outcome::Response(Box::new(head)),
+        verdict::Verdict::NotRun(failure) => {
+            // Without its complete body the connection is closed instead of returned to the pool.
+            let _ = head.read_body(REFUSAL_BODY_TIMEOUT).await;
+            Outcome::NotRun(failure)
+        }
+        verdict::Verdict::MayHaveRun(failure) => Outcome::MayHaveRun(failure),
+    }
 }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -10,8 +10,8 @@
 use tokio::{task, time};
 
 use crate::{
-    attempt, crash_log, headers, host, memory, prompt_evidence, reports, response, retry, serve,
-    sse,
+    attempt, crash_log, headers, host, in_flight, memory, prompt_evidence, reports, response,
+    retry, serve, sse,
 };
 
 /// Number of events buffered for a client that reads too slowly.
@@ -73,7 +73,7 @@
     body: &mut hyper::body::Incoming,
     parser: &mut sse::Parser,
     hold: &mut memory::Hold,
-    in_flight: &attempt::InFlight,
+    in_flight: &in_flight::InFlight,
 ) -> NextEvent {
     loop {
         match parser.next_event() {
