A status that promises "not run" is passed on only with the upstream's own word

What callers saw (REFUSED): an upstream ran a request and answered 503, 429 or 408 without saying that it had not run it; the caller got that status, which promises that it has not and never will, and one that goes by it sends again.

Cause: the host lent its own voice to what an upstream said. Attempts were judged by the upstream's explicit word, but the response went to the client with any status, as the kept error (503) or as a whole response (408, 429).

Change: verdict::of, which each head of a response passes, for calls, streams and resumed streams, counts such a response as an attempt that may have run. Where the route allows it another upstream is tried, else the client gets the host's own 502, unknown, without the signature, the Retry-After and the body of the upstream.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -91,6 +91,8 @@
     WrongRequestId,
     /// A successful response lacks the upstream's signature.
     Unsigned,
+    /// The status says that the request did not run, and the upstream does not.
+    Unconfirmed,
     /// The response did not arrive within the time limit.
     Timeout,
     /// The upstream sent no data for any of this host's requests for too long.
@@ -117,6 +119,7 @@
             Self::ConnectionLost => "lost",
             Self::WrongRequestId => "foreign",
             Self::Unsigned => "unsigned",
+            Self::Unconfirmed => "unconfirmed",
             Self::Timeout => "slow",
             Self::Stalled => "silent",
             Self::Truncated => "broken",
@@ -402,6 +405,10 @@
             let _ = head.read_body(REFUSAL_BODY_TIMEOUT).await;
             Outcome::NotRun(failure)
         }
+        verdict::Verdict::MayHaveRun(Failure::Unconfirmed) => {
+            let _ = head.read_body(REFUSAL_BODY_TIMEOUT).await;
+            Outcome::MayHaveRun(Failure::Unconfirmed)
+        }
         verdict::Verdict::MayHaveRun(failure) => Outcome::MayHaveRun(failure),
     }
 }
--- a/crates/router/src/verdict.rs
+++ b/crates/router/src/verdict.rs
@@ -1,6 +1,8 @@
 //! What the head of an upstream's response says of the request: whether it ran, and whether the response
 //! may be passed on.
 
+use base::refusal;
+
 use crate::{attempt, ports};
 
 /// What follows from the head of a response.
@@ -16,6 +18,9 @@
 
 /// Determines what follows from the head of a response to the request `id`. `reused` tells whether the
 /// connection has carried another request before.
+///
+/// Only the upstream's explicit statement, or status 421, means that the request did not run. Any other
+/// status that tells a client so is not passed on, because it would be taken for the host's word.
 pub fn of(status: http::StatusCode, meta: &ports::ResponseMeta, id: &str, reused: bool) -> Verdict {
     let id_matches = match &meta.request_id {
         Some(found) => found == id,
@@ -34,5 +39,8 @@
     if status.is_success() && !meta.signed {
         return Verdict::MayHaveRun(attempt::Failure::Unsigned);
     }
+    if refusal::promises_not_run(status.as_u16()) {
+        return Verdict::MayHaveRun(attempt::Failure::Unconfirmed);
+    }
     Verdict::PassOn
 }
--- /dev/null
+++ b/crates/router/tests/verdict.rs
@@ -0,0 +1,39 @@
+//! Decisions on what is told to clients about runs of their requests, without a network.
+
+use base::refusal;
+use router::{ports, verdict};
+
+/// Heads of responses with each status, and all that decides beside it.
+fn all_heads() -> Vec<(http::StatusCode, ports::ResponseMeta, bool)> {
+    let mut heads = Vec::new();
+    for status in 100..=999 {
+        let status = http::StatusCode::from_u16(status).expect("a status");
+        for bits in 0..16 {
+            for id in [None, Some("q-1"), Some("q-0")] {
+                let meta = ports::ResponseMeta {
+                    request_id: id.map(str::to_owned),
+                    signed: bits & 1 > 0,
+                    refused: bits & 2 > 0,
+                    leaving: bits & 4 > 0,
+                    ..ports::ResponseMeta::default()
+                };
+                heads.push((status, meta, bits & 8 > 0));
+            }
+        }
+    }
+    heads
+}
+
+/// Guards against a status that an upstream gave after it had run a request, and that reached the client
+/// as the host's promise that it had not.
+#[test]
+fn no_status_that_promises_not_run_is_passed_on() {
+    for (status, meta, reused) in all_heads() {
+        let verdict = verdict::of(status, &meta, "q-1", reused);
+        if verdict == verdict::Verdict::PassOn {
+            let promises = refusal::promises_not_run(status.as_u16());
+            assert!(!promises, "{status} {meta:?}");
+            assert!(meta.signed || !status.is_success(), "{status} {meta:?}");
+        }
+    }
+}
