"Not run" is believed only in a refusal

What callers saw (TWICE, and REFUSED): an upstream ran a request that must run once and answered with a success that also says "not run". The host sent the request to a second upstream, whose answer the caller got after two runs, or refused it as not run.

Cause: the header counted wherever it stood. Beside anything but a 4xx or 5xx the response contradicts itself, and the request may have run.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -93,6 +93,8 @@
     Unsigned,
     /// The status says that the request did not run, and the upstream does not.
     Unconfirmed,
+    /// A response that is no refusal states that the request did not run.
+    Contradictory,
     /// The response did not arrive within the time limit.
     Timeout,
     /// The upstream sent no data for any of this host's requests for too long.
@@ -120,6 +122,7 @@
             Self::WrongRequestId => "foreign",
             Self::Unsigned => "unsigned",
             Self::Unconfirmed => "unconfirmed",
+            Self::Contradictory => "contradictory",
             Self::Timeout => "slow",
             Self::Stalled => "silent",
             Self::Truncated => "broken",
--- a/crates/router/tests/verdict.rs
+++ b/crates/router/tests/verdict.rs
@@ -37,3 +37,23 @@
         }
     }
 }
+
+/// Guards against a request that is sent again or refused as not run although it ran: "not run" was
+/// believed beside a success, in a response to another request, or in an old one on a used connection.
+#[test]
+fn not_run_is_believed_only_in_a_refusal_of_this_request() {
+    for (status, meta, reused) in all_heads() {
+        let verdict = verdict::of(status, &meta, "q-1", reused);
+        let says_so = meta.refused && status.as_u16() >= 400 || status.as_u16() == 421;
+        match verdict {
+            verdict::Verdict::NotRun(_) => {
+                assert!(says_so, "{status} {meta:?}");
+                let is_own = meta.request_id.as_deref() == Some("q-1");
+                let is_first = meta.request_id.is_none() && !reused;
+                assert!(is_own || is_first, "{status} {meta:?}");
+            }
+            verdict::Verdict::PassOn => assert!(!meta.refused, "{status} {meta:?}"),
+            verdict::Verdict::MayHaveRun(_) => {}
+        }
+    }
+}
