An interim response that ends HTTP on a connection does not reach the client

What callers saw: an upstream answered 101, and the client got that as its whole response, on a connection that it keeps using for HTTP.

Cause: all heads but server errors and bad successes were passed on. An interim status counts as an attempt that may have run now.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -95,6 +95,8 @@
     Unconfirmed,
     /// A response that is no refusal states that the request did not run.
     Contradictory,
+    /// The response is an interim one, after which no final one can follow.
+    NotFinal,
     /// The response did not arrive within the time limit.
     Timeout,
     /// The upstream sent no data for any of this host's requests for too long.
@@ -123,6 +125,7 @@
             Self::Unsigned => "unsigned",
             Self::Unconfirmed => "unconfirmed",
             Self::Contradictory => "contradictory",
+            Self::NotFinal => "not_final",
             Self::Timeout => "slow",
             Self::Stalled => "silent",
             Self::Truncated => "broken",
--- a/crates/router/src/verdict.rs
+++ b/crates/router/src/verdict.rs
@@ -19,8 +19,8 @@
 /// Determines what follows from the head of a response to the request `id`. `reused` tells whether the
 /// connection has carried another request before.
 ///
-/// Only the upstream's explicit statement in a refusal, or status 421, means that the request did not run. Any other
-/// status that tells a client so is not passed on, because it would be taken for the host's word.
+/// Only the upstream's explicit statement in a refusal, or status 421, means that the request did not run.
+/// Any other status that tells a client so is not passed on, because it would be taken for the host's word.
 pub fn of(status: http::StatusCode, meta: &ports::ResponseMeta, id: &str, reused: bool) -> Verdict {
     let is_refusal = status.is_client_error() || status.is_server_error();
     let id_matches = match &meta.request_id {
@@ -40,6 +40,9 @@
     if meta.refused {
         return Verdict::MayHaveRun(attempt::Failure::Contradictory);
     }
+    if status.is_informational() {
+        return Verdict::MayHaveRun(attempt::Failure::NotFinal);
+    }
     if status.is_success() && !meta.signed {
         return Verdict::MayHaveRun(attempt::Failure::Unsigned);
     }
--- a/crates/router/tests/verdict.rs
+++ b/crates/router/tests/verdict.rs
@@ -32,7 +32,8 @@
         let verdict = verdict::of(status, &meta, "q-1", reused);
         if verdict == verdict::Verdict::PassOn {
             let promises = refusal::promises_not_run(status.as_u16());
-            assert!(!promises, "{status} {meta:?}");
+            let is_final = !status.is_informational();
+            assert!(is_final && !promises, "{status} {meta:?}");
             assert!(meta.signed || !status.is_success(), "{status} {meta:?}");
         }
     }
