What is known of a request's runs is one type, and the promise follows from it

Two counts decided whether a client is told "not run": attempts that may have run after the last attempt, and attempts sent when a stopping host gives a request up. Both were right for where they stood, and nothing kept a third place from choosing the wrong one.

Executions counts attempts begun and how they ended; a request has not run only if each has ended without a run, so one that is under way can't be refused as not run. not_run_holds_only_if_each_attempt_has_ended_without_a_run covers all ends of four attempts. A request that a stopping host gives up between attempts none of which ran is now told so (503, stopping); it was told "unknown".

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod crash_log;
 pub mod delta;
+pub mod executions;
 pub mod failures;
 pub mod fleet;
 pub mod follower;
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -3,7 +3,10 @@
 use base::{clock, name, refusal};
 use smallvec::SmallVec;
 
-use crate::{attempt, host, model, ports, prompt_evidence, quarantine, response, selection, serve};
+use crate::{
+    attempt, executions, host, model, ports, prompt_evidence, quarantine, response, selection,
+    serve,
+};
 
 /// Attempts allowed in addition to the route's maximum, to replace attempts that did not run.
 const EXTRA_ATTEMPTS: u32 = 2;
@@ -13,14 +16,12 @@
 /// Attempts of one request so far.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
-    /// Number of attempts, whether they succeeded or not.
-    pub sent_count: u32,
+    /// What is known of the execution of the attempts.
+    pub executions: executions::Executions,
     /// When the latest attempt began.
     pub sent_at: clock::Millis,
     /// Number of failed attempts that may have reached an upstream.
     pub reached_count: u32,
-    /// Number of failed attempts that may have run at an upstream.
-    pub run_count: u32,
     /// Upstreams that the request was sent to, the latest last.
     pub tried: SmallVec<[name::Upstream; 4]>,
     /// Inputs of the latest upstream selection.
@@ -66,13 +67,13 @@
     history: &mut AttemptHistory,
 ) -> Result<selection::Selection, refusal::Reason> {
     let attempts = call.route.max_attempts.max(1);
-    if history.run_count >= attempts
-        || history.sent_count >= attempts.saturating_add(EXTRA_ATTEMPTS)
+    if history.executions.may_have_run() >= attempts
+        || history.executions.begun() >= attempts.saturating_add(EXTRA_ATTEMPTS)
     {
         return Err(refusal::Reason::UpstreamFailed);
     }
     // A request may wait between its acceptance and its first attempt.
-    if history.sent_count == 0 && !host.accepts_requests() {
+    if history.executions.begun() == 0 && !host.accepts_requests() {
         return Err(refusal::Reason::Stopping);
     }
     if is_withheld(host, call, history) {
@@ -104,7 +105,7 @@
     if history.reached_count > 0 && !host.spend_retry(&call.service) {
         return Err(refusal::Reason::UpstreamFailed);
     }
-    if history.sent_count > 0 {
+    if history.executions.begun() > 0 {
         let reason = history
             .last_failure
             .map_or("unknown", attempt::Failure::as_str);
@@ -113,7 +114,7 @@
     let mut demand = host.demand.borrow_mut();
     let demand = demand.entry(call.service.clone()).or_default();
     demand.record_request(selection.unread_tokens);
-    history.sent_count += 1;
+    history.executions.begin();
     history.sent_at = now;
     history.details = selection.details;
     history.begun_at = None;
@@ -135,7 +136,9 @@
         history.reached_count += 1;
     }
     if possibly_ran {
-        history.run_count += 1;
+        history.executions.end_unknown();
+    } else {
+        history.executions.end_not_run();
     }
     let upstream = history.tried.last();
     if let Some(name) = upstream
@@ -153,7 +156,7 @@
         may_have_run = possibly_ran,
         begun_ms = history.begun_at.map(|at| now.since(at).0),
         parts = %ports::PartIds(&call.meta.prompt_parts),
-        sends = history.sent_count,
+        sends = history.executions.begun(),
         busy = history.details.in_flight,
         told = history.details.reported_requests,
         told_age_ms = history.details.report_age_ms,
@@ -169,7 +172,7 @@
     reason: refusal::Reason,
 ) -> response::Response {
     let now = host.now();
-    let refusal = if history.run_count == 0 {
+    let refusal = if history.executions.known() == refusal::Execution::NotRun {
         let reason = match reason {
             refusal::Reason::UpstreamFailed => refusal::Reason::NoUpstream,
             other => other,
@@ -190,7 +193,7 @@
     call: &attempt::Call,
     history: &AttemptHistory,
 ) -> response::Response {
-    let refusal = if history.sent_count == 0 {
+    let refusal = if history.executions.known() == refusal::Execution::NotRun {
         refusal::Refusal::not_run(refusal::Reason::Stopping)
             .with_retry_after(serve::RETRY_AFTER_DELAY)
     } else {
@@ -241,8 +244,8 @@
         team = call.team.as_ref().map_or("", |t| t.name.as_str()),
         tier = call.tier,
         upstream = history.tried.last().map_or("", name::Upstream::as_str),
-        sends = history.sent_count,
-        may_have_run = history.run_count,
+        sends = history.executions.begun(),
+        may_have_run = history.executions.may_have_run(),
         usable = history.details.usable,
         said_leaving = history.details.leaving,
         paused = history.details.paused,
@@ -269,8 +272,8 @@
 
 /// Whether the request may be retried at another upstream if the current attempt fails.
 pub fn may_retry(host: &host::Host, call: &attempt::Call, history: &AttemptHistory) -> bool {
-    let attempts_left =
-        call.route.is_retryable() && history.run_count + 1 < call.route.max_attempts;
+    let attempts_left = call.route.is_retryable()
+        && history.executions.may_have_run() + 1 < call.route.max_attempts;
     attempts_left && host.can_retry(&call.service)
 }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -150,7 +150,9 @@
             }
             StartOutcome::Failed => {}
         }
-        if history.run_count > 0 && !call.route.is_retryable() || host.now() >= call.finish_by {
+        if history.executions.may_have_run() > 0 && !call.route.is_retryable()
+            || host.now() >= call.finish_by
+        {
             break refusal::Reason::UpstreamFailed;
         }
     };
--- a/crates/router/tests/verdict.rs
+++ b/crates/router/tests/verdict.rs
@@ -1,7 +1,7 @@
 //! Decisions on what is told to clients about runs of their requests, without a network.
 
 use base::refusal;
-use router::{ports, verdict};
+use router::{executions, ports, verdict};
 
 /// Heads of responses with each status, and all that decides beside it.
 fn all_heads() -> Vec<(http::StatusCode, ports::ResponseMeta, bool)> {
@@ -58,3 +58,26 @@
         }
     }
 }
+
+/// Guards against a promise that covers some of the attempts: an earlier one may have run, or one is still
+/// under way when the host gives the request up.
+#[test]
+fn not_run_holds_only_if_each_attempt_has_ended_without_a_run() {
+    // Each digit of `ends` is an attempt: not run, unknown, or still under way.
+    for ends in 0..81 {
+        let mut executions = executions::Executions::default();
+        let digits = [1, 3, 9, 27].map(|p| ends / p % 3);
+        for end in digits {
+            executions.begin();
+            match end {
+                0 => executions.end_not_run(),
+                1 => executions.end_unknown(),
+                _ => {}
+            }
+        }
+        let is_not_run = executions.known() == refusal::Execution::NotRun;
+        assert_eq!(is_not_run, digits == [0; 4], "{digits:?}");
+    }
+    let none = executions::Executions::default().known();
+    assert_eq!(none, refusal::Execution::NotRun);
+}
