Plain services behind the product's own interface make no promises through the host

What callers saw: a plain service ran a call and answered 503; the caller got that status, by which clients send again. Under an idempotency key the 503 was kept and given to each repeat of the call.

Plain services have no way to say that nothing ran, so 408, 421, 429 and 503 count as a bad response: another upstream where the call may be repeated, else 502, unknown.

status_of_a_service_that_ran_the_request_is_not_passed_on_as_a_promise failed before (503 instead of 502). One check changes: request_that_reached_an_upstream_never_reports_not_run wanted a service's 503 passed on for a GET, which is this fault; it now wants 502, unknown, there and a service's 500 passed on, so both sides are still compared. An engine's 429 or 503 stays "not run": the documented interface of engines says so.

--- a/crates/host/src/plain.rs
+++ b/crates/host/src/plain.rs
@@ -157,7 +157,7 @@
     excluded: Vec<name::Upstream>,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
-    /// Last response of an upstream with status 502, 503 or 504.
+    /// Last response of an upstream with status 502 or 504.
     error_response: Option<upstream::Response>,
 }
 
@@ -265,7 +265,7 @@
             let result = self.send_attempt(upstream);
             let ttft = self.context.clock.now().since(permit.granted_at());
             let error = match result {
-                Ok(response) if !(retryable && matches!(response.status, 502..=504)) => {
+                Ok(response) if !(retryable && matches!(response.status, 502 | 504)) => {
                     permit.finish(request::Outcome::Completed, 1, ttft);
                     self.record_success();
                     return Ok(response);
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::io::BufRead as _;
 
-use base::clock;
+use base::{clock, refusal};
 use config::document;
 use ureq::unversioned::resolver;
 use ureq::unversioned::transport;
@@ -130,7 +130,8 @@
     }
 
     /// Sends a request to a plain service once, on a new connection, and reads the whole response,
-    /// at most `max_bytes` long.
+    /// at most `max_bytes` long. A status that tells clients that the request did not run counts as a bad
+    /// response: plain services have no way to say so, and the host must not say it for them.
     ///
     /// # Errors
     ///
@@ -158,7 +159,11 @@
         let response = result
             .map_err(|_| Error::NotSent)?
             .map_err(|e| transport_error(&e))?;
-        read_response(response, max_bytes)
+        let response = read_response(response, max_bytes)?;
+        if refusal::promises_not_run(response.status) {
+            return Err(Error::BadResponse);
+        }
+        Ok(response)
     }
 }
 
--- a/crates/host/tests/faults.rs
+++ b/crates/host/tests/faults.rs
@@ -369,10 +369,14 @@
     assert_eq!(told, (502, "unknown".to_owned()), "{refused:?}");
 
     // The upstream's own response to an idempotent request is forwarded if no other upstream is
-    // left to try.
-    site.plain.set_fault(r#"{"mode":"refuse","count":1000}"#);
+    // left to try, but not a status that promises that nothing ran.
+    site.plain.set_fault(r#"{"mode":"fail","count":1000}"#);
     let response = env::call("GET", &site.url(0, "/s/ledger/x"), &headers, "").expect("response");
-    assert_eq!((response.status, response.body.as_str()), (503, ""));
+    assert_eq!((response.status, response.body.as_str()), (500, ""));
+    site.plain.set_fault(r#"{"mode":"refuse","count":1000}"#);
+    let refused = env::call("GET", &site.url(0, "/s/ledger/x"), &headers, "").expect("refusal");
+    let told = (refused.status, refused.execution());
+    assert_eq!(told, (502, "unknown".to_owned()), "{refused:?}");
 }
 
 /// Guards against applying the stall timeout to the time before a response begins, which may be
--- a/crates/host/tests/once.rs
+++ b/crates/host/tests/once.rs
@@ -85,6 +85,37 @@
     assert_eq!(run_count(&site, "300 from A"), 1);
 }
 
+/// Guards against a promise that rests on nothing: a plain service that had run a request answered 503,
+/// which means "not run" to clients, and the host passed it on, or kept it for the idempotency key.
+#[test]
+fn status_of_a_service_that_ran_the_request_is_not_passed_on_as_a_promise() {
+    let (site, key) = env::Site::ready(&["lalitpur"], 0);
+    let bearer = format!("Bearer {key}");
+    let headers = [("Authorization", bearer.as_str())];
+    let url = site.url(0, "/s/ledger/deposits");
+    let fault = |mode: &str| {
+        let fault = format!(r#"{{"mode":"{mode}","count":1}}"#);
+        site.plain.set_fault(&fault);
+    };
+    for (method, body) in [("POST", "700"), ("GET", "")] {
+        fault("run_and_refuse");
+        let response = env::call(method, &url, &headers, body).expect("response");
+        let told = (response.status, response.execution());
+        assert_eq!(told, (502, "unknown".to_owned()), "{method}: {response:?}");
+        assert_eq!(run_count(&site, body), 1, "{method}");
+    }
+    fault("run_and_refuse");
+    let first = deposit(&site, 0, &key, "d-7", "800 from A").expect("response");
+    assert_eq!((first.status, first.execution().as_str()), (502, "unknown"));
+    let retry = deposit(&site, 0, &key, "d-7", "800 from A").expect("response");
+    assert_eq!(retry.reason(), "outcome_unknown", "{retry:?}");
+    assert_eq!(run_count(&site, "800 from A"), 1);
+    // A failure that promises nothing is the service's own answer.
+    fault("fail");
+    let response = env::call("POST", &url, &headers, "900").expect("response");
+    assert_eq!((response.status, response.body.as_str()), (500, ""));
+}
+
 #[test]
 fn request_without_idempotency_key_is_sent_once() {
     let (site, key) = env::Site::ready(&["lalitpur"], 0);
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -22,6 +22,10 @@
     None,
     /// Responds with 503 without running the request.
     Refuse,
+    /// Runs the request and responds with 503.
+    RunAndRefuse,
+    /// Runs the request and responds with 500.
+    Fail,
     /// Runs the request and closes the connection without a response.
     LoseAnswer,
     /// Closes the connection without running the request.
@@ -114,12 +118,15 @@
     match mode {
         Mode::Refuse => return http::respond_empty(request, 503),
         Mode::CutBefore => return accept::shutdown_connection(request.remote_addr().copied()),
-        Mode::None | Mode::LoseAnswer => {}
+        Mode::None | Mode::RunAndRefuse | Mode::Fail | Mode::LoseAnswer => {}
     }
     thread::sleep(time::Duration::from_millis(run_ms));
     let count = record_run(state, &request, &body);
-    if mode == Mode::LoseAnswer {
-        return accept::shutdown_connection(request.remote_addr().copied());
+    match mode {
+        Mode::RunAndRefuse => return http::respond_empty(request, 503),
+        Mode::Fail => return http::respond_empty(request, 500),
+        Mode::LoseAnswer => return accept::shutdown_connection(request.remote_addr().copied()),
+        Mode::None | Mode::Refuse | Mode::CutBefore => {}
     }
     let response = serde_json::json!({"path": request.url(), "run": count, "body": body});
     http::respond_json(request, 200, &response);
