--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Returns the refusal for a request that an earlier attempt may have executed. It names no delay, as
+    /// sending the request again may execute it twice.
+    pub const fn of_possible_run(self) -> Self {
+        Self::unknown(self.reason)
+    }
+
     /// Sets the delay after which the client may retry.
     pub const fn with_retry_after(mut self, delay: clock::Millis) -> Self {
         self.retry_after = Some(delay);
--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -495,18 +495,12 @@
     fn fail(&mut self, refusal: &refusal::Refusal) {
         match self.sink.take() {
             Some(Sink::NotStarted(responder) | Sink::Buffered(responder)) => {
-                let execution = if self.may_have_run {
-                    refusal::Execution::Unknown
+                let refusal = if self.may_have_run {
+                    refusal.of_possible_run()
                 } else {
-                    refusal.execution
+                    *refusal
                 };
-                responder.refuse(
-                    &refusal::Refusal {
-                        execution,
-                        ..*refusal
-                    },
-                    &self.context.metrics,
-                );
+                responder.refuse(&refusal, &self.context.metrics);
             }
             Some(Sink::Streaming(stream)) => {
                 self.sink = Some(Sink::Streaming(stream));
--- a/crates/host/src/plain.rs
+++ b/crates/host/src/plain.rs
@@ -171,17 +171,12 @@
         }
     }
 
-    /// Returns `refusal` with execution set to unknown if an earlier attempt may have run the
-    /// request.
+    /// Returns `refusal`, or what it is if an earlier attempt may have run the request.
     fn adjust_execution(&self, refusal: refusal::Refusal) -> refusal::Refusal {
-        let execution = if self.may_have_run {
-            refusal::Execution::Unknown
+        if self.may_have_run {
+            refusal.of_possible_run()
         } else {
-            refusal.execution
-        };
-        refusal::Refusal {
-            execution,
-            ..refusal
+            refusal
         }
     }
 }
