The product's own hosts bound what they hold for all requests together

Each response had a limit of 16 MB, each line of a stream 1 MB, each request body 2 MB, and their sum had none. Now one budget holds them, limits.held_mb, 64 by default; at the limit a request that is being received gets host_full (not run, with a time to come back), a response counts as bad.

--- a/crates/host/src/blocked_keys.rs
+++ b/crates/host/src/blocked_keys.rs
@@ -67,7 +67,7 @@
 
 /// Handles an operator's request to block a key.
 pub fn serve(context: &context::Context, mut http: tiny_http::Request) {
-    let read = body::read(&mut http, MAX_BODY_BYTES, &context.clock);
+    let read = body::read(context, &mut http, MAX_BODY_BYTES);
     let responder = response::Responder::new(http, context.request_id());
     let refuse = |reason| refusal::Refusal::not_run(reason);
     let parsed = read.and_then(|bytes| {
--- a/crates/host/src/body.rs
+++ b/crates/host/src/body.rs
@@ -3,9 +3,14 @@
 use std::io;
 
 use base::{clock, refusal};
+use bytes::Bytes;
+
+use crate::context;
 
 /// Time within which a request body must arrive completely.
 const BODY_TIMEOUT: clock::Millis = clock::Millis(20_000);
+/// Suggested delay before a client retries while there is no memory for its request.
+const FULL_RETRY_DELAY: clock::Millis = clock::Millis(1_000);
 /// Size of the buffer for one read from the connection.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -14,18 +19,21 @@
 /// # Errors
 ///
 /// `TooLarge` if the body is longer than `max_bytes`, `SlowCaller` if it does not arrive in time,
-/// `BadRequest` if the client closed the connection before the end of the body.
+/// `BadRequest` if the client closed the connection before the end of the body, `HostFull` if there is no
+/// memory for it, which is held until the returned bytes are dropped.
 pub fn read(
+    context: &context::Context,
     request: &mut tiny_http::Request,
     max_bytes: usize,
-    clock: &clock::Clock,
-) -> Result<Vec<u8>, refusal::Refusal> {
+) -> Result<Bytes, refusal::Refusal> {
+    let clock = &context.clock;
     let refuse = |reason| Err(refusal::Refusal::not_run(reason));
     let content_length = request.body_length();
     if content_length.is_some_and(|n| n > max_bytes) {
         return refuse(refusal::Reason::TooLarge);
     }
     let deadline = clock.now() + BODY_TIMEOUT;
+    let mut hold = context.memory.open();
     let mut body = Vec::with_capacity(content_length.unwrap_or_default().min(max_bytes));
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     let reader = request.as_reader();
@@ -37,6 +45,10 @@
             Err(e) if is_timeout(&e) => return refuse(refusal::Reason::SlowCaller),
             Err(_) => return refuse(refusal::Reason::BadRequest),
         };
+        if hold.grow(n).is_err() {
+            let full = refusal::Refusal::not_run(refusal::Reason::HostFull);
+            return Err(full.with_retry_after(FULL_RETRY_DELAY));
+        }
         body.extend_from_slice(&buffer[..n]);
         if body.len() > max_bytes {
             return refuse(refusal::Reason::TooLarge);
@@ -48,7 +60,7 @@
     if content_length.is_some_and(|n| n != body.len()) {
         return refuse(refusal::Reason::BadRequest);
     }
-    Ok(body)
+    Ok(hold.attach(body.into()))
 }
 
 fn is_timeout(e: &io::Error) -> bool {
--- a/crates/host/src/chat.rs
+++ b/crates/host/src/chat.rs
@@ -8,6 +8,7 @@
 use config::document;
 use peer::message;
 use policy::{request, usage};
+use router::memory;
 use serde_json::json;
 
 use crate::{
@@ -58,6 +59,8 @@
     sink: Option<Sink>,
     /// Text of the completion so far, from all attempts.
     text: String,
+    /// Memory of the text.
+    text_hold: memory::Hold,
     /// Completion tokens so far, from all attempts.
     tokens: u32,
     prompt_tokens: u64,
@@ -84,11 +87,7 @@
     let arrived_at = context.clock.now();
     let credentials = client::Credentials::read(&http);
     let id = context.request_id();
-    let body_result = body::read(
-        &mut http,
-        context.settings.limits.body_bytes,
-        &context.clock,
-    );
+    let body_result = body::read(context, &mut http, context.settings.limits.body_bytes);
     let responder = response::Responder::new(http, id.clone());
     let admitted = body_result.and_then(|bytes| admit(context, &credentials, &bytes));
     let (request, service, client) = match admitted {
@@ -108,6 +107,7 @@
         id,
         sink: Some(sink),
         text: String::new(),
+        text_hold: context.memory.open(),
         tokens: 0,
         prompt_tokens: 0,
         finish_reason: None,
@@ -293,7 +293,12 @@
                 Err(_) if self.finish_reason.is_some() => return Attempt::Completed,
                 Err(e) => return Attempt::Retry(metrics::RetryReason::BadResponse, e),
             };
-            self.record_chunk(&chunk, tokens_before);
+            if self.record_chunk(&chunk, tokens_before).is_err() {
+                return Attempt::Retry(
+                    metrics::RetryReason::BadResponse,
+                    upstream::Error::BadResponse,
+                );
+            }
             if self.forward(&chunk).is_err() {
                 return Attempt::ClientGone;
             }
@@ -340,8 +345,13 @@
     }
 
     /// Adds a chunk to the text, the token counts and the token times. `tokens_before` is the
-    /// number of tokens when the attempt began.
-    fn record_chunk(&mut self, chunk: &chunk::Chunk, tokens_before: u32) {
+    /// number of tokens when the attempt began. Fails if there is no memory for the text.
+    fn record_chunk(
+        &mut self,
+        chunk: &chunk::Chunk,
+        tokens_before: u32,
+    ) -> Result<(), memory::Exhausted> {
+        self.text_hold.grow(chunk.text.len())?;
         if let Some(usage) = chunk.usage {
             self.tokens = tokens_before + usage.completion_tokens as u32;
             let continued = u64::from(tokens_before);
@@ -353,7 +363,7 @@
             self.finish_reason.clone_from(&chunk.finish_reason);
         }
         if chunk.text.is_empty() && chunk.extra_delta.is_none() {
-            return;
+            return Ok(());
         }
         let now = self.context.clock.now();
         if self.first_token_at.is_none() {
@@ -363,6 +373,7 @@
         self.tokens += u32::from(chunk.usage.is_none());
         self.text.push_str(&chunk.text);
         self.has_extra_delta |= chunk.extra_delta.is_some();
+        Ok(())
     }
 
     fn time_to_first_token(&self, started: clock::Millis) -> clock::Millis {
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -8,6 +8,7 @@
 use peer::message;
 use policy::usage;
 use ports::store;
+use router::memory;
 
 use crate::{active_view, admission, blocked_keys, directory, ledger, metrics, settings, upstream};
 
@@ -67,6 +68,8 @@
     pub metrics: metrics::Metrics,
     /// HTTP clients of the upstreams.
     pub upstreams: upstream::HttpClient,
+    /// Memory for requests and responses.
+    pub memory: memory::Budget,
     /// Whether this host serves, drains or refuses new requests.
     pub phase: Phase,
     /// Whether a complete configuration is active.
--- a/crates/host/src/idempotency.rs
+++ b/crates/host/src/idempotency.rs
@@ -173,7 +173,7 @@
         }) => Ok(Some(upstream::Response {
             status,
             headers,
-            body,
+            body: body.into(),
         })),
         Some(StoredOutcome::NotRun) => Ok(None),
         Some(StoredOutcome::TooLarge) | None => Err(unknown),
@@ -217,7 +217,7 @@
         Ok(a) => Some(StoredOutcome::Response {
             status: a.status,
             headers: a.headers.clone(),
-            body: a.body.clone(),
+            body: a.body.to_vec(),
         }),
         Err(r) if r.execution == refusal::Execution::NotRun => Some(StoredOutcome::NotRun),
         Err(_) => None,
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -10,6 +10,7 @@
 use eyre::WrapErr as _;
 use policy::usage;
 use ports::{accept, hosts, orders, reports, store_http};
+use router::memory;
 
 use crate::{
     active_view, admission, autoscaler, blocked_keys, cluster, config_sync, context, directory,
@@ -104,6 +105,7 @@
     let directory = directory::Directory::new(settings.host.clone(), settings.dc.clone());
     let directory = sync::Arc::new(directory);
     let durations = settings.durations;
+    let memory = memory::Budget::new(settings.limits.held_bytes);
     Ok(context::Context {
         blocked_keys: blocked_keys::BlockedKeys::default(),
         store: sync::Arc::new(store_http::Http::new(settings.store_address)),
@@ -114,7 +116,12 @@
         )),
         ledger: ledger::UsageLedger::new(process_run),
         metrics: metrics::Metrics::new()?,
-        upstreams: upstream::HttpClient::new(durations.stall_timeout, durations.response_timeout),
+        upstreams: upstream::HttpClient::new(
+            durations.stall_timeout,
+            durations.response_timeout,
+            memory.clone(),
+        ),
+        memory,
         directory,
         view: active_view::ActiveView::default(),
         phase: context::Phase::default(),
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -33,8 +33,22 @@
     }
 }
 
+/// Size from which a buffer has memory of its own, which the system gets back with the buffer.
+const OWN_MEMORY_BYTES: libc::c_int = 128 << 10;
+
+/// Makes the memory of large buffers return to the system. By default the allocator raises the size above
+/// which it does so, and each of the threads that serve requests keeps what its buffers needed at most.
+fn return_large_buffers() {
+    // SAFETY: `mallopt` may be called at any time, and no other thread runs yet.
+    let is_set = unsafe { libc::mallopt(libc::M_MMAP_THRESHOLD, OWN_MEMORY_BYTES) } == 1;
+    if !is_set {
+        tracing::warn!(event = "allocator_option");
+    }
+}
+
 fn run(settings: settings::Settings) -> exit_codes::ExitCode {
     let _logs = logs::start();
+    return_large_buffers();
     let signals = signal_hook::iterator::Signals::new([
         signal_hook::consts::SIGTERM,
         signal_hook::consts::SIGINT,
--- a/crates/host/src/plain.rs
+++ b/crates/host/src/plain.rs
@@ -1,6 +1,7 @@
 //! Serves requests to plain services: HTTP services that are not engines.
 
 use base::{clock, name, refusal};
+use bytes::Bytes;
 use config::document;
 use peer::message;
 use policy::{request, usage};
@@ -45,7 +46,7 @@
     /// Request headers to forward to the upstream, with names in lower case.
     pub headers: Vec<(String, String)>,
     /// Request body; may be empty.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 impl Call {
@@ -61,11 +62,7 @@
 pub fn serve(context: &context::Context, mut http: tiny_http::Request, name: &str, path: &str) {
     let credentials = client::Credentials::read(&http);
     let id = context.request_id();
-    let body_result = body::read(
-        &mut http,
-        context.settings.limits.body_bytes,
-        &context.clock,
-    );
+    let body_result = body::read(context, &mut http, context.settings.limits.body_bytes);
     let method = http.method().to_string();
     let headers = forwarded_headers(&http);
     let responder = response::Responder::new(http, id.clone());
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -43,6 +43,7 @@
     requests: Option<Spanned<u32>>,
     body_kb: Option<Spanned<u32>>,
     link_kb: Option<Spanned<u32>>,
+    held_mb: Option<Spanned<u32>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -65,6 +66,8 @@
     pub requests: usize,
     /// Maximum size of a request body.
     pub body_bytes: usize,
+    /// Maximum number of bytes held for all requests and responses together.
+    pub held_bytes: usize,
     /// Bytes per second that requests spilled to another data centre may use of a metered link.
     pub link_rate: u64,
 }
@@ -133,6 +136,7 @@
 
 const DEFAULT_MAX_REQUESTS: u32 = 512;
 const DEFAULT_MAX_BODY_KB: u32 = 2_048;
+const DEFAULT_HELD_MB: u32 = 64;
 const DEFAULT_LINK_RATE_KB_PER_S: u32 = 1_000;
 const DEFAULT_LINGER_PERIOD_MS: u64 = 3_000;
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 60_000;
@@ -275,6 +279,7 @@
         Limits {
             requests: self.count("requests", &raw.requests, DEFAULT_MAX_REQUESTS) as usize,
             body_bytes: self.count("body_kb", &raw.body_kb, DEFAULT_MAX_BODY_KB) as usize * 1024,
+            held_bytes: self.count("held_mb", &raw.held_mb, DEFAULT_HELD_MB) as usize * 1024 * 1024,
             link_rate: u64::from(self.count("link_kb", &raw.link_kb, DEFAULT_LINK_RATE_KB_PER_S))
                 * 1024,
         }
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -2,10 +2,12 @@
 //! request id.
 
 use std::io;
-use std::io::BufRead as _;
+use std::io::{BufRead as _, Read as _};
 
 use base::{clock, refusal};
+use bytes::Bytes;
 use config::document;
+use router::memory;
 use ureq::unversioned::resolver;
 use ureq::unversioned::transport;
 use ureq::unversioned::transport::Connector as _;
@@ -18,7 +20,7 @@
 /// response headers.
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum length of a line in an event stream.
-const MAX_LINE_BYTES: u64 = 1 << 20;
+const MAX_LINE_BYTES: usize = 1 << 20;
 /// Multiple of the time-to-first-token target after which an attempt times out.
 const TTFT_TIMEOUT_FACTOR: u64 = 4;
 /// Maximum number of idle connections kept for each upstream.
@@ -47,12 +49,17 @@
     retry_budget: retry::SharedRetryBudget,
     stall_timeout: clock::Millis,
     response_timeout: clock::Millis,
+    memory: memory::Budget,
 }
 
 impl HttpClient {
     /// Creates a client. `stall_timeout` limits the gap between two reads of a stream, and
-    /// `response_timeout` the wait for the start of any response.
-    pub fn new(stall_timeout: clock::Millis, response_timeout: clock::Millis) -> Self {
+    /// `response_timeout` the wait for the start of any response. What is received is held in `memory`.
+    pub fn new(
+        stall_timeout: clock::Millis,
+        response_timeout: clock::Millis,
+        memory: memory::Budget,
+    ) -> Self {
         let build_agent = |idle: usize| {
             let config = ureq::Agent::config_builder()
                 .http_status_as_error(false)
@@ -77,6 +84,7 @@
             retry_budget: retry::SharedRetryBudget::default(),
             stall_timeout,
             response_timeout,
+            memory,
         }
     }
 
@@ -124,6 +132,7 @@
         Ok(ChatStream {
             reader,
             line: Vec::new(),
+            line_hold: self.memory.open(),
             id: id.to_owned(),
             stall_timeout,
         })
@@ -159,7 +168,7 @@
         let response = result
             .map_err(|_| Error::NotSent)?
             .map_err(|e| transport_error(&e))?;
-        let response = read_response(response, max_bytes)?;
+        let response = read_response(response, max_bytes, &self.memory)?;
         if refusal::promises_not_run(response.status) {
             return Err(Error::BadResponse);
         }
@@ -180,6 +189,7 @@
 fn read_response(
     response: ureq::http::Response<ureq::Body>,
     max_bytes: usize,
+    memory: &memory::Budget,
 ) -> Result<Response, Error> {
     let status = response.status().as_u16();
     let mut headers = Vec::new();
@@ -189,15 +199,21 @@
         }
     }
     let mut body = response.into_body();
-    let bytes = body
-        .with_config()
-        .limit(max_bytes as u64)
-        .read_to_vec()
-        .map_err(|_| Error::BadResponse)?;
+    let mut reader = body.with_config().limit(max_bytes as u64).reader();
+    let mut hold = memory.open();
+    let (mut bytes, mut buffer) = (Vec::new(), vec![0; BUFFER_BYTES]);
+    loop {
+        let n = reader.read(&mut buffer).map_err(|_| Error::BadResponse)?;
+        if n == 0 {
+            break;
+        }
+        hold.grow(n).map_err(|_| Error::BadResponse)?;
+        bytes.extend_from_slice(&buffer[..n]);
+    }
     Ok(Response {
         status,
         headers,
-        body: bytes,
+        body: hold.attach(bytes.into()),
     })
 }
 
@@ -224,7 +240,7 @@
     /// Response headers, with names in lower case; values that are not text are left out.
     pub headers: Vec<(String, String)>,
     /// Response body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// One event of a streamed chat completion.
@@ -241,6 +257,8 @@
 pub struct ChatStream {
     reader: io::BufReader<ureq::BodyReader<'static>>,
     line: Vec<u8>,
+    /// Memory of the line.
+    line_hold: memory::Hold,
     id: String,
     stall_timeout: clock::Millis,
 }
@@ -280,15 +298,24 @@
     }
 
     fn read_line(&mut self) -> Result<(), Error> {
-        use std::io::Read as _;
         self.line.clear();
-        let mut limited = (&mut self.reader).take(MAX_LINE_BYTES);
-        match limited.read_until(b'\n', &mut self.line) {
-            Ok(0) => Err(Error::BadResponse),
-            Ok(_) if self.line.ends_with(b"\n") => Ok(()),
-            Ok(_) => Err(Error::BadResponse),
-            Err(e) if e.kind() == io::ErrorKind::TimedOut => Err(Error::Timeout),
-            Err(_) => Err(Error::BadResponse),
+        while !self.line.ends_with(b"\n") {
+            let received = match self.reader.fill_buf() {
+                Ok([]) => return Err(Error::BadResponse),
+                Ok(received) => received,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::TimedOut => return Err(Error::Timeout),
+                Err(_) => return Err(Error::BadResponse),
+            };
+            let end = received.iter().position(|b| *b == b'\n');
+            let n = end.map_or(received.len(), |end| end + 1);
+            let length = self.line.len() + n;
+            if length > MAX_LINE_BYTES || self.line_hold.resize(length).is_err() {
+                return Err(Error::BadResponse);
+            }
+            self.line.extend_from_slice(&received[..n]);
+            self.reader.consume(n);
         }
+        Ok(())
     }
 }
