A stream of lines that are no events ends in time

What callers saw: an engine answered with comment lines without end, and the request never ended; 40 clients gave up after 30 s, the host kept the engine's slots and the threads.

Cause: silence was measured between two reads of bytes, and any line but an event was skipped. It is measured between two chunks as well now; the first one has the time that a response's begin has.

The third case of many_endless_responses_are_bounded_as_a_sum failed before (no response within 30 s).

--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::io::{BufRead as _, Read as _};
+use std::time;
 
 use base::{clock, refusal};
 use bytes::Bytes;
@@ -107,11 +108,10 @@
         ttft_target: clock::Millis,
     ) -> Result<ChatStream, Error> {
         let ttft_timeout = clock::Millis(ttft_target.0 * TTFT_TIMEOUT_FACTOR);
-        read_timeout::set(
-            ttft_timeout
-                .max(self.stall_timeout)
-                .min(self.response_timeout),
-        );
+        let first_chunk_timeout = ttft_timeout
+            .max(self.stall_timeout)
+            .min(self.response_timeout);
+        read_timeout::set(first_chunk_timeout);
         let url = format!("http://{}/v1/chat/completions", upstream.address);
         let request = self
             .stream_agent
@@ -133,6 +133,8 @@
             reader,
             line: Vec::new(),
             line_hold: self.memory.open(),
+            last_chunk: time::Instant::now(),
+            silence_limit: first_chunk_timeout,
             id: id.to_owned(),
             stall_timeout,
         })
@@ -259,6 +261,10 @@
     line: Vec<u8>,
     /// Memory of the line.
     line_hold: memory::Hold,
+    /// When the last chunk arrived, or the response began.
+    last_chunk: time::Instant,
+    /// Time without a chunk after which the stream has failed, whatever else arrives.
+    silence_limit: clock::Millis,
     id: String,
     stall_timeout: clock::Millis,
 }
@@ -275,6 +281,9 @@
         loop {
             self.read_line()?;
             let Some(data) = self.line.strip_prefix(b"data:") else {
+                if self.last_chunk.elapsed() >= self.silence_limit.duration() {
+                    return Err(Error::Timeout);
+                }
                 continue;
             };
             let data = data.trim_ascii();
@@ -287,6 +296,8 @@
                 return Err(Error::BadResponse);
             }
             read_timeout::set(self.stall_timeout);
+            self.last_chunk = time::Instant::now();
+            self.silence_limit = self.stall_timeout;
             return Ok(Event::Chunk(chunk));
         }
     }
--- a/crates/host/tests/endless.rs
+++ b/crates/host/tests/endless.rs
@@ -52,13 +52,19 @@
 }
 
 /// Guards against responses without end, each within its own limit, that together take a host over the
-/// memory of its machine: of a plain service, or of an engine in one event.
+/// memory of its machine: of a plain service, of an engine in one event, and in events without number.
 #[test]
 fn many_endless_responses_are_bounded_as_a_sum() {
     const PLAIN: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    const EVENTS: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                          Connection: close\r\n\r\n";
     const LINE: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                         Connection: close\r\n\r\ndata: ";
-    let cases = [("plain", PLAIN, "x"), ("line", LINE, "x")];
+    let cases = [
+        ("plain", PLAIN, "x"),
+        ("line", LINE, "x"),
+        ("lines", EVENTS, ": x\n"),
+    ];
     for (kind, first, more) in cases {
         let mut site = env::Site::new(&["lalitpur"], 1);
         let address = start_endless(first, more).to_string();
