A request is never sent twice on one connection

What callers saw (REFUSED; TWICE with a second upstream): a process had taken over the address of another one, so two names stood for it. A request meant for the old one got 421, and the next attempt, for the new one, went over the same kept connection. The upstream wrote its 421 once more, which has the request's id, and the host took it for the answer to the second attempt: not run, while the upstream ran it.

Neither the id nor the connection tells two attempts of one request apart. Now an attempt at an address that the request was sent to closes the idle connections there and opens one.

repeated_refusal_is_not_taken_for_that_of_the_next_attempt failed before (503, not run, and a run).

--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -1,5 +1,7 @@
 //! Attempts of one request: the upstream of the next one, time limits, and the end after the last.
 
+use std::net;
+
 use base::{clock, name, refusal};
 use smallvec::SmallVec;
 
@@ -24,6 +26,8 @@
     pub reached_count: u32,
     /// Upstreams that the request was sent to, the latest last.
     pub tried: SmallVec<[name::Upstream; 4]>,
+    /// Addresses that the request was sent to.
+    pub addresses: SmallVec<[net::SocketAddr; 4]>,
     /// Inputs of the latest upstream selection.
     pub details: selection::Details,
     /// Failure of the latest failed attempt.
@@ -119,6 +123,12 @@
     history.details = selection.details;
     history.begun_at = None;
     history.tried.push(selection.name.clone());
+    if history.addresses.contains(&selection.address) {
+        // On a connection that has carried this request, the next response with its id may be a late copy
+        // of the one to the earlier attempt.
+        host.pool.close_idle(selection.address);
+    }
+    history.addresses.push(selection.address);
     Ok(selection)
 }
 
