--- a/crates/host/tests/endless.rs
+++ b/crates/host/tests/endless.rs
@@ -2,13 +2,14 @@
 
 mod env;
 
-use std::fs;
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net;
 use std::sync::atomic;
 use std::thread;
 use std::time;
 
+use standin::process;
+
 /// Requests that are in progress at the same time.
 const CLIENTS: usize = 40;
 /// Memory that a host may use with the default settings: what it may hold, and its programs and buffers.
@@ -45,10 +46,7 @@
 /// Largest memory of the first host so far, in MB.
 fn peak_memory_mb(site: &env::Site) -> u64 {
     let host = site.hosts[0].as_ref().expect("a host");
-    let status = fs::read_to_string(format!("/proc/{}/status", host.child.id())).expect("status");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let kb = line.and_then(|l| l.trim().strip_suffix(" kB"));
-    kb.and_then(|kb| kb.trim().parse::<u64>().ok()).expect("kB") / 1_000
+    process::peak_memory_mb(host.child.id()).expect("a running host")
 }
 
 /// Guards against responses without end, each within its own limit, that together take a host over the
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod http;
 pub mod plain;
 pub mod platform;
+pub mod process;
 pub mod store;
