--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -89,6 +89,8 @@
     Shed = "shed", 503;
     /// The service has no usable upstream.
     NoUpstream = "no_upstream", 503;
+    /// No upstream in the home regions of the request takes it.
+    HomeUnavailable = "home_unavailable", 503;
     /// The store can't be reached, so a non-idempotent request can't be claimed.
     StoreDown = "store_down", 503;
     /// The host has not received its configuration yet.
--- a/crates/host/src/response.rs
+++ b/crates/host/src/response.rs
@@ -208,6 +208,7 @@
         Reason::TargetMissed => "the class's target can't be met now",
         Reason::Shed => "work of a higher tier needs the room",
         Reason::NoUpstream => "no upstream of the service is usable",
+        Reason::HomeUnavailable => "no upstream in the regions that may serve this request",
         Reason::StoreDown => "calls that may not be repeated can't be recorded now",
         Reason::NotReady => "the configuration has not arrived at this host yet",
         Reason::Stopping => "this host is stopping",
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -417,8 +417,13 @@
         }
     }
 
-    /// Records a load report: running requests, waiting requests and slots.
-    pub fn record_load(&mut self, name: &name::Upstream, load: [u32; 3], now: clock::Millis) {
+    /// Records a load report.
+    pub fn record_load(
+        &mut self,
+        name: &name::Upstream,
+        load: ports::LoadReport,
+        now: clock::Millis,
+    ) {
         if let Some(tracked) = self.upstreams.get_mut(name) {
             tracked.reported_load.record(load, now);
         }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -38,6 +38,20 @@
     pub retry_limit: budget::RetryLimit,
     /// Deadlines and periods given by the platform.
     pub timing: Timing,
+    /// What a cold upstream bears beyond its limit; `None` if the limit is not in force.
+    pub cold_tolerance: Option<ColdTolerance>,
+    /// Time within which a data centre that is drained gets no further requests; `None` if data
+    /// centres are not drained in this deployment.
+    pub dc_drain_deadline: Option<clock::Millis>,
+}
+
+/// Requests that a cold upstream may get in one second, relative to its limit per second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTolerance {
+    /// Multiple of the limit.
+    pub factor: f64,
+    /// Requests in addition.
+    pub extra: f64,
 }
 
 /// Time after the start within which a host learns of the others and whether to follow one of them.
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -27,6 +27,9 @@
     pub weight: u32,
 }
 
+/// Regions to which the requests of a route or a team are limited; empty without a limit.
+pub type Homes = SmallVec<[name::Region; 2]>;
+
 /// A route: which requests it matches, which services they go to, and their latency targets.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Route {
@@ -54,6 +57,8 @@
     pub public: bool,
     /// Services that receive the route's requests; never empty.
     pub shares: SmallVec<[TrafficShare; 2]>,
+    /// Regions in which requests may be served; empty if any region may serve them.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -82,10 +87,23 @@
 }
 
 /// Properties of a language model engine that runs the upstreams of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
     /// Number of tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// Requests that run at the same time; 0 if the configuration does not say.
+    pub slots: u32,
+    /// Tokens that fit into the engine's memory; 0 if the configuration does not say.
+    pub memory_tokens: u64,
+}
+
+/// How many requests an upstream bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// How long an upstream is cold after its start.
+    pub period: clock::Millis,
+    /// Requests per second that a cold upstream bears; greater than 0.
+    pub requests_per_s: f64,
 }
 
 /// Limits and prices for ordering upstreams of a service.
@@ -113,6 +131,8 @@
     pub engine: Option<Engine>,
     /// How upstreams of the service are ordered; `None` if it is not scaled.
     pub scaling: Option<Scaling>,
+    /// Limit while an upstream is cold; `None` if there is none.
+    pub cold_limit: Option<ColdLimit>,
 }
 
 /// Limits on requests and connections of clients.
@@ -136,6 +156,8 @@
     /// Priority tier of the team, which takes precedence over the route's tier; `None` counts as
     /// the most urgent.
     pub tier: Option<u8>,
+    /// Regions in which the team's requests may be served; empty if any region may serve them.
+    pub homes: Homes,
 }
 
 /// Number of priority tiers that upstreams distinguish.
@@ -264,4 +286,8 @@
     pub preemptible: bool,
     /// Start time of the upstream's process, in Unix milliseconds; a restart changes it.
     pub started_at: u64,
+    /// How long the upstream stays cold, counted from when the entry was written.
+    pub cold_left: clock::Millis,
+    /// Requests that the upstream runs at the same time.
+    pub slots: u32,
 }
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -219,6 +219,20 @@
     pub last_event_id: Option<u64>,
 }
 
+/// Load that an upstream states in a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Running requests.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that can run at the same time.
+    pub slots: u32,
+    /// How long work takes on the upstream's machine now, in percent of the usual time; `None` if the
+    /// upstream does not state it.
+    pub slowdown_percent: Option<u32>,
+}
+
 /// Information in the headers of an upstream's response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ResponseMeta {
@@ -228,8 +242,10 @@
     pub signed: bool,
     /// Whether the upstream states that it did not run the request.
     pub refused: bool,
-    /// Running requests, waiting requests and slots of the upstream.
-    pub load: Option<[u32; 3]>,
+    /// Load of the upstream; `None` if the response does not state it.
+    pub load: Option<LoadReport>,
+    /// How long the upstream stays cold; `None` if the response does not state it.
+    pub cold_left: Option<clock::Millis>,
     /// How long the upstream keeps the connection open without a request.
     pub idle_timeout: Option<clock::Millis>,
     /// Whether the upstream states that it leaves.
@@ -270,6 +286,11 @@
     fn config_key(&self) -> &str;
     /// Prefix of the store keys of upstream entries.
     fn upstream_prefix(&self) -> &str;
+    /// Prefix of the store keys that name the data centres being drained.
+    fn drain_prefix(&self) -> &str;
+    /// Prefix of the store keys that operators write: that of the configuration, and of
+    /// [`Self::drain_prefix`].
+    fn operator_prefix(&self) -> &str;
     /// Parses a configuration.
     ///
     /// # Errors
--- a/crates/router/src/reported_load.rs
+++ b/crates/router/src/reported_load.rs
@@ -6,7 +6,7 @@
 
 use base::clock;
 
-use crate::model;
+use crate::{model, ports};
 
 /// Age at which a report is ignored.
 const REPORT_TTL: clock::Millis = clock::Millis(1_500);
@@ -37,10 +37,14 @@
 }
 
 impl ReportedLoad {
-    /// Records a report: running requests, waiting requests and slots. A report without slots says
-    /// nothing and is ignored.
-    pub fn record(&mut self, load: [u32; 3], now: clock::Millis) {
-        let [running, waiting, slots] = load;
+    /// Records a report. One without slots says nothing and is ignored.
+    pub fn record(&mut self, load: ports::LoadReport, now: clock::Millis) {
+        let ports::LoadReport {
+            running,
+            waiting,
+            slots,
+            ..
+        } = load;
         if slots == 0 {
             return;
         }
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -90,6 +90,8 @@
         tier: call.tier,
         stream_class: call.stream_class,
         excluded: &history.tried,
+        homes: None,
+        is_retryable: call.route.is_retryable(),
     };
     let fleet = host.fleet.borrow();
     let now = host.now();
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -19,6 +19,10 @@
     pub stream_class: stream_class::StreamClass,
     /// Upstreams that must not be selected, because the request has already been sent to them.
     pub excluded: &'a [name::Upstream],
+    /// Regions in which the request may be served; `None` without a limit. An empty list allows none.
+    pub homes: Option<&'a [name::Region]>,
+    /// Whether the request may be sent again after an attempt that may have run.
+    pub is_retryable: bool,
 }
 
 impl Criteria<'_> {
--- a/crates/router/tests/announcements.rs
+++ b/crates/router/tests/announcements.rs
@@ -17,6 +17,8 @@
         state: model::UpstreamState::Ready,
         preemptible: false,
         started_at,
+        cold_left: clock::Millis::ZERO,
+        slots: 8,
     }
 }
 
@@ -66,6 +68,8 @@
         tier: 0,
         stream_class: stream_class::StreamClass::Other,
         excluded: &[],
+        homes: None,
+        is_retryable: true,
     };
     match fleet.select(&criteria, now) {
         Some(selection) => Ok(selection.name.to_string()),
@@ -133,6 +137,8 @@
         tier: 0,
         stream_class: stream_class::StreamClass::Other,
         excluded: &[],
+        homes: None,
+        is_retryable: true,
     };
     let details = |fleet: &fleet::Fleet, ms| {
         let now = START + clock::Millis(ms);
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -232,6 +232,14 @@
         "up/"
     }
 
+    fn drain_prefix(&self) -> &str {
+        "op/drain/"
+    }
+
+    fn operator_prefix(&self) -> &str {
+        "op/"
+    }
+
     fn parse_config(&self, bytes: &[u8]) -> Result<model::Config, diagnostic::Diagnostics> {
         let text = String::from_utf8_lossy(bytes);
         let Ok(version) = text.lines().next().unwrap_or_default().parse() else {
@@ -280,6 +288,8 @@
             },
             preemptible: false,
             started_at: born.parse().map_err(|_| "start time is not a number")?,
+            cold_left: clock::Millis::ZERO,
+            slots: 8,
         })
     }
 }
@@ -373,6 +383,8 @@
             usage_window: window,
             report_deadline: clock::Millis(2 * window.0),
         },
+        cold_tolerance: None,
+        dc_drain_deadline: None,
     };
     let dependencies = host::Dependencies {
         protocol: Box::new(TestProtocol),
@@ -478,5 +490,6 @@
             service: name::Service::from("s"),
             weight: 1,
         }],
+        homes: model::Homes::new(),
     }
 }
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -25,6 +25,8 @@
         state: model::UpstreamState::Ready,
         preemptible: false,
         started_at: 1,
+        cold_left: clock::Millis::ZERO,
+        slots: 8,
     }
 }
 
@@ -62,6 +64,8 @@
         tier: 0,
         stream_class,
         excluded: &[],
+        homes: None,
+        is_retryable: true,
     }
 }
 
--- a/crates/router/tests/plain_overload.rs
+++ b/crates/router/tests/plain_overload.rs
@@ -5,7 +5,7 @@
 
 use base::{clock, name};
 use rand::{Rng as _, SeedableRng as _, rngs};
-use router::{fleet, location, model, selection, stream_class};
+use router::{fleet, location, model, ports, selection, stream_class};
 
 const HOSTS: usize = 70;
 const SLOTS: usize = 6;
@@ -39,8 +39,17 @@
 }
 
 impl Desk {
-    fn report(&self) -> [u32; 3] {
-        [self.running.len(), self.waiting.len(), SLOTS].map(|n| n as u32)
+    fn report(&self) -> ports::LoadReport {
+        load([self.running.len(), self.waiting.len(), SLOTS].map(|n| n as u32))
+    }
+}
+
+fn load([running, waiting, slots]: [u32; 3]) -> ports::LoadReport {
+    ports::LoadReport {
+        running,
+        waiting,
+        slots,
+        slowdown_percent: None,
     }
 }
 
@@ -57,6 +66,8 @@
         state: model::UpstreamState::Ready,
         preemptible: false,
         started_at: 1,
+        cold_left: clock::Millis::ZERO,
+        slots: 8,
     };
     let fleets = (0..HOSTS).map(|_| {
         let mut fleet = fleet::Fleet::new(location(), clock::Millis(2_500));
@@ -98,6 +109,8 @@
                 tier: *tier,
                 stream_class: stream_class::StreamClass::Other,
                 excluded: &[],
+                homes: None,
+                is_retryable: true,
             };
             if fleets[host].select(&criteria, now).is_none() {
                 continue;
@@ -183,6 +196,8 @@
         tier: 9,
         stream_class: stream_class::StreamClass::Other,
         excluded: &[],
+        homes: None,
+        is_retryable: true,
     };
     for (report, hold_ms) in [
         ([u32::MAX; 3], MAX_HOLD_MS),
@@ -192,7 +207,7 @@
         let fleet = &mut fleets()[0];
         for n in 0..20 {
             let now = clock::Millis(100_000 + n * 3_000);
-            fleet.record_load(&name::Upstream::from("desk"), report, now);
+            fleet.record_load(&name::Upstream::from("desk"), load(report), now);
             let later = now + clock::Millis(hold_ms);
             assert!(fleet.select(&criteria, later).is_some(), "{report:?}");
         }
--- a/crates/router/tests/tiers.rs
+++ b/crates/router/tests/tiers.rs
@@ -28,6 +28,7 @@
     model::Team {
         name: name::Team::from("t"),
         tier,
+        homes: model::Homes::new(),
     }
 }
 
--- a/crates/router/tests/tries.rs
+++ b/crates/router/tests/tries.rs
@@ -52,6 +52,8 @@
             state: model::UpstreamState::Ready,
             preemptible: false,
             started_at: 1,
+            cold_left: clock::Millis::ZERO,
+            slots: 8,
         });
     }
     node
