--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 pub mod lease;
 pub mod length;
+pub mod placement;
 pub mod pool;
 pub mod queue;
 pub mod request;
