Home regions and drained data centres are hard rules of the selection

Requests of a route or team with home regions could be served in any region, and the operator's key that drains a data centre was not read: requests went on there.

Selection, prefix preference, last resort and retries now leave out upstreams outside the home regions and in drained data centres, whatever the cost of the others. Without an upstream at home the request is refused with 503, home_unavailable, not run, and Retry-After. The request's log line has the homes and the upstreams passed over for either rule. Homes that no data centre has are logged with route or team when a configuration takes effect; the rest of it is in force.

Where dc_drain_deadline is set, the watch of the configuration covers all keys of the operator, with as many calls as before. Hosts keep the set of drained data centres with its store revision, so that late messages change nothing; followers get it by a new last variant of the updates between hosts, before the configuration, so that a host that starts knows it before it serves. A host without the store keeps the last known set. What is relayed has to be recent enough for the deadline of drains as well, should it be the shorter one.

Tests: home region with half of its engines, refusal and retries at home; two data centres drained at the peak (no other one gets more than 35 and then 45 of 100 prompts), last resort, chain of four hosts, store away when the key changes, restart, messages out of order, odd keys and values, number of calls.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -8,6 +8,8 @@
 
 use base::{clock, hash, name};
 
+mod dc_drains;
+
 use crate::{
     announcements, location, model, ports, prefix_cache, selection, slowdown, stream_class, tracked,
 };
@@ -47,6 +49,8 @@
     pub announcements: announcements::Announcements,
     /// Time for which an upstream that said that it leaves may get requests that no other takes.
     leaving_use: clock::Millis,
+    /// Data centres whose upstreams get no requests.
+    drained_dcs: collections::BTreeSet<name::Dc>,
 }
 
 impl Fleet {
@@ -61,6 +65,7 @@
             last_mark: 0,
             announcements: announcements::Announcements::default(),
             leaving_use: clock::Millis((drain_deadline.0 as f64 * LEAVING_USE_SHARE) as u64),
+            drained_dcs: collections::BTreeSet::new(),
         }
     }
 
@@ -109,6 +114,7 @@
         let mut ranked: Vec<(u64, name::Dc, name::Upstream)> = self
             .of_service(service)
             .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
+            .filter(|tracked| !self.drained_dcs.contains(&tracked.upstream.dc))
             .map(|tracked| {
                 (
                     tracked.name_hash(),
@@ -191,6 +197,9 @@
         let mut is_full = false;
         let mut pause: Option<clock::Millis> = None;
         for (tracked, willingness) in self.untried(criteria, now) {
+            if details.record_excluded(self.exclusion(criteria.homes, tracked)) {
+                continue;
+            }
             let age = self.announcements.age(tracked.process(), now);
             details.record_passed_over(willingness, age);
             match willingness {
@@ -205,6 +214,7 @@
         let shortage = match pause {
             _ if is_full => selection::Shortage::Full,
             Some(left) => selection::Shortage::Paused(left),
+            None if criteria.homes.is_some() => selection::Shortage::Home,
             None => selection::Shortage::None,
         };
         (shortage, details)
@@ -230,6 +240,9 @@
         let mut last_resort = None;
         let mut details = selection::Details::default();
         for (tracked, willingness) in self.untried(criteria, now) {
+            if details.record_excluded(self.exclusion(criteria.homes, tracked)) {
+                continue;
+            }
             if willingness != announcements::Willingness::Willing {
                 let age = self.announcements.age(tracked.process(), now);
                 details.record_passed_over(willingness, age);
@@ -287,7 +300,7 @@
     }
 
     /// Returns the upstream that is preferred for caching the prefix: the one with the highest
-    /// rendezvous hash among ready upstreams of the request's class, or of any class if there are
+    /// rendezvous hash among ready upstreams where the request may run, of its class, or of any class if there are
     /// none. Hosts that know the same upstreams agree on it.
     fn preferred_upstream(
         &self,
@@ -299,6 +312,7 @@
             self.of_service(criteria.service)
                 .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
                 .filter(|tracked| !self.has_said_leaving(tracked, now))
+                .filter(|tracked| self.exclusion(criteria.homes, tracked).is_none())
         };
         let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
             hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -6,7 +6,7 @@
 use base::{clock, hash};
 use tokio::time;
 
-use crate::{host, link, relay, sources, store_watch};
+use crate::{dc_drain, host, link, relay, sources, store_watch};
 
 /// Delay before another host is tried after the connection to one was lost.
 const RETRY_DELAY: clock::Millis = clock::Millis(200);
@@ -194,6 +194,7 @@
             relay::Update::Removed(key, at) => store_watch::apply_removal(host, &key, at),
             relay::Update::Complete(at) => self.complete_list(at),
             relay::Update::Leader(leader) => host.leader.set(leader),
+            relay::Update::DrainedDcs(drained) => dc_drain::apply_relayed(host, drained),
             relay::Update::Known { asked_at, age } => return self.record_known(asked_at, age),
             relay::Update::Heartbeat(learns_changes) => {
                 self.source_learns = learns_changes;
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -172,6 +172,9 @@
     pub fn new(settings: Settings, dependencies: Dependencies) -> eyre::Result<Self> {
         let location = settings.location.clone();
         let change_deadline = settings.timing.change_deadline;
+        // What other hosts relay must be recent enough for drains, too.
+        let change_limit =
+            change_deadline.min(settings.dc_drain_deadline.unwrap_or(change_deadline));
         let memory = memory::Budget::new(settings.held_bytes);
         Ok(Self {
             settings,
@@ -197,7 +200,7 @@
             quarantine_leader: cell::RefCell::default(),
             membership: cell::RefCell::default(),
             store_cache: store_cache::StoreCache::default(),
-            freshness: freshness::Freshness::new(change_deadline),
+            freshness: freshness::Freshness::new(change_limit),
             store_health: store_watch::StoreHealth::default(),
             leader: cell::Cell::new(None),
             is_leader: cell::Cell::new(false),
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -22,6 +22,7 @@
     responses: metrics::Counter<u64>,
     relayed_bytes: metrics::Counter<u64>,
     announcements: metrics::Counter<u64>,
+    drained_dcs: metrics::Gauge<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -60,6 +61,7 @@
             responses: meter.u64_counter("answers").build(),
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
             announcements: meter.u64_counter("upstream_announcements").build(),
+            drained_dcs: meter.u64_gauge("drained_dcs").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -89,6 +91,11 @@
         self.announcements.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Sets the number of data centres that are being drained, as far as this host knows.
+    pub fn set_drained_dcs(&self, count: usize) {
+        self.drained_dcs.record(count as u64, &[]);
+    }
+
     /// Counts bytes of the store's contents that were sent to followers.
     pub fn record_relayed(&self, bytes: u64) {
         self.relayed_bytes.add(bytes, &[]);
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -232,6 +232,18 @@
         routes.iter().find(|r| path.starts_with(&r.path_prefix))
     }
 
+    /// All routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &rc::Rc<Route>> {
+        self.routes_by_host.values().flatten()
+    }
+
+    /// All teams that have an API key, each once, by name.
+    pub fn teams(&self) -> Vec<&rc::Rc<Team>> {
+        let teams = self.teams_by_key.values().map(|team| (&team.name, team));
+        let teams: collections::BTreeMap<_, _> = teams.collect();
+        teams.into_values().collect()
+    }
+
     /// Returns the team that owns the API key `key`.
     pub fn team_by_key(&self, key: &str) -> Option<&rc::Rc<Team>> {
         self.teams_by_key.get(key)
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,11 +5,11 @@
 use std::net;
 use std::rc;
 
-use base::{clock, hash};
+use base::{clock, hash, name};
 use serde::{Deserialize, Serialize};
 use tokio::{net as tokio_net, task, time};
 
-use crate::{delta, host, link, reports};
+use crate::{dc_drain, delta, host, link, reports};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
@@ -64,6 +64,9 @@
         /// Age of the sender's knowledge; `UNKNOWN_AGE` if it doesn't know all of the contents.
         age: clock::Millis,
     },
+    /// Data centres that are being drained. Sent only where the settings allow drains: a host of an
+    /// earlier version can't decode it.
+    DrainedDcs(dc_drain::DrainedDcs),
 }
 
 /// Entry of an upstream in the store.
@@ -123,6 +126,7 @@
     upstreams: collections::BTreeMap<String, u64>,
     revision: Option<u64>,
     leader: Option<net::SocketAddr>,
+    drained_dcs: Option<collections::BTreeSet<name::Dc>>,
 }
 
 async fn send_updates(
@@ -185,6 +189,13 @@
 fn pending_updates(host: &host::Host, sent: &mut FollowerState) -> Vec<Update> {
     let cache = &host.store_cache;
     let mut updates = Vec::new();
+    // A host without a configuration serves nothing, so a new one knows the drains before it serves.
+    if let Some(drained) = cache.drained_dcs()
+        && sent.drained_dcs.as_ref() != Some(&drained.dcs)
+    {
+        sent.drained_dcs = Some(drained.dcs.clone());
+        updates.push(Update::DrainedDcs(drained));
+    }
     if let Some(config) = cache.config() {
         updates.extend(config_update(&config, sent.config.as_ref()));
         sent.config = Some(config);
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -6,8 +6,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    attempt, executions, host, model, ports, prompt_evidence, quarantine, response, selection,
-    serve,
+    attempt, executions, home_regions, host, model, ports, prompt_evidence, quarantine, response,
+    selection, serve,
 };
 
 /// Attempts allowed in addition to the route's maximum, to replace attempts that did not run.
@@ -83,6 +83,7 @@
     if is_withheld(host, call, history) {
         return Err(refusal::Reason::Withheld);
     }
+    let homes = home_regions::allowed(call);
     let criteria = selection::Criteria {
         service: &call.service,
         prompt_parts: &call.meta.prompt_parts,
@@ -90,7 +91,7 @@
         tier: call.tier,
         stream_class: call.stream_class,
         excluded: &history.tried,
-        homes: None,
+        homes: homes.as_deref(),
         is_retryable: call.route.is_retryable(),
     };
     let fleet = host.fleet.borrow();
@@ -100,6 +101,7 @@
         history.details = details;
         return Err(match shortage {
             selection::Shortage::None => refusal::Reason::NoUpstream,
+            selection::Shortage::Home => refusal::Reason::HomeUnavailable,
             selection::Shortage::Full => refusal::Reason::Shed,
             selection::Shortage::Paused(delay) => {
                 history.retry_after = Some(delay);
@@ -248,6 +250,7 @@
 ) {
     let now = host.now();
     let total = now.since(call.received_at).0;
+    let homes = home_regions::allowed(call);
     tracing::info!(
         event = "request",
         id = call.meta.id,
@@ -262,6 +265,9 @@
         said_leaving = history.details.leaving,
         paused = history.details.paused,
         said_age_ms = history.details.said_age.map(|a| a.0),
+        homes = homes.as_deref().map(|h| home_regions::List(h).to_string()),
+        away = history.details.outside_homes,
+        drained = history.details.drained,
         kept = history.details.prefix_cached,
         busy = history.details.in_flight,
         told = history.details.reported_requests,
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -1,6 +1,7 @@
 //! What an upstream is selected by, and the result of a selection.
 
 use base::{clock, name};
+use policy::placement;
 
 use crate::{announcements, ports, stream_class};
 
@@ -68,6 +69,10 @@
     pub paused: u32,
     /// Time since the latest of these announcements; `None` without any.
     pub said_age: Option<clock::Millis>,
+    /// Number of ready upstreams in data centres that are being drained.
+    pub drained: u32,
+    /// Number of ready upstreams outside the home regions of the request.
+    pub outside_homes: u32,
     /// Whether the selected upstream is expected to have the shared prefix cached.
     pub prefix_cached: bool,
     /// Requests that this host had in flight at the selected upstream.
@@ -83,6 +88,16 @@
 }
 
 impl Details {
+    /// Counts an upstream that is passed over for its data centre. Returns whether it is.
+    pub fn record_excluded(&mut self, exclusion: Option<placement::Exclusion>) -> bool {
+        match exclusion {
+            None => return false,
+            Some(placement::Exclusion::Drained) => self.drained += 1,
+            Some(placement::Exclusion::OutsideHomes) => self.outside_homes += 1,
+        }
+        true
+    }
+
     /// Counts an upstream that is passed over for what it said `age` ago.
     pub fn record_passed_over(
         &mut self,
@@ -103,6 +118,8 @@
 pub enum Shortage {
     /// There is no upstream that takes requests.
     None,
+    /// There is none in the home regions that takes requests.
+    Home,
     /// The room that upstreams have is left to more urgent requests.
     Full,
     /// All upstreams have asked for a pause; the earliest one ends after this time.
--- a/crates/router/src/store_cache.rs
+++ b/crates/router/src/store_cache.rs
@@ -4,8 +4,11 @@
 use std::collections;
 use std::rc;
 
+use base::name;
 use tokio::sync::watch;
 
+use crate::dc_drain;
+
 /// Number of keys of removed entries that are remembered, so that delayed messages do not restore
 /// these entries.
 const MAX_REMOVED_KEYS: usize = 4_096;
@@ -19,6 +22,8 @@
     upstreams: cell::RefCell<collections::BTreeMap<String, VersionedValue>>,
     removed: cell::RefCell<collections::HashMap<String, u64>>,
     revision: cell::Cell<u64>,
+    drained_dcs: cell::RefCell<Option<dc_drain::DrainedDcs>>,
+    faulty_keys: cell::RefCell<collections::HashSet<String>>,
     changes: watch::Sender<u64>,
 }
 
@@ -29,6 +34,8 @@
             upstreams: cell::RefCell::default(),
             removed: cell::RefCell::default(),
             revision: cell::Cell::new(0),
+            drained_dcs: cell::RefCell::default(),
+            faulty_keys: cell::RefCell::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -94,6 +101,40 @@
         self.revision.set(self.revision.get().max(revision));
     }
 
+    /// Stores the data centres that are being drained, unless they are known up to a later revision.
+    /// Returns those known before, or `None` if nothing was stored.
+    pub fn set_drained_dcs(
+        &self,
+        drained: dc_drain::DrainedDcs,
+    ) -> Option<collections::BTreeSet<name::Dc>> {
+        let mut known = self.drained_dcs.borrow_mut();
+        if known
+            .as_ref()
+            .is_some_and(|k| k.revision > drained.revision)
+        {
+            return None;
+        }
+        let changed = known.as_ref().is_none_or(|k| k.dcs != drained.dcs);
+        let before = known.replace(drained);
+        drop(known);
+        if changed {
+            self.notify_change();
+        }
+        Some(before.unwrap_or_default().dcs)
+    }
+
+    /// Data centres that are being drained; `None` until they have been read.
+    pub fn drained_dcs(&self) -> Option<dc_drain::DrainedDcs> {
+        self.drained_dcs.borrow().clone()
+    }
+
+    /// Records that the entry of `key` is faulty. Returns whether that was unknown; false if `max` keys
+    /// are recorded already.
+    pub fn record_fault(&self, key: &str, max: usize) -> bool {
+        let mut faulty = self.faulty_keys.borrow_mut();
+        faulty.len() < max && faulty.insert(key.to_owned())
+    }
+
     /// Subscribes to changes of the contents.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -9,7 +9,7 @@
 use tokio::{task, time};
 
 use crate::freshness::WatchTarget;
-use crate::{backoff, host, model, ports};
+use crate::{backoff, dc_drain, home_regions, host, model, ports};
 
 /// Time between checks whether to follow another host, when no change triggers a check earlier.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(2_000);
@@ -164,35 +164,50 @@
     }
 }
 
-/// Watches the configuration and applies each new version.
+/// Reads the operators' entries, or only the configuration where data centres can't be drained.
+async fn read_operator_entries(
+    host: &host::Host,
+) -> Result<(Vec<ports::Item>, u64), ports::StoreError> {
+    if host.settings.dc_drain_deadline.is_some() {
+        return host.store.list(dc_drain::watched_prefix(host), false).await;
+    }
+    let (item, revision) = host.store.get(host.protocol.config_key()).await?;
+    Ok((item.into_iter().collect(), revision))
+}
+
+/// Watches the configuration and the drained data centres, and applies each change.
 pub async fn watch_config(host: rc::Rc<host::Host>) {
     let key = host.protocol.config_key().to_owned();
+    let prefix = dc_drain::watched_prefix(&host).to_owned();
     let mut backoff = backoff::Backoff::default();
     loop {
         wait_while_relying_on_peer(&host).await;
         let began = host.now();
-        let config = host.store.get(&key).await;
+        let entries = read_operator_entries(&host).await;
         host.store_health
-            .record_result(WatchTarget::Config, &config, host.now());
-        let Ok((item, mut at)) = config else {
+            .record_result(WatchTarget::Config, &entries, host.now());
+        let Ok((items, mut at)) = entries else {
             backoff.wait(&host).await;
             continue;
         };
         backoff.reset();
-        if let Some(item) = item {
+        // A host without a configuration serves nothing, so a new one knows the drains before it serves.
+        dc_drain::apply_list(&host, &items, at);
+        if let Some(item) = items.iter().find(|item| item.key == key) {
             apply_config(&host, &item.value, "store");
         }
         host.freshness.record_read(WatchTarget::Config, began);
         while !host.relies_on_peer() {
             let began = host.now();
             let wait = host.freshness.watch_timeout(WatchTarget::Config, began);
-            let changes = host.store.watch(&key, at, wait).await;
+            let changes = host.store.watch(&prefix, at, wait).await;
             host.store_health
                 .record_result(WatchTarget::Config, &changes, host.now());
             match changes {
                 Ok((events, revision)) => {
                     at = revision;
                     let is_quiet = events.is_empty();
+                    dc_drain::apply_events(&host, &events, at);
                     for event in events {
                         if let ports::WatchEvent::Put(item) = event
                             && item.key == key
@@ -235,6 +250,7 @@
         old,
         bytes = bytes.len(),
     );
+    home_regions::log_unknown(host, &config);
     *host.config.borrow_mut() = Some(rc::Rc::new(config));
     host.store_cache.set_config(bytes);
 }
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -11,7 +11,7 @@
 use std::rc;
 
 use base::{clock, diagnostic, name};
-use router::{budget, host, leader, location, model, ports};
+use router::{attempt, budget, host, leader, location, model, ports, stream_class};
 use smallvec::smallvec;
 use tokio::{task, time};
 
@@ -30,6 +30,9 @@
     /// Time that every second call to the platform takes to arrive; 0 for none.
     pub call_delay: cell::Cell<clock::Millis>,
     calls_sent: cell::Cell<u64>,
+    /// Time within which the hosts created from now on leave a drained data centre; `None` if they have no
+    /// drains.
+    pub dc_drain_deadline: cell::Cell<Option<clock::Millis>>,
     /// Calls received by the platform: time of arrival, name of the calling host, fencing token.
     pub calls: cell::RefCell<Vec<(clock::Millis, String, u64)>>,
 }
@@ -210,7 +213,7 @@
 }
 
 /// Protocol with entries as text: a configuration starts with a line that is its version number, an
-/// upstream is `STATE PORT BORN`.
+/// upstream is `STATE PORT BORN`, or `STATE PORT BORN DC` outside the data centre `a`.
 pub struct TestProtocol;
 
 impl ports::Protocol for TestProtocol {
@@ -233,11 +236,11 @@
     }
 
     fn drain_prefix(&self) -> &str {
-        "op/drain/"
+        "config/drain/"
     }
 
     fn operator_prefix(&self) -> &str {
-        "op/"
+        "config"
     }
 
     fn parse_config(&self, bytes: &[u8]) -> Result<model::Config, diagnostic::Diagnostics> {
@@ -269,8 +272,10 @@
     fn parse_upstream(&self, key: &str, bytes: &[u8]) -> Result<model::Upstream, String> {
         let text = String::from_utf8_lossy(bytes);
         let words: Vec<&str> = text.split(' ').collect();
-        let [state, port, born] = words[..] else {
-            return Err("upstream is not STATE PORT BORN".to_owned());
+        let (state, port, born, dc) = match words[..] {
+            [state, port, born] => (state, port, born, "a"),
+            [state, port, born, dc] => (state, port, born, dc),
+            _ => return Err("upstream is not STATE PORT BORN DC".to_owned()),
         };
         Ok(model::Upstream {
             name: key["up/".len()..].into(),
@@ -280,7 +285,7 @@
                 port.parse().map_err(|_| "port is not a number")?,
             )
                 .into(),
-            dc: "a".into(),
+            dc: dc.into(),
             state: match state {
                 "ready" => model::UpstreamState::Ready,
                 "leaving" => model::UpstreamState::Leaving,
@@ -384,7 +389,7 @@
             report_deadline: clock::Millis(2 * window.0),
         },
         cold_tolerance: None,
-        dc_drain_deadline: None,
+        dc_drain_deadline: cluster.dc_drain_deadline.get(),
     };
     let dependencies = host::Dependencies {
         protocol: Box::new(TestProtocol),
@@ -493,3 +498,45 @@
         homes: model::Homes::new(),
     }
 }
+
+/// Request of `route` without a prompt, for at most 10 seconds.
+pub fn call(route: model::Route) -> attempt::Call {
+    attempt::Call {
+        meta: ports::RequestMeta {
+            id: "q".to_owned(),
+            timeout: None,
+            api_key: None,
+            prompt_parts: smallvec![],
+            prompt_tokens: 0,
+            last_event_id: None,
+        },
+        method: http::Method::POST,
+        uri: http::Uri::from_static("/"),
+        headers: http::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        route: rc::Rc::new(route),
+        service: "s".into(),
+        team: None,
+        tier: 0,
+        stream_class: stream_class::StreamClass::Other,
+        config_version: 1,
+        received_at: clock::Millis::ZERO,
+        client_deadline: clock::Millis(10_000),
+        finish_by: clock::Millis(10_000),
+    }
+}
+
+/// Ready upstream of the service `s`.
+pub fn upstream(name: &str, dc: &str) -> model::Upstream {
+    model::Upstream {
+        name: name.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        dc: dc.into(),
+        state: model::UpstreamState::Ready,
+        preemptible: false,
+        started_at: 1,
+        cold_left: clock::Millis::ZERO,
+        slots: 8,
+    }
+}
