--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod breaker;
 pub mod budget;
 pub mod dispatch;
+pub mod engine_classes;
 pub mod lease;
 pub mod length;
 pub mod pool;
