Shares of engines by demand: reports, decision by the leader, distribution

Hosts counted their demand by service only, and each applied the constant shares. They now report the requests, prompt tokens and running requests of each class to the leader, which decides every second and returns a digest: shares by class, and the load by data centre. Hosts that watch the store get it in the answer, the others from the host that they follow. Each host assigns the engines by the digest's shares, so all assign the same ones.

Reports and followers use new last handshakes. A host of an earlier release closes such a stream, and is then reported to or followed as before; digests are sent only to hosts that asked for them.

Class assignment and the preferred engine of a prefix moved to a module of their own.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -6,10 +6,11 @@
 
 use std::collections;
 
-use base::{clock, hash, name};
+use base::{clock, name};
 
 use crate::{
-    announcements, location, model, ports, prefix_cache, selection, slowdown, stream_class, tracked,
+    announcements, location, model, ports, preference, prefix_cache, selection, slowdown,
+    stream_class, tracked,
 };
 
 /// Prompt tokens that an idle engine processes per millisecond.
@@ -29,18 +30,20 @@
 
 /// Upstreams of one service and their typical slowdown.
 #[derive(Debug, Default)]
-struct ServiceUpstreams {
+pub(crate) struct ServiceUpstreams {
     names: Vec<name::Upstream>,
     /// Typical slowdown of these upstreams for each stream class.
     typical: slowdown::TypicalSlowdown,
+    /// What the leader decided about them.
+    pub(crate) classes: preference::Classes,
 }
 
 /// All known upstreams, with the state needed to select among them.
 #[derive(Debug)]
 pub struct Fleet {
     location: location::Location,
-    upstreams: collections::HashMap<name::Upstream, tracked::TrackedUpstream>,
-    services: collections::HashMap<name::Service, ServiceUpstreams>,
+    pub(crate) upstreams: collections::HashMap<name::Upstream, tracked::TrackedUpstream>,
+    pub(crate) services: collections::HashMap<name::Service, ServiceUpstreams>,
     prefix_cache: prefix_cache::PrefixCache,
     last_mark: u64,
     /// What upstreams said of themselves in responses.
@@ -103,28 +106,6 @@
         Some(tracked.upstream.address)
     }
 
-    /// Reserves the ready engines of a service for stream classes. All hosts compute the same
-    /// assignment, which spreads the engines of each class over the data centres.
-    fn assign_classes(&mut self, service: &name::Service) {
-        let mut ranked: Vec<(u64, name::Dc, name::Upstream)> = self
-            .of_service(service)
-            .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
-            .map(|tracked| {
-                (
-                    tracked.name_hash(),
-                    tracked.upstream.dc.clone(),
-                    tracked.upstream.name.clone(),
-                )
-            })
-            .collect();
-        ranked.sort_unstable();
-        for (name, class) in stream_class::assign_classes(ranked) {
-            if let Some(tracked) = self.upstreams.get_mut(&name) {
-                tracked.stream_class = class;
-            }
-        }
-    }
-
     /// Marks an upstream whose store entry disappeared. Returns the mark, which is unique, or `None`
     /// if the upstream is unknown or marked already: the time of its absence goes on.
     pub fn mark_missing(&mut self, name: &name::Upstream) -> Option<u64> {
@@ -280,37 +261,6 @@
         })
     }
 
-    fn has_said_leaving(&self, tracked: &tracked::TrackedUpstream, now: clock::Millis) -> bool {
-        let process = tracked.process();
-        let willingness = self.announcements.willingness(process, now);
-        matches!(willingness, announcements::Willingness::Leaving(_))
-    }
-
-    /// Returns the upstream that is preferred for caching the prefix: the one with the highest
-    /// rendezvous hash among ready upstreams of the request's class, or of any class if there are
-    /// none. Hosts that know the same upstreams agree on it.
-    fn preferred_upstream(
-        &self,
-        criteria: &selection::Criteria<'_>,
-        prefix_id: u64,
-        now: clock::Millis,
-    ) -> Option<&name::Upstream> {
-        let ready = || {
-            self.of_service(criteria.service)
-                .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
-                .filter(|tracked| !self.has_said_leaving(tracked, now))
-        };
-        let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
-            hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
-        };
-        let in_class = ready()
-            .filter(|tracked| tracked.stream_class == criteria.stream_class)
-            .max_by_key(rendezvous_weight);
-        in_class
-            .or_else(|| ready().max_by_key(rendezvous_weight))
-            .map(|tracked| &tracked.upstream.name)
-    }
-
     /// Estimates the prompt tokens that `tracked` has to process, excluding a cached prefix.
     fn tokens_to_read(
         &self,
--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -1,18 +1,26 @@
 //! Following another host, which relays the configuration and the list of upstreams from the store.
 
 use std::collections;
+use std::net;
 use std::rc;
 
 use base::{clock, hash};
 use tokio::time;
 
-use crate::{host, link, relay, sources, store_watch};
+use crate::{digest, host, link, relay, sources, store_watch};
 
 /// Delay before another host is tried after the connection to one was lost.
 const RETRY_DELAY: clock::Millis = clock::Millis(200);
 /// Longest delay while no other host has newer information than this one.
 const MAX_RETRY_DELAY: clock::Millis = clock::Millis(1_600);
 
+/// Time for which a host that closed the connection at the handshake for digests is followed without
+/// them: it is of an earlier release.
+const NO_DIGEST_PERIOD: clock::Millis = clock::Millis::secs(300);
+
+/// Hosts that are followed without digests, and until when.
+type WithoutDigest = collections::HashMap<net::SocketAddr, clock::Millis>;
+
 /// Result of following a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
@@ -31,6 +39,7 @@
 pub async fn follow_peers(host: rc::Rc<host::Host>) {
     let mut delay = RETRY_DELAY;
     let mut sources = sources::Sources::default();
+    let mut without_digest = WithoutDigest::new();
     loop {
         if !needs_peer(&host) {
             host.store_health.set_following(false);
@@ -45,7 +54,7 @@
             rand::random,
         );
         let was_followed = match source {
-            Some(source) => match follow(&host, &source, &sources).await {
+            Some(source) => match follow(&host, &source, &sources, &mut without_digest).await {
                 End::Replaced => continue,
                 End::Failed {
                     failure,
@@ -76,8 +85,12 @@
     host: &rc::Rc<host::Host>,
     source: &sources::Source,
     sources: &sources::Sources,
+    without_digest: &mut WithoutDigest,
 ) -> End {
-    let Ok(mut session) = Session::open(host, source).await else {
+    let now = host.now();
+    without_digest.retain(|_, until| now < *until);
+    let retry_at = without_digest.get(&source.address).copied();
+    let Ok(mut session) = Session::open(host, source, retry_at).await else {
         return End::Failed {
             failure: sources::Failure::Lost,
             was_followed: false,
@@ -87,6 +100,11 @@
         return End::Replaced;
     };
     let bytes = session.link.receiver.received_bytes;
+    let lasted = host.now().since(session.opened_at);
+    if bytes == 0 && retry_at.is_none() && lasted < relay::HEARTBEAT_TIMEOUT {
+        without_digest.insert(source.address, host.now() + NO_DIGEST_PERIOD);
+        return End::Replaced;
+    }
     tracing::info!(event = "peer_lost", peer = %source.address, ?failure, bytes);
     End::Failed {
         failure,
@@ -105,6 +123,8 @@
     listed: collections::HashSet<String>,
     is_first_list: bool,
     opened_at: clock::Millis,
+    /// When the source is to be asked for digests; `None` if it was.
+    digests_at: Option<clock::Millis>,
     /// Whether changes in the store reach the source, by its latest heartbeat.
     source_learns: bool,
     /// Whether the source has known the store's contents up to a recent time.
@@ -115,12 +135,15 @@
     async fn open(
         host: &'a rc::Rc<host::Host>,
         source: &'a sources::Source,
+        digests_at: Option<clock::Millis>,
     ) -> Result<Self, link::Closed> {
         let mut link = link::open(source.address).await?;
         let config = host.store_cache.config();
-        let handshake = match &config {
-            Some(bytes) => relay::Handshake::FollowFrom(hash::stable_hash(bytes)),
-            None => relay::Handshake::Follow,
+        let config_hash = config.as_ref().map(|bytes| hash::stable_hash(bytes));
+        let handshake = match (digests_at, config_hash) {
+            (None, config_hash) => relay::Handshake::FollowWith { config_hash },
+            (Some(_), Some(config_hash)) => relay::Handshake::FollowFrom(config_hash),
+            (Some(_), None) => relay::Handshake::Follow,
         };
         link.sender.send(&handshake).await?;
         Ok(Self {
@@ -131,6 +154,7 @@
             listed: collections::HashSet::new(),
             is_first_list: true,
             opened_at: host.now(),
+            digests_at,
             source_learns: false,
             was_followed: false,
         })
@@ -150,6 +174,9 @@
             if now.since(heard_at) >= relay::HEARTBEAT_TIMEOUT {
                 return Err(sources::Failure::Lost);
             }
+            if self.digests_at.is_some_and(|at| now >= at) {
+                return Ok(());
+            }
             tokio::select! {
                 _ = questions.tick() => {
                     let asked = self.link.sender.send(&now).await;
@@ -194,6 +221,9 @@
             relay::Update::Removed(key, at) => store_watch::apply_removal(host, &key, at),
             relay::Update::Complete(at) => self.complete_list(at),
             relay::Update::Leader(leader) => host.leader.set(leader),
+            relay::Update::Digest(digest) => {
+                digest::apply(host, &digest);
+            }
             relay::Update::Known { asked_at, age } => return self.record_known(asked_at, age),
             relay::Update::Heartbeat(learns_changes) => {
                 self.source_learns = learns_changes;
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,8 +10,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget, crash_log, fleet, freshness, http_client, location, membership, memory, metrics, model,
-    ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
+    budget, crash_log, digest, digest_leader, fleet, freshness, http_client, load_meter, location,
+    membership, memory, metrics, model, ports, quarantine, quarantine_leader, shutdown,
+    store_cache, store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -131,6 +132,12 @@
     pub usage_counter: cell::RefCell<windows::UsageCounter>,
     /// Demand of the clients of this host, by service.
     pub demand: cell::RefCell<collections::HashMap<name::Service, membership::Demand>>,
+    /// Load of this host's requests by class.
+    pub load_meter: cell::RefCell<load_meter::LoadMeter>,
+    /// Load that hosts reported to this one, for the decisions of the leader.
+    pub reported_loads: cell::RefCell<digest_leader::ReportedLoads>,
+    /// Latest digest of the leader.
+    pub digest: digest::CurrentDigest,
     /// Attempts of this host after which an upstream may have crashed.
     pub crash_log: cell::RefCell<crash_log::CrashLog>,
     /// Wakes the task that reports to the leader, for a report before the next regular one.
@@ -190,6 +197,9 @@
             retry_budgets: cell::RefCell::default(),
             usage_counter: cell::RefCell::default(),
             demand: cell::RefCell::default(),
+            load_meter: cell::RefCell::default(),
+            reported_loads: cell::RefCell::default(),
+            digest: digest::CurrentDigest::default(),
             crash_log: cell::RefCell::default(),
             report_wanted: Notify::new(),
             rulings: watch::Sender::new(0),
--- a/crates/router/src/in_flight.rs
+++ b/crates/router/src/in_flight.rs
@@ -6,7 +6,7 @@
 use base::{clock, name};
 use tokio::time;
 
-use crate::{attempt, host, http_client, ports, selection};
+use crate::{attempt, host, http_client, ports, selection, stream_class};
 
 /// Accounting entry of a request at an upstream. Dropping it ends the request in the fleet's
 /// accounts.
@@ -14,6 +14,7 @@
     /// Host that sent the request.
     pub host: rc::Rc<host::Host>,
     service: name::Service,
+    stream_class: stream_class::StreamClass,
     /// Upstream that the request was sent to.
     pub selection: selection::Selection,
     /// When the request was sent.
@@ -33,9 +34,15 @@
         host.fleet
             .borrow_mut()
             .record_sent(&selection, &call.meta.prompt_parts, now);
+        host.load_meter.borrow_mut().record_sent(
+            &call.service,
+            call.stream_class,
+            selection.unread_tokens,
+        );
         Self {
             host: host.clone(),
             service: call.service.clone(),
+            stream_class: call.stream_class,
             selection,
             sent_at: now,
             prompt_pending: cell::Cell::new(true),
@@ -91,5 +98,7 @@
             .fleet
             .borrow_mut()
             .record_end(&self.selection.name);
+        let mut meter = self.host.load_meter.borrow_mut();
+        meter.record_end(&self.service, self.stream_class);
     }
 }
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{backoff, host, ports, scale, store_watch, usage};
+use crate::{backoff, digest_leader, host, ports, scale, store_watch, usage};
 
 /// Store key of the leader record; it exists while a host holds the lease.
 pub const STORE_KEY: &str = "jacinthslip/duty";
@@ -92,6 +92,7 @@
             why = renew_lease(&host, &leadership) => why,
             () = usage::run(&host, &leadership) => "usage_ended",
             () = scale::run(&host, &leadership) => "scaling_ended",
+            () = digest_leader::run(&host, &leadership) => "digests_ended",
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => "stopping",
         };
         host.is_leader.set(false);
--- /dev/null
+++ b/crates/router/src/preference.rs
@@ -0,0 +1,107 @@
+//! Which class each engine is reserved for, and which engine is preferred for a prompt prefix. Hosts
+//! that know the same upstreams and the same digest agree on both.
+
+use base::{clock, hash, name};
+use policy::engine_classes;
+
+use crate::{announcements, digest, fleet, model, selection, stream_class, tracked};
+
+/// Shares and speeds of the engines of a service, as the leader decided them.
+#[derive(Debug)]
+pub(crate) struct Classes {
+    shares: engine_classes::Shares,
+    /// Speeds in percent by engine, for those that differ from the mean.
+    speeds: Vec<(u32, u8)>,
+}
+
+impl Default for Classes {
+    fn default() -> Self {
+        Self {
+            shares: engine_classes::DEFAULT_SHARES,
+            speeds: Vec::new(),
+        }
+    }
+}
+
+impl Classes {
+    fn speed_percent(&self, name: &name::Upstream) -> u8 {
+        let id = digest::engine_id(name);
+        let known = self.speeds.iter().find(|(engine, _)| *engine == id);
+        known.map_or(tracked::MEAN_SPEED_PERCENT, |(_, percent)| *percent)
+    }
+}
+
+impl fleet::Fleet {
+    /// Sets the shares of a service's engines by class, and the speeds of those that differ from the
+    /// mean.
+    pub fn set_classes(
+        &mut self,
+        service: &name::Service,
+        shares: engine_classes::Shares,
+        speeds: Vec<(u32, u8)>,
+    ) {
+        let classes = &mut self.services.entry(service.clone()).or_default().classes;
+        if classes.shares == shares && classes.speeds == speeds {
+            return;
+        }
+        *classes = Classes { shares, speeds };
+        self.assign_classes(service);
+    }
+
+    /// Reserves the ready engines of a service for stream classes. All hosts compute the same
+    /// assignment, which spreads the engines of each class over the data centres.
+    pub(crate) fn assign_classes(&mut self, service: &name::Service) {
+        let Some(classes) = self.services.get(service).map(|s| &s.classes) else {
+            return;
+        };
+        let shares = classes.shares;
+        let mut ranked: Vec<stream_class::RankedEngine> = self
+            .of_service(service)
+            .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
+            .map(|tracked| stream_class::RankedEngine {
+                speed_percent: classes.speed_percent(&tracked.upstream.name),
+                hash: tracked.name_hash(),
+                dc: tracked.upstream.dc.clone(),
+                name: tracked.upstream.name.clone(),
+            })
+            .collect();
+        ranked.sort_unstable_by(|a, b| (a.hash, &a.dc, &a.name).cmp(&(b.hash, &b.dc, &b.name)));
+        for (engine, class) in stream_class::assign_classes(ranked, &shares) {
+            if let Some(tracked) = self.upstreams.get_mut(&engine.name) {
+                tracked.stream_class = class;
+                tracked.speed_percent = engine.speed_percent;
+            }
+        }
+    }
+
+    fn has_said_leaving(&self, tracked: &tracked::TrackedUpstream, now: clock::Millis) -> bool {
+        let process = tracked.process();
+        let willingness = self.announcements.willingness(process, now);
+        matches!(willingness, announcements::Willingness::Leaving(_))
+    }
+
+    /// Returns the upstream that is preferred for caching the prefix: the one with the highest
+    /// rendezvous hash among ready upstreams of the request's class, or of any class if there are
+    /// none. Hosts that know the same upstreams agree on it.
+    pub(crate) fn preferred_upstream(
+        &self,
+        criteria: &selection::Criteria<'_>,
+        prefix_id: u64,
+        now: clock::Millis,
+    ) -> Option<&name::Upstream> {
+        let ready = || {
+            self.of_service(criteria.service)
+                .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
+                .filter(|tracked| !self.has_said_leaving(tracked, now))
+        };
+        let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
+            hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
+        };
+        let in_class = ready()
+            .filter(|tracked| tracked.stream_class == criteria.stream_class)
+            .max_by_key(rendezvous_weight);
+        in_class
+            .or_else(|| ready().max_by_key(rendezvous_weight))
+            .map(|tracked| &tracked.upstream.name)
+    }
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net as tokio_net, task, time};
 
-use crate::{delta, host, link, reports};
+use crate::{delta, digest, host, link, reports};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
@@ -32,6 +32,13 @@
     FollowFrom(u64),
     /// Like `Report`; the sender also reports crashes of upstreams, see [`reports::Report`].
     ReportFindings,
+    /// Like `ReportFindings`; the sender also reports its load, see [`reports::LoadReport`].
+    ReportLoad,
+    /// Like `FollowFrom`, or `Follow` without a hash; the sender also takes digests.
+    FollowWith {
+        /// Hash of the configuration that the sender has.
+        config_hash: Option<u64>,
+    },
 }
 
 /// Update from a host to its followers.
@@ -64,6 +71,8 @@
         /// Age of the sender's knowledge; `UNKNOWN_AGE` if it doesn't know all of the contents.
         age: clock::Millis,
     },
+    /// Latest digest of the leader; sent only after the handshake `FollowWith`.
+    Digest(rc::Rc<digest::Digest>),
 }
 
 /// Entry of an upstream in the store.
@@ -103,15 +112,19 @@
             send_updates(&host, &mut link, peer, FollowerState::default()).await
         }
         Ok(Handshake::FollowFrom(config_hash)) => {
-            let config = host.store_cache.config();
+            let sent = FollowerState::with_config(&host, Some(config_hash));
+            send_updates(&host, &mut link, peer, sent).await
+        }
+        Ok(Handshake::FollowWith { config_hash }) => {
             let sent = FollowerState {
-                config: config.filter(|bytes| hash::stable_hash(bytes) == config_hash),
-                ..FollowerState::default()
+                digest: Some(digest::Version::default()),
+                ..FollowerState::with_config(&host, config_hash)
             };
             send_updates(&host, &mut link, peer, sent).await
         }
         Ok(Handshake::Report) => reports::receive_counts(&host, &mut link).await,
         Ok(Handshake::ReportFindings) => reports::receive(&host, &mut link).await,
+        Ok(Handshake::ReportLoad) => reports::receive_load(&host, &mut link).await,
         Err(link::Closed) => Err(link::Closed),
     };
 }
@@ -123,6 +136,19 @@
     upstreams: collections::BTreeMap<String, u64>,
     revision: Option<u64>,
     leader: Option<net::SocketAddr>,
+    /// Version of the digest; `None` if the follower takes no digests.
+    digest: Option<digest::Version>,
+}
+
+impl FollowerState {
+    /// State of a follower that has the configuration with this hash.
+    fn with_config(host: &host::Host, config_hash: Option<u64>) -> Self {
+        let config = host.store_cache.config();
+        Self {
+            config: config.filter(|bytes| Some(hash::stable_hash(bytes)) == config_hash),
+            ..Self::default()
+        }
+    }
 }
 
 async fn send_updates(
@@ -193,6 +219,12 @@
         sent.leader = host.leader.get();
         updates.push(Update::Leader(sent.leader));
     }
+    if let (Some(sent), Some(digest)) = (&mut sent.digest, host.digest.get())
+        && *sent < digest.version
+    {
+        *sent = digest.version;
+        updates.push(Update::Digest(digest));
+    }
     if !host.upstreams_listed.get() {
         return updates;
     }
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{task, time};
 
-use crate::{attempt, host, link, membership, quarantine, relay};
+use crate::{attempt, digest, host, link, membership, quarantine, relay};
 
 /// Longest time between two reports.
 const REPORT_INTERVAL: clock::Millis = clock::Millis(1_000);
@@ -20,6 +20,9 @@
 /// Largest number of consecutive reports that are not written into the store while it does not
 /// answer.
 const MAX_SKIPPED_WRITES: u32 = 3;
+/// Time for which a leader that closed the connection at the first report with the load gets reports
+/// without it.
+const NO_LOAD_PERIOD: clock::Millis = clock::Millis::secs(30);
 /// Time within which a report must be acknowledged.
 const ACK_TIMEOUT: clock::Millis = clock::Millis(800);
 
@@ -34,6 +37,25 @@
     pub findings: quarantine::Findings,
 }
 
+/// Message to the leader after the handshake [`relay::Handshake::ReportLoad`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The report as other hosts send it.
+    pub report: Report,
+    /// Load of the reporting host; `None` in a report that only tells of a crash.
+    pub load: Option<digest::HostLoad>,
+}
+
+/// What the leader answers to a [`LoadReport`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LoadAnswer {
+    /// The answer to the report.
+    pub ruling: quarantine::Ruling,
+    /// Digest that is newer than the one known to the host; `None` if there is none, or the host did
+    /// not ask.
+    pub digest: Option<rc::Rc<digest::Digest>>,
+}
+
 /// Receives reports of counts and demand alone, as hosts of earlier releases send them.
 pub async fn receive_counts(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
     loop {
@@ -57,6 +79,44 @@
     }
 }
 
+/// Receives the reports of another host with its load.
+pub async fn receive_load(host: &host::Host, link: &mut link::Link) -> Result<(), link::Closed> {
+    loop {
+        let limit = REPORT_INTERVAL + relay::HEARTBEAT_TIMEOUT;
+        let report: LoadReport = link.receiver.receive(limit).await?;
+        let answer = answer(host, report);
+        link.sender.send(&answer).await?;
+    }
+}
+
+/// Records a report with its load and returns the answer to it.
+fn answer(host: &host::Host, LoadReport { report, load }: LoadReport) -> LoadAnswer {
+    let process = report.process;
+    let ruling = rule_on(host, report);
+    let mut digest = None;
+    if let Some(load) = load {
+        if load.wants_digest && host.is_leader.get() {
+            digest = host.digest.get().filter(|d| load.known < d.version);
+        }
+        let mut loads = host.reported_loads.borrow_mut();
+        loads.record(process, load, host.now());
+    }
+    LoadAnswer { ruling, digest }
+}
+
+/// Returns the load of this host in the period since the last call.
+fn load(host: &host::Host) -> digest::HostLoad {
+    let fleet = host.fleet.borrow();
+    let mut meter = host.load_meter.borrow_mut();
+    let (period, services) = meter.report(&fleet, host.now());
+    digest::HostLoad {
+        period,
+        services,
+        wants_digest: digest::is_wanted(host),
+        known: host.digest.version(),
+    }
+}
+
 /// Records a report and returns the answer to it.
 fn rule_on(host: &host::Host, report: Report) -> quarantine::Ruling {
     let now = host.now();
@@ -80,6 +140,10 @@
     told_crash: u64,
     /// Whether nothing was told on this connection yet.
     is_first: bool,
+    /// Whether the reports on this connection contain the load.
+    has_load: bool,
+    /// Time until which reports are sent without the load.
+    no_load_until: clock::Millis,
 }
 
 impl Uplink {
@@ -92,8 +156,15 @@
         &mut self,
         host: &host::Host,
         counts: Option<&membership::HostReport>,
+        load: Option<&digest::HostLoad>,
     ) -> Result<(), link::Closed> {
-        let result = self.exchange(host, counts).await;
+        let mut result = self.exchange(host, counts, load).await;
+        let is_remote = matches!(self.target, Some((_, Some(_))));
+        if result.is_err() && is_remote && self.is_first && self.has_load {
+            // A leader of an earlier release closes the stream at a handshake that it doesn't know.
+            self.no_load_until = host.now() + NO_LOAD_PERIOD;
+            result = self.exchange(host, counts, load).await;
+        }
         if result.is_err() {
             self.target = None;
         }
@@ -104,9 +175,14 @@
         &mut self,
         host: &host::Host,
         counts: Option<&membership::HostReport>,
+        load: Option<&digest::HostLoad>,
     ) -> Result<(), link::Closed> {
         let leader = host.leader.get().ok_or(link::Closed)?;
-        if self.target.as_ref().is_none_or(|(to, _)| *to != leader) {
+        let has_load = host.now() >= self.no_load_until;
+        let is_other = self.target.as_ref().is_none_or(|(to, _)| *to != leader);
+        if is_other || self.has_load != has_load {
+            self.has_load = has_load;
+            self.target = None;
             self.target = Some((leader, self.open(host, leader).await?));
             self.told_crash = 0;
             self.is_first = true;
@@ -119,16 +195,27 @@
             counts: counts.cloned(),
             findings,
         };
-        let ruling = match &mut self.target {
+        let load = load.cloned();
+        let LoadAnswer { ruling, digest } = match &mut self.target {
+            Some((_, Some(link))) if self.has_load => {
+                link.sender.send(&LoadReport { report, load }).await?;
+                link.receiver.receive(ACK_TIMEOUT).await?
+            }
             Some((_, Some(link))) => {
                 link.sender.send(&report).await?;
-                link.receiver.receive(ACK_TIMEOUT).await?
+                LoadAnswer {
+                    ruling: link.receiver.receive(ACK_TIMEOUT).await?,
+                    digest: None,
+                }
             }
-            _ => rule_on(host, report),
+            _ => answer(host, LoadReport { report, load }),
         };
         self.is_first = false;
         self.told_crash = told_crash.unwrap_or(self.told_crash);
         let is_leader = ruling.is_leader;
+        if let Some(digest) = digest {
+            digest::apply(host, &digest);
+        }
         host.quarantine
             .borrow_mut()
             .apply(ruling, reported_at, host.now());
@@ -156,7 +243,12 @@
             return Ok(None);
         }
         let mut link = link::open(leader).await?;
-        link.sender.send(&relay::Handshake::ReportFindings).await?;
+        let handshake = if self.has_load {
+            relay::Handshake::ReportLoad
+        } else {
+            relay::Handshake::ReportFindings
+        };
+        link.sender.send(&handshake).await?;
         Ok(Some(link))
     }
 }
@@ -203,7 +295,12 @@
     let mut skip_count = 0;
     loop {
         let counts = writer.report(&host);
-        if uplink.report(&host, Some(&counts)).await.is_ok() {
+        let load = load(&host);
+        if uplink
+            .report(&host, Some(&counts), Some(&load))
+            .await
+            .is_ok()
+        {
             skip_count = 0;
         } else if remaining_skips > 0 {
             remaining_skips -= 1;
@@ -233,7 +330,7 @@
             }
             time::sleep(EXTRA_REPORT_DELAY.duration()).await;
             // A report that fails is repeated with the next counts.
-            let _ = uplink.report(&host, None).await;
+            let _ = uplink.report(&host, None, None).await;
         }
     }
 }
--- a/crates/router/src/store_cache.rs
+++ b/crates/router/src/store_cache.rs
@@ -35,7 +35,8 @@
 }
 
 impl StoreCache {
-    fn notify_change(&self) {
+    /// Wakes the tasks that send the contents, and the leader's digest, to followers.
+    pub fn notify_change(&self) {
         self.changes.send_modify(|n| *n += 1);
     }
 
--- a/crates/router/src/stream_class.rs
+++ b/crates/router/src/stream_class.rs
@@ -7,13 +7,10 @@
 use std::collections;
 
 use base::name;
+use policy::engine_classes;
 
 use crate::model;
 
-/// Shares of a service's engines that are reserved for [`StreamClass::ShortGap`], and then for
-/// [`StreamClass::NotResumable`].
-const SHORT_GAP_SHARE: f64 = 0.2;
-const NOT_RESUMABLE_SHARE: f64 = 0.2;
 /// Number of engines below which none are reserved.
 const MIN_DIVIDED_ENGINES: usize = 3;
 /// Cost of running a short-gap stream beside prompts that are processed, in milliseconds.
@@ -87,32 +84,74 @@
     }
 }
 
+/// An engine of a service, as [`assign_classes`] orders them.
+#[derive(Clone, Debug)]
+pub struct RankedEngine {
+    /// Speed in percent of the mean.
+    pub speed_percent: u8,
+    /// Hash of the name, which decides among the engines of a data centre.
+    pub hash: u64,
+    /// Data centre in which the engine runs.
+    pub dc: name::Dc,
+    /// Name of the engine.
+    pub name: name::Upstream,
+}
+
+/// Coarse speed of an engine; the fastest come first. Engines of about the same speed count as equal,
+/// so that a small change of a measured speed changes no classes.
+fn speed_rank(percent: u8) -> u8 {
+    match percent {
+        0..=80 => 2,
+        81..=110 => 1,
+        _ => 0,
+    }
+}
+
 /// Assigns a class to each engine of a service. `ranked` is sorted by hash; the engines of each
-/// class are spread over the data centres.
+/// class are spread over the data centres. The fastest engines are for short-gap streams. The classes
+/// follow each other in one order of the engines, so that a share that changes moves few engines.
 pub fn assign_classes(
-    ranked: Vec<(u64, name::Dc, name::Upstream)>,
-) -> Vec<(name::Upstream, StreamClass)> {
-    let mut next_rank: collections::HashMap<name::Dc, u32> = collections::HashMap::new();
-    let mut ordered: Vec<(u32, name::Upstream)> = Vec::with_capacity(ranked.len());
-    for (_, dc, name) in ranked {
-        let rank = next_rank.entry(dc).or_default();
-        ordered.push((*rank, name));
+    ranked: Vec<RankedEngine>,
+    shares: &engine_classes::Shares,
+) -> Vec<(RankedEngine, StreamClass)> {
+    let mut next_rank: collections::HashMap<(u8, name::Dc), u32> = collections::HashMap::new();
+    let mut ordered: Vec<(u8, u32, RankedEngine)> = Vec::with_capacity(ranked.len());
+    for engine in ranked {
+        let speed = speed_rank(engine.speed_percent);
+        let rank = next_rank.entry((speed, engine.dc.clone())).or_default();
+        ordered.push((speed, *rank, engine));
         *rank += 1;
     }
-    ordered.sort_by_key(|(rank, _)| *rank);
-    let total = ordered.len() as f64;
-    let short_gap_end = (total * SHORT_GAP_SHARE).ceil() as usize;
-    let not_resumable_end = short_gap_end + (total * NOT_RESUMABLE_SHARE).floor() as usize;
+    ordered.sort_by_key(|(speed, rank, _)| (*speed, *rank));
+    let [short_gap, not_resumable] = class_sizes(ordered.len(), shares);
     let divided = ordered.len() >= MIN_DIVIDED_ENGINES;
-    let names = ordered.into_iter().enumerate();
-    let class = |(i, (_, name))| {
+    let engines = ordered.into_iter().enumerate();
+    let class = |(i, (_, _, engine))| {
         let class = match i {
             _ if !divided => StreamClass::Other,
-            i if i < short_gap_end => StreamClass::ShortGap,
-            i if i < not_resumable_end => StreamClass::NotResumable,
+            i if i < short_gap => StreamClass::ShortGap,
+            i if i < short_gap + not_resumable => StreamClass::NotResumable,
             _ => StreamClass::Other,
         };
-        (name, class)
+        (engine, class)
     };
-    names.map(class).collect()
+    engines.map(class).collect()
+}
+
+/// Numbers of engines for [`StreamClass::ShortGap`] and [`StreamClass::NotResumable`]. Other requests
+/// keep one engine if they have any share.
+fn class_sizes(total: usize, shares: &engine_classes::Shares) -> [usize; 2] {
+    let whole = usize::from(engine_classes::WHOLE);
+    let [short_gap, not_resumable, other] = shares.map(usize::from);
+    let mut short_gap = (total * short_gap).div_ceil(whole).min(total);
+    let mut not_resumable = (total * not_resumable / whole).min(total - short_gap);
+    if other > 0 && short_gap + not_resumable == total {
+        let larger = if short_gap > not_resumable {
+            &mut short_gap
+        } else {
+            &mut not_resumable
+        };
+        *larger = larger.saturating_sub(1);
+    }
+    [short_gap, not_resumable]
 }
--- a/crates/router/src/tracked.rs
+++ b/crates/router/src/tracked.rs
@@ -4,6 +4,9 @@
 
 use crate::{announcements, failures, model, reported_load, slowdown, stream_class};
 
+/// Speed of an engine, in percent of the mean of its service, if nothing else is known.
+pub const MEAN_SPEED_PERCENT: u8 = 100;
+
 /// An upstream and what this host has observed about it.
 #[derive(Debug)]
 pub struct TrackedUpstream {
@@ -23,6 +26,8 @@
     pub missing_mark: u64,
     /// Class of streams that the upstream is reserved for.
     pub stream_class: stream_class::StreamClass,
+    /// Speed of the engine in percent of the mean of its service, by the leader's digest.
+    pub speed_percent: u8,
     /// Time of the latest response bytes received from the upstream.
     pub last_data: clock::Millis,
 }
@@ -39,6 +44,7 @@
             slowdown: slowdown::Slowdown::default(),
             missing_mark: 0,
             stream_class: stream_class::StreamClass::Other,
+            speed_percent: MEAN_SPEED_PERCENT,
             last_data: clock::Millis::ZERO,
         }
     }
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -4,8 +4,8 @@
 use std::net;
 use std::rc;
 
-use base::clock;
-use router::{follower, location, membership, ports, relay, store_watch};
+use base::{clock, name};
+use router::{follower, location, membership, model, ports, relay, store_watch};
 use tokio::{net as tokio_net, task, time};
 
 use super::{Cluster, Node};
@@ -72,6 +72,20 @@
     }
 }
 
+/// Service `s`, which runs a language model.
+pub fn service() -> model::Service {
+    model::Service {
+        name: name::Service::from("s"),
+        engine: Some(model::Engine {
+            tokens_per_event: 5,
+            slots: 16,
+            memory_tokens: 0,
+        }),
+        scaling: None,
+        cold_limit: None,
+    }
+}
+
 /// Starts the tasks by which a host learns of changes in the store.
 pub fn start_tasks(node: &Node) {
     let host = node.host.clone();
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -260,7 +260,7 @@
         Ok(model::Config::new(
             version,
             Vec::new(),
-            Vec::new(),
+            vec![hosts::service()],
             limits,
             None,
         ))
