--- a/crates/router/src/fleet/dc_drains.rs
+++ b/crates/router/src/fleet/dc_drains.rs
@@ -28,7 +28,7 @@
 
     /// Returns why the data centre of `tracked` may not serve a request that is limited to `homes`;
     /// `None` if it may.
-    pub(super) fn exclusion(
+    pub(crate) fn exclusion(
         &self,
         homes: Option<&[name::Region]>,
         tracked: &tracked::TrackedUpstream,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net as tokio_net, task, time};
 
-use crate::{dc_drain, delta, host, link, reports};
+use crate::{dc_drain, delta, digest, host, link, reports};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
@@ -32,6 +32,13 @@
     FollowFrom(u64),
     /// Like `Report`; the sender also reports crashes of upstreams, see [`reports::Report`].
     ReportFindings,
+    /// Like `ReportFindings`; the sender also reports its load, see [`reports::LoadReport`].
+    ReportLoad,
+    /// Like `FollowFrom`, or `Follow` without a hash; the sender also takes digests.
+    FollowWith {
+        /// Hash of the configuration that the sender has.
+        config_hash: Option<u64>,
+    },
 }
 
 /// Update from a host to its followers.
@@ -67,6 +74,8 @@
     /// Data centres that are being drained. Sent only where the settings allow drains: a host of an
     /// earlier version can't decode it.
     DrainedDcs(dc_drain::DrainedDcs),
+    /// Latest digest of the leader; sent only after the handshake `FollowWith`.
+    Digest(rc::Rc<digest::Digest>),
 }
 
 /// Entry of an upstream in the store.
@@ -106,15 +115,19 @@
             send_updates(&host, &mut link, peer, FollowerState::default()).await
         }
         Ok(Handshake::FollowFrom(config_hash)) => {
-            let config = host.store_cache.config();
+            let sent = FollowerState::with_config(&host, Some(config_hash));
+            send_updates(&host, &mut link, peer, sent).await
+        }
+        Ok(Handshake::FollowWith { config_hash }) => {
             let sent = FollowerState {
-                config: config.filter(|bytes| hash::stable_hash(bytes) == config_hash),
-                ..FollowerState::default()
+                digest: Some(digest::Version::default()),
+                ..FollowerState::with_config(&host, config_hash)
             };
             send_updates(&host, &mut link, peer, sent).await
         }
         Ok(Handshake::Report) => reports::receive_counts(&host, &mut link).await,
         Ok(Handshake::ReportFindings) => reports::receive(&host, &mut link).await,
+        Ok(Handshake::ReportLoad) => reports::receive_load(&host, &mut link).await,
         Err(link::Closed) => Err(link::Closed),
     };
 }
@@ -127,6 +140,19 @@
     revision: Option<u64>,
     leader: Option<net::SocketAddr>,
     drained_dcs: Option<collections::BTreeSet<name::Dc>>,
+    /// Version of the digest; `None` if the follower takes no digests.
+    digest: Option<digest::Version>,
+}
+
+impl FollowerState {
+    /// State of a follower that has the configuration with this hash.
+    fn with_config(host: &host::Host, config_hash: Option<u64>) -> Self {
+        let config = host.store_cache.config();
+        Self {
+            config: config.filter(|bytes| Some(hash::stable_hash(bytes)) == config_hash),
+            ..Self::default()
+        }
+    }
 }
 
 async fn send_updates(
@@ -204,6 +230,12 @@
         sent.leader = host.leader.get();
         updates.push(Update::Leader(sent.leader));
     }
+    if let (Some(sent), Some(digest)) = (&mut sent.digest, host.digest.get())
+        && *sent < digest.version
+    {
+        *sent = digest.version;
+        updates.push(Update::Digest(digest));
+    }
     if !host.upstreams_listed.get() {
         return updates;
     }
