Decisions on cold upstreams

A cold upstream crashes well above its limit of requests per second, and the limit holds for the sum over all hosts, which send without asking each other.

The router does not use the decisions yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod breaker;
 pub mod budget;
+pub mod cold_start;
 pub mod dispatch;
 pub mod lease;
 pub mod length;
