Cold upstreams get what they bear

Clients lost requests at upstreams that crashed after a start or after the return of their data centre: all hosts found them idle at once, and no host knew what the others sent. The entry's cold_left_ms and the header Cold-Ms were read but not used.

Requests that must not be repeated go there only if nothing else is left, and a long prefix that is cached elsewhere weighs more than idleness. When all upstreams are held, the request is refused with `shed` (503, not run) and a Retry-After of the time until this host may send. A request answered with 421 does not count.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -359,6 +359,30 @@
     }
 }
 
+/// Records how long the upstream says that it stays cold. A request that another process has answered
+/// with 421 does not count as sent.
+fn record_warm_up(
+    host: &host::Host,
+    in_flight: &in_flight::InFlight,
+    meta: &ports::ResponseMeta,
+    verdict: verdict::Verdict,
+) {
+    let (process, sent_at) = (in_flight.selection.process, in_flight.sent_at);
+    let mut fleet = host.fleet.borrow_mut();
+    match verdict {
+        verdict::Verdict::NotRun(Failure::Misdirected) => {
+            fleet.warm_up.take_back(process, sent_at);
+        }
+        verdict::Verdict::MayHaveRun(Failure::WrongRequestId) => {}
+        _ => {
+            if let Some(left) = meta.cold_left {
+                let now = host.now();
+                fleet.warm_up.record_response(process, left, sent_at, now);
+            }
+        }
+    }
+}
+
 /// Checks that the response belongs to this request, and determines the outcome of the attempt.
 async fn classify_response(
     host: &rc::Rc<host::Host>,
@@ -397,6 +421,7 @@
     if speaks_for_process {
         record_announcements(host, &in_flight.selection, &parts, &meta);
     }
+    record_warm_up(host, &in_flight, &meta, verdict);
     let head = ResponseHead {
         parts,
         body,
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -9,7 +9,8 @@
 use base::{clock, hash, name};
 
 use crate::{
-    announcements, location, model, ports, prefix_cache, selection, slowdown, stream_class, tracked,
+    announcements, location, model, ports, prefix_cache, selection, slowdown, stream_class,
+    tracked, warm_up,
 };
 
 /// Prompt tokens that an idle engine processes per millisecond.
@@ -45,6 +46,8 @@
     last_mark: u64,
     /// What upstreams said of themselves in responses.
     pub announcements: announcements::Announcements,
+    /// Cold upstreams, and what this host may send to them.
+    pub warm_up: warm_up::WarmUp,
     /// Time for which an upstream that said that it leaves may get requests that no other takes.
     leaving_use: clock::Millis,
 }
@@ -60,6 +63,7 @@
             prefix_cache: prefix_cache::PrefixCache::default(),
             last_mark: 0,
             announcements: announcements::Announcements::default(),
+            warm_up: warm_up::WarmUp::default(),
             leaving_use: clock::Millis((drain_deadline.0 as f64 * LEAVING_USE_SHARE) as u64),
         }
     }
@@ -96,6 +100,7 @@
     /// Removes an upstream and returns its address, or `None` if it is unknown.
     pub fn remove(&mut self, name: &name::Upstream) -> Option<std::net::SocketAddr> {
         let tracked = self.upstreams.remove(name)?;
+        self.warm_up.record_removed(tracked.process());
         if let Some(service_upstreams) = self.services.get_mut(&tracked.upstream.service) {
             service_upstreams.names.retain(|n| n != name);
         }
@@ -190,11 +195,21 @@
         let mut details = selection::Details::default();
         let mut is_full = false;
         let mut pause: Option<clock::Millis> = None;
+        let mut cold: Option<clock::Millis> = None;
+        let gate = self.warm_up.gate(criteria.service);
         for (tracked, willingness) in self.untried(criteria, now) {
             let age = self.announcements.age(tracked.process(), now);
             details.record_passed_over(willingness, age);
             match willingness {
-                announcements::Willingness::Willing => is_full = true,
+                announcements::Willingness::Willing => {
+                    match gate.admission(tracked.process(), now) {
+                        warm_up::Admission::Held(left) => {
+                            details.cold_held += 1;
+                            cold = Some(cold.map_or(left, |c| c.min(left)));
+                        }
+                        _ => is_full = true,
+                    }
+                }
                 announcements::Willingness::Paused(until) => {
                     let left = until.since(now);
                     pause = Some(pause.map_or(left, |p| p.min(left)));
@@ -202,10 +217,12 @@
                 announcements::Willingness::Leaving(_) => {}
             }
         }
-        let shortage = match pause {
+        let shortage = match (cold, pause) {
             _ if is_full => selection::Shortage::Full,
-            Some(left) => selection::Shortage::Paused(left),
-            None => selection::Shortage::None,
+            (Some(left), None) => selection::Shortage::Cold(left),
+            (Some(left), Some(paused)) if left <= paused => selection::Shortage::Cold(left),
+            (_, Some(left)) => selection::Shortage::Paused(left),
+            (None, None) => selection::Shortage::None,
         };
         (shortage, details)
     }
@@ -226,10 +243,17 @@
             .services
             .get(criteria.service)
             .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
-        let mut best: Option<(f64, &tracked::TrackedUpstream, u64)> = None;
+        let gate = self.warm_up.gate(criteria.service);
+        // The second one is used only if there is no other.
+        let mut best: [Option<(f64, &tracked::TrackedUpstream, u64)>; 2] = [None; 2];
         let mut last_resort = None;
         let mut details = selection::Details::default();
         for (tracked, willingness) in self.untried(criteria, now) {
+            let admission = gate.admission(tracked.process(), now);
+            if matches!(admission, warm_up::Admission::Held(_)) {
+                details.cold_held += 1;
+                continue;
+            }
             if willingness != announcements::Willingness::Willing {
                 let age = self.announcements.age(tracked.process(), now);
                 details.record_passed_over(willingness, age);
@@ -247,13 +271,16 @@
             details.usable += 1;
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
-            let cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now);
+            let cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now)
+                + admission.cost_ms(criteria, unread_tokens);
+            let best = &mut best[usize::from(admission.is_last_choice(criteria))];
             if best.is_none_or(|(c, _, _)| cost_ms < c) {
-                best = Some((cost_ms, tracked, unread_tokens));
+                *best = Some((cost_ms, tracked, unread_tokens));
             }
         }
         let last_resort = last_resort.map(|t| (0.0, t, u64::from(criteria.prompt_tokens)));
-        let (cost_ms, tracked, unread_tokens) = best.or(last_resort)?;
+        let [best, last_choice] = best;
+        let (cost_ms, tracked, unread_tokens) = best.or(last_resort).or(last_choice)?;
         let (reported_requests, report_age_ms) = tracked.reported_load.latest(now);
         let details = selection::Details {
             prefix_cached: unread_tokens < u64::from(criteria.prompt_tokens),
@@ -262,6 +289,7 @@
             report_age_ms,
             cost_ms: cost_ms as u64,
             upstream_class: tracked.stream_class,
+            cold_left: gate.admission(tracked.process(), now).cold_left(),
             ..details
         };
         let base_latency_ms = FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
@@ -287,8 +315,8 @@
     }
 
     /// Returns the upstream that is preferred for caching the prefix: the one with the highest
-    /// rendezvous hash among ready upstreams of the request's class, or of any class if there are
-    /// none. Hosts that know the same upstreams agree on it.
+    /// rendezvous hash among ready and warm upstreams of the request's class, or of any class if there
+    /// are none. Hosts that know the same upstreams agree on it.
     fn preferred_upstream(
         &self,
         criteria: &selection::Criteria<'_>,
@@ -299,6 +327,7 @@
             self.of_service(criteria.service)
                 .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
                 .filter(|tracked| !self.has_said_leaving(tracked, now))
+                .filter(|tracked| !self.warm_up.is_cold(tracked.process(), now))
         };
         let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
             hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
@@ -374,6 +403,7 @@
         parts: &[ports::PromptPart],
         now: clock::Millis,
     ) {
+        self.warm_up.record_sent(selection.process, now);
         let Some(tracked) = self.upstreams.get_mut(&selection.name) else {
             return;
         };
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     budget, crash_log, fleet, freshness, http_client, location, membership, memory, metrics, model,
-    ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
+    ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, warm_up, windows,
 };
 
 /// Checked settings of a host.
@@ -173,6 +173,8 @@
         let location = settings.location.clone();
         let change_deadline = settings.timing.change_deadline;
         let memory = memory::Budget::new(settings.held_bytes);
+        let mut fleet = fleet::Fleet::new(location, change_deadline);
+        fleet.warm_up = warm_up::WarmUp::new(settings.host.clone(), settings.cold_tolerance);
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
@@ -182,7 +184,7 @@
             clock: dependencies.clock,
             boot_id: rand::random(),
             config: cell::RefCell::default(),
-            fleet: cell::RefCell::new(fleet::Fleet::new(location, change_deadline)),
+            fleet: cell::RefCell::new(fleet),
             upstreams_listed: cell::Cell::new(false),
             pool: http_client::Pool::default(),
             metrics: metrics::Metrics::new(&memory)?,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -55,4 +55,5 @@
 pub mod tracked;
 pub mod usage;
 pub mod verdict;
+pub mod warm_up;
 pub mod windows;
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     follower, host, leader, listeners, membership, ports, relay, reports, shutdown, store_watch,
-    supervisor,
+    supervisor, warm_up,
 };
 
 /// Longest time that a stopping process waits until clients have been sent the responses to requests
@@ -100,6 +100,9 @@
     spawn("presence", |h| Box::pin(membership::keep_registered(h)));
     spawn("roster", |h| Box::pin(membership::refresh(h)));
     spawn("sweep", |h| Box::pin(clean_pool(h)));
+    if host.settings.cold_tolerance.is_some() {
+        spawn("warm_up", |h| Box::pin(warm_up::watch(h)));
+    }
     let (shared_host, writer) = (host.clone(), writer.clone());
     supervisor::spawn("tell", move || {
         reports::run(shared_host.clone(), writer.clone())
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -30,6 +30,8 @@
 const FIRST_READ_INTERVAL: clock::Millis = clock::Millis(400);
 /// Additional time between two reads for each registered host.
 const READ_INTERVAL_PER_HOST: clock::Millis = clock::Millis(100);
+/// Time for which a list of hosts holds after the next one should have been read, for a slow read.
+const READ_MARGIN: clock::Millis = clock::Millis(3_000);
 /// Time for which an observed number of hosts counts: the window of the retry budget, and the same
 /// again.
 const HOST_COUNT_PERIOD: clock::Millis = clock::Millis(20_000);
@@ -201,6 +203,23 @@
         !self.host_counts.is_empty()
     }
 
+    /// When the registered hosts were last read; `None` if they have not been.
+    pub fn read_at(&self) -> Option<clock::Millis> {
+        self.host_counts.back().map(|(at, _)| *at)
+    }
+
+    /// Time between two reads of the registered hosts.
+    fn read_interval(&self) -> clock::Millis {
+        READ_INTERVAL + clock::Millis(READ_INTERVAL_PER_HOST.0 * u64::from(self.host_count()))
+    }
+
+    /// When the list of registered hosts is too old to go by, since the reads after it have failed;
+    /// `None` if it has not been read.
+    pub fn valid_until(&self) -> Option<clock::Millis> {
+        let ttl = self.read_interval() + READ_MARGIN;
+        self.read_at().map(|at| at + ttl)
+    }
+
     /// Registered hosts in the order of their names, and whether each watches the store.
     pub fn registered(&self) -> &[(Registration, bool)] {
         &self.registered
@@ -425,13 +444,16 @@
 pub async fn refresh(host: rc::Rc<host::Host>) {
     let mut early_pause = FIRST_READ_INTERVAL;
     loop {
+        // The answer may be read long after it was given, for instance by a host that was paused.
+        let asked_at = host.now();
         if let Ok((items, _)) = host.store.list(HOSTS_PREFIX, true).await {
-            let now = host.now();
-            host.membership.borrow_mut().update_hosts(&items, now);
+            let mut membership = host.membership.borrow_mut();
+            membership.update_hosts(&items, asked_at);
+            let mut fleet = host.fleet.borrow_mut();
+            fleet.warm_up.update_hosts(&membership, host.now());
             host.store_health.notify_change();
         }
-        let hosts = u64::from(host.membership.borrow().host_count());
-        let pause = READ_INTERVAL + clock::Millis(READ_INTERVAL_PER_HOST.0 * hosts);
+        let pause = host.membership.borrow().read_interval();
         time::sleep(pause.min(early_pause).duration()).await;
         early_pause = early_pause + early_pause;
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,7 +6,7 @@
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::metrics as sdk;
 
-use crate::memory;
+use crate::{memory, selection};
 
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] = [
@@ -22,6 +22,8 @@
     responses: metrics::Counter<u64>,
     relayed_bytes: metrics::Counter<u64>,
     announcements: metrics::Counter<u64>,
+    cold_upstreams: metrics::Gauge<u64>,
+    cold_requests: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -60,6 +62,8 @@
             responses: meter.u64_counter("answers").build(),
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
             announcements: meter.u64_counter("upstream_announcements").build(),
+            cold_upstreams: meter.u64_gauge("cold_upstreams").build(),
+            cold_requests: meter.u64_counter("cold_requests").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -89,6 +93,23 @@
         self.announcements.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Sets the number of upstreams that are cold as far as this host knows.
+    pub fn set_cold_upstreams(&self, count: usize) {
+        self.cold_upstreams.record(count as u64, &[]);
+    }
+
+    /// Counts an attempt that is sent to a cold upstream, and one that a cold upstream was passed over
+    /// for.
+    pub fn record_cold(&self, details: &selection::Details) {
+        if details.cold_left.is_some() {
+            self.cold_requests.add(1, &[KeyValue::new("kind", "sent")]);
+        }
+        if details.cold_held > 0 {
+            self.cold_requests
+                .add(1, &[KeyValue::new("kind", "passed_over")]);
+        }
+    }
+
     /// Counts bytes of the store's contents that were sent to followers.
     pub fn record_relayed(&self, bytes: u64) {
         self.relayed_bytes.add(bytes, &[]);
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -98,10 +98,11 @@
     let Some(selection) = fleet.select(&criteria, now) else {
         let (shortage, details) = fleet.shortage(&criteria, now);
         history.details = details;
+        host.metrics.record_cold(&details);
         return Err(match shortage {
             selection::Shortage::None => refusal::Reason::NoUpstream,
             selection::Shortage::Full => refusal::Reason::Shed,
-            selection::Shortage::Paused(delay) => {
+            selection::Shortage::Paused(delay) | selection::Shortage::Cold(delay) => {
                 history.retry_after = Some(delay);
                 refusal::Reason::Shed
             }
@@ -120,6 +121,7 @@
     let mut demand = host.demand.borrow_mut();
     let demand = demand.entry(call.service.clone()).or_default();
     demand.record_request(selection.unread_tokens);
+    host.metrics.record_cold(&selection.details);
     history.executions.begin();
     history.sent_at = now;
     history.details = selection.details;
@@ -262,6 +264,8 @@
         said_leaving = history.details.leaving,
         paused = history.details.paused,
         said_age_ms = history.details.said_age.map(|a| a.0),
+        cold_held = history.details.cold_held,
+        cold_left_ms = history.details.cold_left.map(|l| l.0),
         kept = history.details.prefix_cached,
         busy = history.details.in_flight,
         told = history.details.reported_requests,
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -68,6 +68,10 @@
     pub paused: u32,
     /// Time since the latest of these announcements; `None` without any.
     pub said_age: Option<clock::Millis>,
+    /// Number of cold upstreams that this host must not send to now.
+    pub cold_held: u32,
+    /// How long the selected upstream stays cold; `None` if it is warm.
+    pub cold_left: Option<clock::Millis>,
     /// Whether the selected upstream is expected to have the shared prefix cached.
     pub prefix_cached: bool,
     /// Requests that this host had in flight at the selected upstream.
@@ -107,4 +111,6 @@
     Full,
     /// All upstreams have asked for a pause; the earliest one ends after this time.
     Paused(clock::Millis),
+    /// All upstreams that want requests are cold; this host may send to the first after this time.
+    Cold(clock::Millis),
 }
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -235,6 +235,8 @@
         old,
         bytes = bytes.len(),
     );
+    let services = config.services.values().map(AsRef::as_ref);
+    host.fleet.borrow_mut().warm_up.set_limits(services);
     *host.config.borrow_mut() = Some(rc::Rc::new(config));
     host.store_cache.set_config(bytes);
 }
@@ -371,12 +373,17 @@
             return;
         }
     };
+    let is_written = !host.store_cache.is_newer(key, revision.saturating_sub(1));
     if !host.store_cache.put(key, revision, value) {
         return;
     }
     let (name, address, state) = (upstream.name.clone(), upstream.address, upstream.state);
     let cheap = upstream.preemptible;
-    if host.fleet.borrow_mut().put(upstream) {
+    if host
+        .fleet
+        .borrow_mut()
+        .put_entry(upstream, is_written, host.now())
+    {
         tracing::info!(event = "upstream_listed", upstream = %name, %address, ?state, cheap);
     }
     if state == model::UpstreamState::Leaving {
