--- a/crates/router/src/warm_up.rs
+++ b/crates/router/src/warm_up.rs
@@ -56,7 +56,14 @@
         }
     }
 
-    fn record(&mut self, left: clock::Millis, source: cold_start::Source, now: clock::Millis) {
+    /// Applies news that the process stays cold for `left`. `hosts` is for the log line.
+    fn record(
+        &mut self,
+        hosts: &cold_start::HostList,
+        left: clock::Millis,
+        source: cold_start::Source,
+        now: clock::Millis,
+    ) {
         self.end_elapsed(now);
         let known = self.cold;
         self.cold = cold_start::next_period(known, left, source, now);
@@ -65,7 +72,8 @@
         match (known, self.cold) {
             (None, Some(period)) => {
                 let left_ms = period.until.since(now).0;
-                tracing::info!(event = "upstream_cold", %upstream, source, age_ms = 0, left_ms);
+                let own = self.ownership.holds(hosts, now);
+                tracing::info!(event = "upstream_cold", %upstream, source, left_ms, own);
             }
             (Some(period), None) => {
                 let age_ms = now.since(period.read_at).0;
@@ -242,7 +250,12 @@
             state.ownership.update(reading, &self.hosts, own, upstream);
         }
         if is_written {
-            state.record(upstream.cold_left, cold_start::Source::Entry, now);
+            state.record(
+                &self.hosts,
+                upstream.cold_left,
+                cold_start::Source::Entry,
+                now,
+            );
         }
     }
 
@@ -255,7 +268,12 @@
         now: clock::Millis,
     ) {
         if let Some(state) = self.upstreams.get_mut(&process.id) {
-            state.record(left, cold_start::Source::Response { sent_at }, now);
+            state.record(
+                &self.hosts,
+                left,
+                cold_start::Source::Response { sent_at },
+                now,
+            );
         }
     }
 
@@ -266,7 +284,7 @@
                 continue;
             }
             if let Some(limit) = self.limits.get(&state.service) {
-                state.record(limit.period, cold_start::Source::DrainEnd, now);
+                state.record(&self.hosts, limit.period, cold_start::Source::DrainEnd, now);
             }
         }
     }
