--- a/crates/router/src/fleet/dc_drains.rs
+++ b/crates/router/src/fleet/dc_drains.rs
@@ -14,9 +14,11 @@
         }
     }
 
-    /// Ends the drain of a data centre at `now`: its upstreams get requests again.
-    pub fn end_dc_drain(&mut self, dc: &name::Dc, _now: clock::Millis) {
+    /// Ends the drain of a data centre at `now`: its upstreams get requests again. They count as cold,
+    /// since their entries may say so late.
+    pub fn end_dc_drain(&mut self, dc: &name::Dc, now: clock::Millis) {
         if self.drained_dcs.remove(dc) {
+            self.mark_dc_cold(dc, now);
             self.reassign_classes();
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -61,4 +61,5 @@
 pub mod tracked;
 pub mod usage;
 pub mod verdict;
+pub mod warm_up;
 pub mod windows;
--- a/crates/router/src/preference.rs
+++ b/crates/router/src/preference.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns the upstream that is preferred for caching the prefix: the one with the highest
-    /// rendezvous hash among ready upstreams that may serve the request, of its class, or of any
+    /// rendezvous hash among ready and warm upstreams that may serve the request, of its class, or of any
     /// class if there are none. Hosts that know the same upstreams agree on it.
     pub(crate) fn preferred_upstream(
         &self,
@@ -95,6 +95,7 @@
                 .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
                 .filter(|tracked| !self.has_said_leaving(tracked, now))
                 .filter(|tracked| self.exclusion(criteria.homes, tracked).is_none())
+                .filter(|tracked| !self.warm_up.is_cold(tracked.process(), now))
         };
         let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
             hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -73,6 +73,10 @@
     pub drained: u32,
     /// Number of ready upstreams outside the home regions of the request.
     pub outside_homes: u32,
+    /// Number of cold upstreams that this host must not send to now.
+    pub cold_held: u32,
+    /// How long the selected upstream stays cold; `None` if it is warm.
+    pub cold_left: Option<clock::Millis>,
     /// Whether the selected upstream is expected to have the shared prefix cached.
     pub prefix_cached: bool,
     /// Requests that this host had in flight at the selected upstream.
@@ -124,4 +128,6 @@
     Full,
     /// All upstreams have asked for a pause; the earliest one ends after this time.
     Paused(clock::Millis),
+    /// All upstreams that want requests are cold; this host may send to the first after this time.
+    Cold(clock::Millis),
 }
