Engine speeds and reading rates are learnt and used

Hosts now report some of the gaps between events and of the rates at which prompts were read. The leader takes low quantiles over all hosts and compares engines of the same class only, because gaps also grow with the load of the class; the digest has the speeds that differ from the mean by more than 10%, and the reading rate of the service, 20 to 400 tokens per millisecond. The speed divides the estimated cost and latency of an engine, decides how many prefixes prefer it, and puts fast engines first for streams with short gaps. When a rate or speed changes, measured slowdowns are converted, so that both don't correct the same difference. Without a digest everything is estimated as before.

--- /dev/null
+++ b/crates/policy/src/engine_speeds.rs
@@ -0,0 +1,234 @@
+//! Speeds of the engines of a service, relative to each other, and the rate at which they process
+//! prompts.
+//!
+//! The gap between two events of a stream grows with the load of the engine, and for some hundred
+//! milliseconds at a time with the load of its machine. Therefore a low quantile of many gaps counts,
+//! and engines are compared with those of the same class only, which have about the same load. What
+//! the gaps of a class have in common is its load; the rest is the speed of each engine. The speed
+//! outlasts a change of the class, so that engines do not change places for ever.
+
+use std::collections;
+
+use base::clock;
+
+/// Time for which a sample counts.
+const SAMPLE_TTL: clock::Millis = clock::Millis::secs(15);
+/// Largest number of samples that are kept of an engine, or of prompts of a service.
+const MAX_SAMPLES: usize = 96;
+/// Number of samples below which nothing is concluded.
+const MIN_SAMPLES: usize = 20;
+/// Quantile of the gaps that counts. Machines are slow for 15% of the time, and prompts make gaps
+/// longer, so the low gaps are those of the engine alone; the lowest ones are of events that arrived
+/// together.
+const GAP_QUANTILE: f64 = 0.2;
+/// Gaps below this are of events that arrived together, in milliseconds.
+const MIN_GAP_MS: u16 = 3;
+/// Number of measured engines of a class below which they are not compared.
+const MIN_ENGINES: usize = 3;
+/// Divisor of the moving mean of a speed.
+const SPEED_SMOOTHING: f64 = 4.0;
+/// Range of speeds, relative to the mean.
+const SPEED_RANGE: (f64, f64) = (0.5, 1.25);
+/// Difference from 100% above which a speed is told, and change of a told speed that is told, in
+/// percent.
+const TOLD_DIFFERENCE: u8 = 10;
+const TOLD_CHANGE: u8 = 7;
+/// Speed of an engine that is not known to differ from the others, in percent.
+const MEAN_PERCENT: u8 = 100;
+
+/// Prompt tokens that an idle engine processes per millisecond, unless other figures are learnt.
+pub const DEFAULT_READING_RATE: u16 = 112;
+/// Range of learnt rates.
+const READING_RATE_RANGE: (f64, f64) = (20.0, 400.0);
+/// Quantile of the rates that counts: prompts that wait, or whose cached prefix was lost, seem to be
+/// processed slowly.
+const RATE_QUANTILE: f64 = 0.75;
+/// Divisor of the moving mean of the rate.
+const RATE_SMOOTHING: f64 = 4.0;
+/// Relative change of a told rate from which on it is told.
+const RATE_TOLD_CHANGE: f64 = 0.1;
+
+/// Recent samples of one figure.
+#[derive(Clone, Debug, Default)]
+struct Samples(collections::VecDeque<(clock::Millis, u16)>);
+
+impl Samples {
+    fn push(&mut self, value: u16, now: clock::Millis) {
+        if self.0.len() >= MAX_SAMPLES {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, value));
+    }
+
+    /// Returns a quantile of the samples that are recent enough, or `None` if there are too few.
+    fn quantile(&mut self, quantile: f64, now: clock::Millis) -> Option<f64> {
+        self.0.retain(|(at, _)| now.since(*at) < SAMPLE_TTL);
+        if self.0.len() < MIN_SAMPLES {
+            return None;
+        }
+        let mut values: Vec<u16> = self.0.iter().map(|(_, v)| *v).collect();
+        values.sort_unstable();
+        let index = (values.len() as f64 * quantile) as usize;
+        Some(f64::from(values[index.min(values.len() - 1)]))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    gaps: Samples,
+    class: usize,
+    /// Speed relative to the mean of all engines.
+    speed: f64,
+    /// Speed as it was told last, in percent.
+    told: u8,
+}
+
+impl Engine {
+    fn new(told: u8) -> Self {
+        Self {
+            gaps: Samples::default(),
+            class: 0,
+            speed: f64::from(told) / f64::from(MEAN_PERCENT),
+            told,
+        }
+    }
+}
+
+/// Speeds of the engines of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Speeds {
+    engines: collections::BTreeMap<u32, Engine>,
+}
+
+impl Speeds {
+    /// Creates the state of a leader that knows these speeds in percent from the one before it.
+    pub fn with_known(known: &[(u32, u8)]) -> Self {
+        let engine = |(id, percent): &(u32, u8)| (*id, Engine::new(*percent));
+        Self {
+            engines: known.iter().map(engine).collect(),
+        }
+    }
+
+    /// Records a gap between two events of a stream from an engine. Engines that
+    /// [`Self::update`] was not called with are ignored.
+    pub fn record_gap(&mut self, engine: u32, gap_ms: u16, now: clock::Millis) {
+        if gap_ms < MIN_GAP_MS {
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            engine.gaps.push(gap_ms, now);
+        }
+    }
+
+    /// Updates the speeds and returns those in percent that differ from the mean. `classes` has all
+    /// engines and the index of the class that each is reserved for.
+    pub fn update(&mut self, classes: &[(u32, usize)], now: clock::Millis) -> Vec<(u32, u8)> {
+        let known: collections::BTreeMap<u32, usize> = classes.iter().copied().collect();
+        self.engines.retain(|id, _| known.contains_key(id));
+        let mut measured: collections::BTreeMap<usize, Vec<(u32, f64)>> =
+            collections::BTreeMap::new();
+        for (id, class) in known {
+            let engine = self.engines.entry(id).or_insert(Engine::new(MEAN_PERCENT));
+            if engine.class != class {
+                // The gaps before were those of another load.
+                engine.class = class;
+                engine.gaps = Samples::default();
+            }
+            if let Some(gap_ms) = engine.gaps.quantile(GAP_QUANTILE, now) {
+                measured.entry(class).or_default().push((id, gap_ms));
+            }
+        }
+        for engines in measured.values().filter(|m| m.len() >= MIN_ENGINES) {
+            self.compare(engines);
+        }
+        self.normalize();
+        self.told()
+    }
+
+    /// Updates the speeds of the engines of one class by their gaps in milliseconds.
+    fn compare(&mut self, engines: &[(u32, f64)]) {
+        let mut loads: Vec<f64> = engines
+            .iter()
+            .filter_map(|(id, gap_ms)| Some(gap_ms * self.engines.get(id)?.speed))
+            .collect();
+        loads.sort_by(f64::total_cmp);
+        let load = loads[loads.len() / 2];
+        for (id, gap_ms) in engines {
+            if let Some(engine) = self.engines.get_mut(id) {
+                let speed = (load / gap_ms).clamp(SPEED_RANGE.0, SPEED_RANGE.1);
+                engine.speed += (speed - engine.speed) / SPEED_SMOOTHING;
+            }
+        }
+    }
+
+    /// Makes 1 the mean of the speeds.
+    fn normalize(&mut self) {
+        let sum: f64 = self.engines.values().map(|e| e.speed).sum();
+        let mean = sum / self.engines.len().max(1) as f64;
+        for engine in self.engines.values_mut() {
+            engine.speed = (engine.speed / mean).clamp(SPEED_RANGE.0, SPEED_RANGE.1);
+        }
+    }
+
+    fn told(&mut self) -> Vec<(u32, u8)> {
+        let mut told = Vec::new();
+        for (id, engine) in &mut self.engines {
+            let percent = (engine.speed * f64::from(MEAN_PERCENT)).round() as u8;
+            if percent.abs_diff(engine.told) >= TOLD_CHANGE {
+                engine.told = percent;
+            }
+            if engine.told.abs_diff(MEAN_PERCENT) > TOLD_DIFFERENCE {
+                told.push((*id, engine.told));
+            }
+        }
+        told
+    }
+}
+
+/// Rate at which the engines of one service process prompts.
+#[derive(Clone, Debug)]
+pub struct ReadingRate {
+    rates: Samples,
+    /// Prompt tokens per millisecond.
+    rate: f64,
+    /// Rate as it was told last; 0 until one is learnt.
+    told: u16,
+}
+
+impl ReadingRate {
+    /// Creates the state of a leader that knows this rate from the one before it; 0 if none is known.
+    pub fn with_known(known: u16) -> Self {
+        let rate = if known == 0 {
+            DEFAULT_READING_RATE
+        } else {
+            known
+        };
+        Self {
+            rates: Samples::default(),
+            rate: f64::from(rate).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1),
+            told: known,
+        }
+    }
+
+    /// Records the rate at which a prompt was processed, in tokens per millisecond.
+    pub fn record(&mut self, rate: u16, now: clock::Millis) {
+        self.rates.push(rate, now);
+    }
+
+    /// Updates the rate and returns it in tokens per millisecond; 0 while none is learnt.
+    pub fn update(&mut self, now: clock::Millis) -> u16 {
+        if let Some(rate) = self.rates.quantile(RATE_QUANTILE, now) {
+            let rate = rate.clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
+            self.rate += (rate - self.rate) / RATE_SMOOTHING;
+            let told = if self.told == 0 {
+                DEFAULT_READING_RATE
+            } else {
+                self.told
+            };
+            if (self.rate / f64::from(told) - 1.0).abs() >= RATE_TOLD_CHANGE {
+                self.told = self.rate.round() as u16;
+            }
+        }
+        self.told
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod dispatch;
 pub mod engine_classes;
+pub mod engine_speeds;
 pub mod lease;
 pub mod length;
 pub mod pool;
--- a/crates/router/src/digest.rs
+++ b/crates/router/src/digest.rs
@@ -8,7 +8,7 @@
 use std::rc;
 
 use base::{clock, hash, name};
-use policy::engine_classes;
+use policy::{engine_classes, engine_speeds};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -20,6 +20,9 @@
 /// Range of plausible speeds, in percent of the mean.
 const SPEED_PERCENT: std::ops::RangeInclusive<u8> = 25..=250;
 
+/// Range of plausible reading rates, in tokens per millisecond.
+const READING_RATES: (u16, u16) = (20, 400);
+
 /// Version of a digest. A later leader's digests are newer than all of an earlier one's.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Version {
@@ -177,7 +180,11 @@
         if speeds.len() < service.speeds.len() {
             host.digest.warn_once("speeds", &service.service);
         }
-        fleet.set_classes(&service.service, service.shares, speeds);
+        let reading_rate = match service.reading_rate {
+            0 => engine_speeds::DEFAULT_READING_RATE,
+            rate => rate.clamp(READING_RATES.0, READING_RATES.1),
+        };
+        fleet.set_figures(&service.service, service.shares, speeds, reading_rate);
     }
     drop(fleet);
     *host.digest.digest.borrow_mut() = Some((digest.clone(), host.now()));
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -5,7 +5,7 @@
 use std::rc;
 
 use base::{clock, name};
-use policy::engine_classes;
+use policy::{engine_classes, engine_speeds};
 use tokio::time;
 
 use crate::{digest, host, leader, model};
@@ -20,6 +20,8 @@
 const MAX_SERVICES: usize = 64;
 const MAX_DCS: usize = 64;
 const MAX_PROCESSES: usize = 4_096;
+const MAX_ENGINES: usize = 4_096;
+const MAX_SAMPLES: usize = 16;
 /// Largest plausible figures of one class at one host: requests, and prompt tokens per second.
 const MAX_REQUESTS: u32 = 100_000;
 const MAX_TOKENS: u64 = 100_000_000;
@@ -34,6 +36,28 @@
     has_warned: bool,
 }
 
+/// What the leader knows of one service.
+#[derive(Debug)]
+struct ServiceState {
+    planner: engine_classes::Planner,
+    speeds: engine_speeds::Speeds,
+    reading_rate: engine_speeds::ReadingRate,
+}
+
+impl ServiceState {
+    /// Creates the state of a new leader, which knows the digest of the one before it.
+    fn new(known: Option<&digest::ServiceDigest>) -> Self {
+        let shares = known.map_or(engine_classes::DEFAULT_SHARES, |d| d.shares);
+        Self {
+            planner: engine_classes::Planner::new(shares),
+            speeds: engine_speeds::Speeds::with_known(known.map_or(&[], |d| &d.speeds)),
+            reading_rate: engine_speeds::ReadingRate::with_known(
+                known.map_or(0, |d| d.reading_rate),
+            ),
+        }
+    }
+}
+
 /// Load of one service over all hosts.
 #[derive(Debug, Default)]
 struct TotalLoad {
@@ -58,6 +82,28 @@
         self.hosts.len()
     }
 
+    /// Takes the samples of a service out of the reports, so that each counts once.
+    fn take_samples(
+        &mut self,
+        service: &name::Service,
+        state: &mut ServiceState,
+        now: clock::Millis,
+    ) {
+        for (host, _) in self.hosts.values_mut() {
+            let Some(load) = host.services.iter_mut().find(|s| s.service == *service) else {
+                continue;
+            };
+            for engine in std::mem::take(&mut load.gaps) {
+                for gap_ms in engine.gaps_ms {
+                    state.speeds.record_gap(engine.engine, gap_ms, now);
+                }
+            }
+            for rate in std::mem::take(&mut load.reading_rates) {
+                state.reading_rate.record(rate, now);
+            }
+        }
+    }
+
     /// Forgets reports that are too old, and returns the age of the oldest one that counts.
     fn expire(&mut self, now: clock::Millis) -> clock::Millis {
         self.hosts.retain(|_, (_, at)| now.since(*at) < LOAD_TTL);
@@ -95,6 +141,12 @@
     for service in &mut load.services {
         changed |= service.dcs.len() > MAX_DCS;
         service.dcs.truncate(MAX_DCS);
+        changed |= service.gaps.len() > MAX_ENGINES;
+        service.gaps.truncate(MAX_ENGINES);
+        for engine in &mut service.gaps {
+            engine.gaps_ms.truncate(MAX_SAMPLES);
+        }
+        service.reading_rates.truncate(MAX_SAMPLES);
         for class in &mut service.classes {
             let before = *class;
             class.requests = class.requests.min(MAX_REQUESTS);
@@ -112,22 +164,24 @@
     changed
 }
 
-/// Returns what one engine of the model can do.
-fn engine_model(engine: &model::Engine) -> engine_classes::EngineModel {
-    let default = engine_classes::EngineModel::default();
-    if engine.slots == 0 {
-        return default;
+/// Returns what one engine of the model can do that processes `reading_rate` prompt tokens per
+/// millisecond when idle; 0 if that is not known.
+fn engine_model(engine: &model::Engine, reading_rate: u16) -> engine_classes::EngineModel {
+    let mut result = engine_classes::EngineModel::default();
+    if engine.slots > 0 {
+        result.requests = f64::from(engine.slots) * USABLE_SLOTS_SHARE;
     }
-    engine_classes::EngineModel {
-        requests: f64::from(engine.slots) * USABLE_SLOTS_SHARE,
-        ..default
+    if reading_rate > 0 {
+        let default = f64::from(engine_speeds::DEFAULT_READING_RATE);
+        result.tokens_per_s *= f64::from(reading_rate) / default;
     }
+    result
 }
 
 /// Decides while this host is the leader, and distributes the results. The first shares are those of
 /// the latest digest that this host knows.
 pub async fn run(host: &host::Host, tenure: &leader::Leadership) {
-    let mut planners = collections::HashMap::new();
+    let mut states = collections::HashMap::new();
     let mut version = digest::Version {
         token: tenure.token,
         sequence: 0,
@@ -138,14 +192,14 @@
             continue;
         }
         version.sequence += 1;
-        let digest = decide(host, &mut planners, version);
+        let digest = decide(host, &mut states, version);
         digest::apply(host, &rc::Rc::new(digest));
     }
 }
 
 fn decide(
     host: &host::Host,
-    planners: &mut collections::HashMap<name::Service, engine_classes::Planner>,
+    states: &mut collections::HashMap<name::Service, ServiceState>,
     version: digest::Version,
 ) -> digest::Digest {
     let now = host.now();
@@ -156,40 +210,49 @@
     let last = host.digest.get();
     let mut services = Vec::new();
     for (service, total) in loads.totals() {
-        let last = last.as_ref().and_then(|d| {
-            let known = d.services.iter().find(|s| s.service == service);
-            known.map(|s| s.shares)
+        let known = last.as_ref().and_then(|d| {
+            let mut services = d.services.iter();
+            services.find(|s| s.service == service)
         });
-        let config = config.as_ref().and_then(|c| c.services.get(&service));
-        let shares = match config.and_then(|s| s.engine.as_ref()) {
-            None => last.unwrap_or(engine_classes::DEFAULT_SHARES),
-            Some(engine) => {
-                let planner = planners.entry(service.clone()).or_insert_with(|| {
-                    engine_classes::Planner::new(last.unwrap_or(engine_classes::DEFAULT_SHARES))
-                });
-                let ready = ready_count(host, &service);
-                let model = engine_model(engine);
-                let decision = planner.decide(&total.classes, ready, &model, now);
-                log_change(&service, &decision, version, ready, hosts, age);
-                decision.shares
-            }
-        };
-        services.push(digest::ServiceDigest {
+        let mut entry = digest::ServiceDigest {
             service,
-            shares,
+            shares: known.map_or(engine_classes::DEFAULT_SHARES, |d| d.shares),
             speeds: Vec::new(),
             reading_rate: 0,
             dcs: total.dcs.into_iter().collect(),
-        });
+        };
+        let service = &entry.service;
+        let config = config.as_ref().and_then(|c| c.services.get(service));
+        if let Some(engine) = config.and_then(|s| s.engine.as_ref()) {
+            if !states.contains_key(service) {
+                states.insert(service.clone(), ServiceState::new(known));
+            }
+            let Some(state) = states.get_mut(service) else {
+                continue;
+            };
+            let classes = engine_classes_of(host, service);
+            loads.take_samples(service, state, now);
+            entry.speeds = state.speeds.update(&classes, now);
+            entry.reading_rate = state.reading_rate.update(now);
+            let model = engine_model(engine, entry.reading_rate);
+            let ready = classes.len() as u32;
+            let decision = state.planner.decide(&total.classes, ready, &model, now);
+            log_change(service, &decision, version, ready, hosts, age);
+            entry.shares = decision.shares;
+        }
+        services.push(entry);
     }
     digest::Digest { version, services }
 }
 
-fn ready_count(host: &host::Host, service: &name::Service) -> u32 {
+/// Returns the ready engines of a service and the index of the class that each is reserved for.
+fn engine_classes_of(host: &host::Host, service: &name::Service) -> Vec<(u32, usize)> {
     let fleet = host.fleet.borrow();
     let upstreams = fleet.of_service(service);
     let ready = upstreams.filter(|t| t.upstream.state == model::UpstreamState::Ready);
-    ready.count() as u32
+    ready
+        .map(|t| (digest::engine_id(&t.upstream.name), t.stream_class as usize))
+        .collect()
 }
 
 fn log_change(
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -13,10 +13,8 @@
     stream_class, tracked,
 };
 
-/// Prompt tokens that an idle engine processes per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 112.0;
 /// Time from sending a prompt to its first event, excluding prompt processing, in milliseconds.
-const FIRST_EVENT_BASE_MS: f64 = 50.0;
+pub(crate) const FIRST_EVENT_BASE_MS: f64 = 50.0;
 /// Weight of a request's own unread tokens relative to tokens queued before it. It exceeds 1
 /// because processing this prompt also delays the other requests of the engine.
 const OWN_PREFILL_WEIGHT: f64 = 2.0;
@@ -31,11 +29,11 @@
 /// Upstreams of one service and their typical slowdown.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceUpstreams {
-    names: Vec<name::Upstream>,
+    pub(crate) names: Vec<name::Upstream>,
     /// Typical slowdown of these upstreams for each stream class.
-    typical: slowdown::TypicalSlowdown,
-    /// What the leader decided about them.
-    pub(crate) classes: preference::Classes,
+    pub(crate) typical: slowdown::TypicalSlowdown,
+    /// What the leader's digest says of them.
+    pub(crate) figures: preference::Figures,
 }
 
 /// All known upstreams, with the state needed to select among them.
@@ -203,10 +201,8 @@
         let shared_prefix = criteria.shared_prefix();
         let preferred =
             shared_prefix.and_then(|(id, _)| self.preferred_upstream(criteria, id, now));
-        let typical = self
-            .services
-            .get(criteria.service)
-            .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
+        let service = self.services.get(criteria.service)?;
+        let (typical, reading_rate) = (service.typical, service.figures.reading_rate);
         let mut best: Option<(f64, &tracked::TrackedUpstream, u64)> = None;
         let mut last_resort = None;
         let mut details = selection::Details::default();
@@ -228,7 +224,7 @@
             details.usable += 1;
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
-            let cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now);
+            let cost_ms = self.cost_ms(criteria, tracked, service, unread_tokens, now);
             if best.is_none_or(|(c, _, _)| cost_ms < c) {
                 best = Some((cost_ms, tracked, unread_tokens));
             }
@@ -245,7 +241,8 @@
             upstream_class: tracked.stream_class,
             ..details
         };
-        let base_latency_ms = FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        let base_latency_ms =
+            (FIRST_EVENT_BASE_MS + unread_tokens as f64 / reading_rate) / tracked.speed();
         let likely_latency_ms = base_latency_ms
             * tracked
                 .slowdown
@@ -287,7 +284,7 @@
         &self,
         criteria: &selection::Criteria<'_>,
         tracked: &tracked::TrackedUpstream,
-        typical: &slowdown::TypicalSlowdown,
+        service: &ServiceUpstreams,
         unread_tokens: u64,
         now: clock::Millis,
     ) -> f64 {
@@ -295,7 +292,7 @@
             tracked.active_requests(now) * PLAIN_REQUEST_COST_MS
         } else {
             let own_tokens = unread_tokens as f64 * OWN_PREFILL_WEIGHT;
-            (own_tokens + tracked.unread_tokens as f64) / PREFILL_TOKENS_PER_MS
+            (own_tokens + tracked.unread_tokens as f64) / service.figures.reading_rate
                 + tracked.active_requests(now) * ACTIVE_REQUEST_COST_MS
         };
         let distance_cost = self.location.distance_cost_ms(&tracked.upstream.dc);
@@ -308,10 +305,10 @@
                 unread_tokens,
             )
         };
-        queue_cost
-            * tracked
-                .slowdown
-                .estimate(typical, tracked.stream_class, now)
+        let slowdown = tracked
+            .slowdown
+            .estimate(&service.typical, tracked.stream_class, now);
+        queue_cost * slowdown / tracked.speed()
             + distance_cost
             + class_cost
             + tracked.failures.cost_ms(now)
--- a/crates/router/src/in_flight.rs
+++ b/crates/router/src/in_flight.rs
@@ -6,7 +6,7 @@
 use base::{clock, name};
 use tokio::time;
 
-use crate::{attempt, host, http_client, ports, selection, stream_class};
+use crate::{attempt, digest, host, http_client, ports, selection, stream_class};
 
 /// Accounting entry of a request at an upstream. Dropping it ends the request in the fleet's
 /// accounts.
@@ -21,6 +21,11 @@
     pub sent_at: clock::Millis,
     /// Whether the prompt still counts among the upstream's unread tokens.
     prompt_pending: cell::Cell<bool>,
+    /// Whether the tokens that the upstream has to process are known: its cached prefix is, or the
+    /// prompt has none that other hosts may have sent.
+    is_reading_known: bool,
+    engine: u32,
+    last_event: cell::Cell<Option<clock::Millis>>,
 }
 
 impl InFlight {
@@ -39,7 +44,11 @@
             call.stream_class,
             selection.unread_tokens,
         );
+        let is_reading_known = selection.details.prefix_cached || call.meta.prompt_parts.len() <= 1;
         Self {
+            is_reading_known,
+            engine: digest::engine_id(&selection.name),
+            last_event: cell::Cell::new(None),
             host: host.clone(),
             service: call.service.clone(),
             stream_class: call.stream_class,
@@ -57,6 +66,27 @@
         }
     }
 
+    /// Records the time from sending the request to its first event, by which the reading rate of
+    /// the service is learnt.
+    pub fn record_first_event(&self, latency: clock::Millis) {
+        let fleet = self.host.fleet.borrow();
+        if self.is_reading_known
+            && let Some(rate) = fleet.measured_reading_rate(&self.selection, latency)
+        {
+            let mut meter = self.host.load_meter.borrow_mut();
+            meter.record_reading_rate(&self.service, rate);
+        }
+    }
+
+    /// Records that an event of a stream arrived.
+    pub fn record_event(&self) {
+        let now = self.host.now();
+        if let Some(last) = self.last_event.replace(Some(now)) {
+            let mut meter = self.host.load_meter.borrow_mut();
+            meter.record_gap(&self.service, self.engine, now.since(last));
+        }
+    }
+
     /// Records that response bytes arrived from the upstream.
     pub fn record_data(&self) {
         let now = self.host.now();
--- a/crates/router/src/load_meter.rs
+++ b/crates/router/src/load_meter.rs
@@ -3,29 +3,63 @@
 use std::collections;
 
 use base::{clock, name};
+use rand::Rng as _;
+use smallvec::SmallVec;
 
 use crate::{digest, fleet, stream_class};
 
-type ClassLoads = [digest::ClassLoad; stream_class::StreamClass::ALL.len()];
+/// Number of reading rates of a service that are reported.
+const MAX_RATES: usize = 8;
+/// Number of gaps of an engine that are reported.
+const MAX_GAPS: usize = 4;
+/// Number of engines whose gaps are reported.
+const MAX_ENGINES: usize = 256;
+
+/// Load of one service in the current period.
+#[derive(Debug, Default)]
+struct ServiceMeter {
+    classes: [digest::ClassLoad; stream_class::StreamClass::ALL.len()],
+    gaps: collections::BTreeMap<u32, Draw<MAX_GAPS>>,
+    reading_rates: Draw<MAX_RATES>,
+}
+
+/// Random draw of some of the values of a period, each with the same probability.
+#[derive(Debug, Default)]
+struct Draw<const N: usize> {
+    values: SmallVec<[u16; N]>,
+    seen: u32,
+}
+
+impl<const N: usize> Draw<N> {
+    fn add(&mut self, value: u16) {
+        self.seen = self.seen.saturating_add(1);
+        if self.values.len() < N {
+            self.values.push(value);
+            return;
+        }
+        let index = rand::rng().random_range(0..self.seen) as usize;
+        if let Some(drawn) = self.values.get_mut(index) {
+            *drawn = value;
+        }
+    }
+}
 
 /// Counts requests at upstreams by service and class.
 #[derive(Debug, Default)]
 pub struct LoadMeter {
-    services: collections::BTreeMap<name::Service, ClassLoads>,
+    services: collections::BTreeMap<name::Service, ServiceMeter>,
     reported_at: clock::Millis,
 }
 
 impl LoadMeter {
-    fn class(
-        &mut self,
-        service: &name::Service,
-        class: stream_class::StreamClass,
-    ) -> &mut digest::ClassLoad {
+    fn service(&mut self, service: &name::Service) -> &mut ServiceMeter {
+        // Most calls find the service, and then need no copy of its name.
         if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), ClassLoads::default());
+            self.services
+                .insert(service.clone(), ServiceMeter::default());
         }
-        let loads = self.services.get_mut(service);
-        &mut loads.unwrap_or_else(|| unreachable!("inserted above"))[class as usize]
+        let meter = self.services.get_mut(service);
+        meter.unwrap_or_else(|| unreachable!("inserted above"))
     }
 
     /// Records a request that is sent to an upstream, which has to process `unread_tokens` of it.
@@ -35,7 +69,7 @@
         class: stream_class::StreamClass,
         unread_tokens: u64,
     ) {
-        let load = self.class(service, class);
+        let load = &mut self.service(service).classes[class as usize];
         load.requests = load.requests.saturating_add(1);
         load.prompt_tokens = load.prompt_tokens.saturating_add(unread_tokens);
         load.running += 1;
@@ -43,10 +77,24 @@
 
     /// Records that a request at an upstream has ended.
     pub fn record_end(&mut self, service: &name::Service, class: stream_class::StreamClass) {
-        let load = self.class(service, class);
+        let load = &mut self.service(service).classes[class as usize];
         load.running = load.running.saturating_sub(1);
     }
 
+    /// Records a gap between two events of a stream from an engine.
+    pub fn record_gap(&mut self, service: &name::Service, engine: u32, gap: clock::Millis) {
+        let gaps = &mut self.service(service).gaps;
+        if gaps.len() < MAX_ENGINES || gaps.contains_key(&engine) {
+            let gap_ms = u16::try_from(gap.0).unwrap_or(u16::MAX);
+            gaps.entry(engine).or_default().add(gap_ms);
+        }
+    }
+
+    /// Records the rate at which an engine processed a prompt, in tokens per millisecond.
+    pub fn record_reading_rate(&mut self, service: &name::Service, rate: u16) {
+        self.service(service).reading_rates.add(rate);
+    }
+
     /// Ends the reported period and returns its length and the load of each service in it.
     pub fn report(
         &mut self,
@@ -56,19 +104,23 @@
         let period = now.since(self.reported_at);
         self.reported_at = now;
         let mut services = Vec::with_capacity(self.services.len());
-        for (service, classes) in &mut self.services {
-            let load = digest::ServiceLoad {
+        for (service, meter) in &mut self.services {
+            let gaps = std::mem::take(&mut meter.gaps).into_iter();
+            let gaps = gaps.map(|(engine, draw)| digest::EngineGaps {
+                engine,
+                gaps_ms: draw.values,
+            });
+            services.push(digest::ServiceLoad {
                 service: service.clone(),
-                classes: *classes,
+                classes: meter.classes,
                 dcs: load_by_dc(fleet, service),
-                gaps: Vec::new(),
-                reading_rates: Default::default(),
-            };
-            for class in classes {
+                gaps: gaps.collect(),
+                reading_rates: std::mem::take(&mut meter.reading_rates).values,
+            });
+            for class in &mut meter.classes {
                 class.requests = 0;
                 class.prompt_tokens = 0;
             }
-            services.push(load);
         }
         (period, services)
     }
--- a/crates/router/src/preference.rs
+++ b/crates/router/src/preference.rs
@@ -2,28 +2,38 @@
 //! that know the same upstreams and the same digest agree on both.
 
 use base::{clock, hash, name};
-use policy::engine_classes;
+use policy::{engine_classes, engine_speeds};
 
 use crate::{announcements, digest, fleet, model, selection, stream_class, tracked};
 
-/// Shares and speeds of the engines of a service, as the leader decided them.
+/// Prompt whose expected latency is kept when the reading rate changes, in tokens.
+const USUAL_UNREAD_TOKENS: f64 = 8_000.0;
+/// Fewest prompt tokens by which a reading rate is measured: the time for fewer is mostly the base time.
+const MIN_MEASURED_TOKENS: u64 = 4_000;
+/// Shortest time for processing a prompt by which a rate is measured, in milliseconds.
+const MIN_MEASURED_MS: f64 = 20.0;
+
+/// What the leader's digest says of the engines of a service.
 #[derive(Debug)]
-pub(crate) struct Classes {
+pub(crate) struct Figures {
     shares: engine_classes::Shares,
     /// Speeds in percent by engine, for those that differ from the mean.
     speeds: Vec<(u32, u8)>,
+    /// Prompt tokens that an idle engine of mean speed processes per millisecond.
+    pub(crate) reading_rate: f64,
 }
 
-impl Default for Classes {
+impl Default for Figures {
     fn default() -> Self {
         Self {
             shares: engine_classes::DEFAULT_SHARES,
             speeds: Vec::new(),
+            reading_rate: f64::from(engine_speeds::DEFAULT_READING_RATE),
         }
     }
 }
 
-impl Classes {
+impl Figures {
     fn speed_percent(&self, name: &name::Upstream) -> u8 {
         let id = digest::engine_id(name);
         let known = self.speeds.iter().find(|(engine, _)| *engine == id);
@@ -32,34 +42,68 @@
 }
 
 impl fleet::Fleet {
-    /// Sets the shares of a service's engines by class, and the speeds of those that differ from the
-    /// mean.
-    pub fn set_classes(
+    /// Sets the shares of a service's engines by class, the speeds of those that differ from the
+    /// mean, and the reading rate in tokens per millisecond.
+    pub fn set_figures(
         &mut self,
         service: &name::Service,
         shares: engine_classes::Shares,
         speeds: Vec<(u32, u8)>,
+        reading_rate: u16,
     ) {
-        let classes = &mut self.services.entry(service.clone()).or_default().classes;
-        if classes.shares == shares && classes.speeds == speeds {
+        let entry = self.services.entry(service.clone()).or_default();
+        let figures = &mut entry.figures;
+        let reading_rate = f64::from(reading_rate);
+        if figures.reading_rate != reading_rate {
+            // What was measured relative to the old estimate is expressed relative to the new one.
+            // Otherwise both would correct the same difference until enough responses have come.
+            let latency = |rate: f64| fleet::FIRST_EVENT_BASE_MS + USUAL_UNREAD_TOKENS / rate;
+            let factor = latency(figures.reading_rate) / latency(reading_rate);
+            figures.reading_rate = reading_rate;
+            entry.typical.rescale(factor);
+            for name in &entry.names {
+                if let Some(tracked) = self.upstreams.get_mut(name) {
+                    tracked.slowdown.rescale(factor);
+                }
+            }
+        }
+        if figures.shares == shares && figures.speeds == speeds {
             return;
         }
-        *classes = Classes { shares, speeds };
+        figures.shares = shares;
+        figures.speeds = speeds;
         self.assign_classes(service);
     }
 
+    /// Returns the rate in tokens per millisecond at which an engine of mean speed would have
+    /// processed the prompt of a request whose first event came after `latency`. `None` if the prompt
+    /// is too short to tell.
+    pub fn measured_reading_rate(
+        &self,
+        selection: &selection::Selection,
+        latency: clock::Millis,
+    ) -> Option<u16> {
+        if selection.unread_tokens < MIN_MEASURED_TOKENS {
+            return None;
+        }
+        let speed = self.get(&selection.name)?.speed();
+        let reading_ms = latency.0 as f64 - fleet::FIRST_EVENT_BASE_MS / speed;
+        let rate = selection.unread_tokens as f64 / reading_ms.max(MIN_MEASURED_MS) / speed;
+        Some(rate as u16)
+    }
+
     /// Reserves the ready engines of a service for stream classes. All hosts compute the same
     /// assignment, which spreads the engines of each class over the data centres.
     pub(crate) fn assign_classes(&mut self, service: &name::Service) {
-        let Some(classes) = self.services.get(service).map(|s| &s.classes) else {
+        let Some(figures) = self.services.get(service).map(|s| &s.figures) else {
             return;
         };
-        let shares = classes.shares;
+        let shares = figures.shares;
         let mut ranked: Vec<stream_class::RankedEngine> = self
             .of_service(service)
             .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
             .map(|tracked| stream_class::RankedEngine {
-                speed_percent: classes.speed_percent(&tracked.upstream.name),
+                speed_percent: figures.speed_percent(&tracked.upstream.name),
                 hash: tracked.name_hash(),
                 dc: tracked.upstream.dc.clone(),
                 name: tracked.upstream.name.clone(),
@@ -69,6 +113,8 @@
         for (engine, class) in stream_class::assign_classes(ranked, &shares) {
             if let Some(tracked) = self.upstreams.get_mut(&engine.name) {
                 tracked.stream_class = class;
+                let factor = f64::from(engine.speed_percent) / f64::from(tracked.speed_percent);
+                tracked.slowdown.rescale(factor);
                 tracked.speed_percent = engine.speed_percent;
             }
         }
@@ -81,7 +127,7 @@
     }
 
     /// Returns the upstream that is preferred for caching the prefix: the one with the highest
-    /// rendezvous hash among ready upstreams of the request's class, or of any class if there are
+    /// rendezvous weight among ready upstreams of the request's class, or of any class if there are
     /// none. Hosts that know the same upstreams agree on it.
     pub(crate) fn preferred_upstream(
         &self,
@@ -94,14 +140,21 @@
                 .filter(|tracked| tracked.upstream.state == model::UpstreamState::Ready)
                 .filter(|tracked| !self.has_said_leaving(tracked, now))
         };
-        let rendezvous_weight = |tracked: &&tracked::TrackedUpstream| {
-            hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes())
+        // Weighted rendezvous hashing: of engines with the same speed, the one with the highest hash;
+        // others get prefixes in proportion to their speed.
+        let weight = |tracked: &tracked::TrackedUpstream| {
+            let hash = hash::stable_hash(&(prefix_id ^ tracked.name_hash()).to_le_bytes());
+            let fraction = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+            -tracked.speed() / fraction.ln()
+        };
+        let heavier = |a: &&tracked::TrackedUpstream, b: &&tracked::TrackedUpstream| {
+            weight(a).total_cmp(&weight(b))
         };
         let in_class = ready()
             .filter(|tracked| tracked.stream_class == criteria.stream_class)
-            .max_by_key(rendezvous_weight);
+            .max_by(heavier);
         in_class
-            .or_else(|| ready().max_by_key(rendezvous_weight))
+            .or_else(|| ready().max_by(heavier))
             .map(|tracked| &tracked.upstream.name)
     }
 }
--- a/crates/router/src/slowdown.rs
+++ b/crates/router/src/slowdown.rs
@@ -49,6 +49,11 @@
         typical + (self.ratio - typical) * (-age / HALF_LIFE_MS).exp2()
     }
 
+    /// Multiplies the ratio by `factor`, after the expected time was divided by it.
+    pub fn rescale(&mut self, factor: f64) {
+        self.ratio = (self.ratio * factor).clamp(MIN_RATIO, MAX_RATIO);
+    }
+
     /// Records a response that took `ratio` times as long as expected, also in `typical`.
     pub fn record(
         &mut self,
@@ -75,3 +80,12 @@
         Self([1.0; stream_class::StreamClass::ALL.len()])
     }
 }
+
+impl TypicalSlowdown {
+    /// Multiplies the ratios by `factor`, after the expected times were divided by it.
+    pub fn rescale(&mut self, factor: f64) {
+        for ratio in &mut self.0 {
+            *ratio = (*ratio * factor).clamp(MIN_RATIO, MAX_RATIO);
+        }
+    }
+}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -77,7 +77,10 @@
 ) -> NextEvent {
     loop {
         match parser.next_event() {
-            Ok(Some(event)) => return NextEvent::Event(event),
+            Ok(Some(event)) => {
+                in_flight.record_event();
+                return NextEvent::Event(event);
+            }
             Ok(None) => {}
             Err(sse::InvalidEvent::TooLong) => {
                 return NextEvent::Failed(attempt::Failure::TooLarge);
@@ -256,7 +259,9 @@
                 history.begun_at = Some(now);
                 source.stream.in_flight.record_prompt_read();
                 serve::count_started(host, call, now);
-                let ratio = now.since(sent_at).0 as f64 / base_latency.0 as f64;
+                let latency = now.since(sent_at);
+                source.stream.in_flight.record_first_event(latency);
+                let ratio = latency.0 as f64 / base_latency.0 as f64;
                 let name = &source.stream.in_flight.selection.name;
                 host.fleet.borrow_mut().record_success(name, ratio, now);
                 return Ok(StartOutcome::Stream(Box::new((parts, source, event))));
--- a/crates/router/src/tracked.rs
+++ b/crates/router/src/tracked.rs
@@ -55,6 +55,11 @@
         f64::from(reported_requests.max(self.in_flight))
     }
 
+    /// Speed of the engine relative to the mean of its service.
+    pub fn speed(&self) -> f64 {
+        f64::from(self.speed_percent) / f64::from(MEAN_SPEED_PERCENT)
+    }
+
     /// Hash of the upstream's name.
     pub fn name_hash(&self) -> u64 {
         hash::stable_hash(self.upstream.name.as_str().as_bytes())
