The load of an upstream's machine counts while its report is fresh

Upstreams on shared machines report how long work takes there at the moment, and hosts ignored it: machines are 2.5 times slower for some hundred milliseconds at a time. The estimated cost of waiting is now multiplied by the figure, with an effect that halves every 200 ms and ends after 600 ms. Upstreams that report no such figure are judged as before.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -308,7 +308,7 @@
         let slowdown = tracked
             .slowdown
             .estimate(&service.typical, tracked.stream_class, now);
-        queue_cost * slowdown / tracked.speed()
+        queue_cost * slowdown * tracked.reported_load.machine_slowdown(now) / tracked.speed()
             + distance_cost
             + class_cost
             + tracked.failures.cost_ms(now)
--- a/crates/router/src/reported_load.rs
+++ b/crates/router/src/reported_load.rs
@@ -20,12 +20,21 @@
 /// more urgent tier may see as many more; the most urgent one is never held back.
 const WAITING_PER_SLOT_AND_TIER: f64 = 0.4;
 
+/// Age at which a reported slowdown of the machine is ignored, and time in which its effect halves, in
+/// milliseconds. Machines are slow for some hundred milliseconds at a time.
+const SLOWDOWN_TTL: clock::Millis = clock::Millis(600);
+const SLOWDOWN_HALF_LIFE_MS: f64 = 200.0;
+/// Range of a reported slowdown, relative to the usual time.
+const SLOWDOWN_RANGE: (f64, f64) = (0.5, 10.0);
+
 /// Latest load report of an upstream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReportedLoad {
     report: Option<Report>,
     /// Time for which the next report of a long queue holds back requests.
     hold_period: clock::Millis,
+    /// Latest reported slowdown of the machine, and when it was reported.
+    slowdown: Option<(f64, clock::Millis)>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,8 +52,12 @@
             running,
             waiting,
             slots,
-            ..
+            slowdown_percent,
         } = load;
+        if let Some(percent) = slowdown_percent {
+            let slowdown = (f64::from(percent) / 100.0).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+            self.slowdown = Some((slowdown, now));
+        }
         if slots == 0 {
             return;
         }
@@ -66,6 +79,19 @@
         self.report = Some(report);
     }
 
+    /// How much longer work takes on the upstream's machine now, as a factor; 1 without a recent report
+    /// of it. The older the report, the closer the factor is to 1.
+    pub fn machine_slowdown(&self, now: clock::Millis) -> f64 {
+        let Some((slowdown, at)) = self.slowdown else {
+            return 1.0;
+        };
+        let age = now.since(at);
+        if age >= SLOWDOWN_TTL {
+            return 1.0;
+        }
+        1.0 + (slowdown - 1.0) * (-(age.0 as f64) / SLOWDOWN_HALF_LIFE_MS).exp2()
+    }
+
     /// Running and waiting requests; 0 without a recent report.
     pub fn active_requests(&self, now: clock::Millis) -> u32 {
         let recent = self.report.filter(|r| now.since(r.at) < REPORT_TTL);
--- a/crates/router/tests/engine_speeds.rs
+++ b/crates/router/tests/engine_speeds.rs
@@ -135,3 +135,29 @@
     fleet.set_figures(&"llm".into(), ALL_OTHER, speeds, DEFAULT_RATE);
     assert_eq!(rate(&fleet, 6_400, 300), Some(64));
 }
+
+/// Load of engines on machines shared with others, which are slow for some hundred milliseconds at a
+/// time. A report must not keep requests away for longer, and an absurd one not at all times.
+#[test]
+fn machine_that_is_slow_for_some_hundred_milliseconds() {
+    let report = |percent| ports::LoadReport {
+        running: 0,
+        waiting: 0,
+        slots: 64,
+        slowdown_percent: percent,
+    };
+    let mut fleet = fleet(2);
+    let first = select(&fleet, 1, 0).name;
+    fleet.record_load(&first, report(None), NOW);
+    assert_eq!(select(&fleet, 1, 0).name, first, "no figure");
+    fleet.record_load(&first, report(Some(250)), NOW);
+    assert_ne!(select(&fleet, 1, 0).name, first);
+    let slowdown = |age_ms| {
+        let load = &fleet.get(&first).expect("an upstream").reported_load;
+        load.machine_slowdown(NOW + clock::Millis(age_ms))
+    };
+    assert!(slowdown(0) == 2.5 && slowdown(200) == 1.75 && slowdown(700) == 1.0);
+    fleet.record_load(&first, report(Some(u32::MAX)), NOW);
+    let load = &fleet.get(&first).expect("an upstream").reported_load;
+    assert_eq!(load.machine_slowdown(NOW), 10.0);
+}
