--- a/crates/router/src/digest.rs
+++ b/crates/router/src/digest.rs
@@ -170,6 +170,8 @@
             host.digest.warn_once("shares", &service.service);
             continue;
         }
+        host.metrics
+            .record_shares(&service.service, &service.shares);
         let is_plausible = |(_, percent): &(u32, u8)| SPEED_PERCENT.contains(percent);
         let speeds: Vec<(u32, u8)> = service
             .speeds
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -237,6 +237,8 @@
             let model = engine_model(engine, entry.reading_rate);
             let ready = classes.len() as u32;
             let decision = state.planner.decide(&total.classes, ready, &model, now);
+            host.metrics.record_pressure(service, &decision.pressure);
+            log_speeds(&entry, known, age);
             log_change(service, &decision, version, ready, hosts, age);
             entry.shares = decision.shares;
         }
@@ -255,6 +257,28 @@
         .collect()
 }
 
+/// Logs speeds and a reading rate that differ from those of the last digest.
+fn log_speeds(
+    entry: &digest::ServiceDigest,
+    known: Option<&digest::ServiceDigest>,
+    age: clock::Millis,
+) {
+    let (speeds, rate) = known.map_or((&[][..], 0), |d| (&d.speeds[..], d.reading_rate));
+    if entry.speeds == speeds && entry.reading_rate == rate {
+        return;
+    }
+    let slow = entry.speeds.iter().filter(|(_, s)| *s < 100).count();
+    tracing::info!(
+        event = "engine_speeds",
+        service = %entry.service,
+        slow,
+        fast = entry.speeds.len() - slow,
+        slowest_percent = entry.speeds.iter().map(|(_, s)| *s).min(),
+        reading_rate = entry.reading_rate,
+        oldest_ms = age.0,
+    );
+}
+
 fn log_change(
     service: &name::Service,
     decision: &engine_classes::Decision,
--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -327,6 +327,9 @@
 /// Serves the metrics as text on every path.
 pub async fn serve_metrics(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     serve_all(listener, move || {
+        if let Some(age) = host.digest.age(host.now()) {
+            host.metrics.record_digest_age(age);
+        }
         let text = host.metrics.render();
         http::Response::new(response::Body::Buffered(Some(text.into())))
     })
--- a/crates/router/src/load_meter.rs
+++ b/crates/router/src/load_meter.rs
@@ -12,8 +12,9 @@
 const MAX_RATES: usize = 8;
 /// Number of gaps of an engine that are reported.
 const MAX_GAPS: usize = 4;
-/// Number of engines whose gaps are reported.
-const MAX_ENGINES: usize = 256;
+/// Number of engines whose gaps are reported, the first ones of each period. Over all hosts, that gives
+/// each engine some tens of gaps a second.
+const MAX_ENGINES: usize = 32;
 
 /// Load of one service in the current period.
 #[derive(Debug, Default)]
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,18 +1,22 @@
 //! Counters and histograms, exported in the Prometheus text format.
 
-use base::refusal;
+use base::{clock, name, refusal};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::metrics as sdk;
+use policy::engine_classes;
 
-use crate::memory;
+use crate::{memory, stream_class};
 
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] = [
     1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 64.0, 100.0, 200.0, 400.0, 670.0, 1_000.0, 5_000.0, 30_000.0,
 ];
 
+/// Highest exported pressure: the exporter leaves out infinite values.
+const MAX_PRESSURE: f64 = 1_000.0;
+
 /// Metric instruments of one host.
 pub struct Metrics {
     registry: prometheus::Registry,
@@ -22,6 +26,9 @@
     responses: metrics::Counter<u64>,
     relayed_bytes: metrics::Counter<u64>,
     announcements: metrics::Counter<u64>,
+    class_share: metrics::Gauge<f64>,
+    class_pressure: metrics::Gauge<f64>,
+    digest_age_ms: metrics::Gauge<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -60,6 +67,9 @@
             responses: meter.u64_counter("answers").build(),
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
             announcements: meter.u64_counter("upstream_announcements").build(),
+            class_share: meter.f64_gauge("class_share").build(),
+            class_pressure: meter.f64_gauge("class_pressure").build(),
+            digest_age_ms: meter.u64_gauge("digest_age").with_unit("ms").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -89,6 +99,28 @@
         self.announcements.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records the share of a service's engines for each class, from 0 to 1.
+    pub fn record_shares(&self, service: &name::Service, shares: &engine_classes::Shares) {
+        let shares = shares.map(|s| f64::from(s) / f64::from(engine_classes::WHOLE));
+        record_by_class(&self.class_share, service, &shares);
+    }
+
+    /// Records the engines needed per engine of each class, as the leader sees them; at most
+    /// [`MAX_PRESSURE`], also for a class without engines.
+    pub fn record_pressure(
+        &self,
+        service: &name::Service,
+        pressure: &[f64; engine_classes::CLASS_COUNT],
+    ) {
+        let pressure = pressure.map(|p| p.min(MAX_PRESSURE));
+        record_by_class(&self.class_pressure, service, &pressure);
+    }
+
+    /// Records the time since the leader's latest digest was received.
+    pub fn record_digest_age(&self, age: clock::Millis) {
+        self.digest_age_ms.record(age.0, &[]);
+    }
+
     /// Counts bytes of the store's contents that were sent to followers.
     pub fn record_relayed(&self, bytes: u64) {
         self.relayed_bytes.add(bytes, &[]);
@@ -117,3 +149,17 @@
         })
     }
 }
+
+fn record_by_class(
+    gauge: &metrics::Gauge<f64>,
+    service: &name::Service,
+    values: &[f64; engine_classes::CLASS_COUNT],
+) {
+    for (class, value) in stream_class::StreamClass::ALL.iter().zip(values) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("class", class.as_str()),
+        ];
+        gauge.record(*value, &labels);
+    }
+}
--- a/crates/router/src/preference.rs
+++ b/crates/router/src/preference.rs
@@ -147,14 +147,13 @@
             let fraction = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
             -tracked.speed() / fraction.ln()
         };
-        let heavier = |a: &&tracked::TrackedUpstream, b: &&tracked::TrackedUpstream| {
-            weight(a).total_cmp(&weight(b))
+        let heaviest = |is_candidate: &dyn Fn(&tracked::TrackedUpstream) -> bool| {
+            let candidates = ready().filter(|tracked| is_candidate(tracked));
+            let weighted = candidates.map(|tracked| (weight(tracked), tracked));
+            weighted.max_by(|a, b| a.0.total_cmp(&b.0))
         };
-        let in_class = ready()
-            .filter(|tracked| tracked.stream_class == criteria.stream_class)
-            .max_by(heavier);
-        in_class
-            .or_else(|| ready().max_by(heavier))
-            .map(|tracked| &tracked.upstream.name)
+        heaviest(&|tracked| tracked.stream_class == criteria.stream_class)
+            .or_else(|| heaviest(&|_| true))
+            .map(|(_, tracked)| &tracked.upstream.name)
     }
 }
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -269,6 +269,7 @@
         cost_ms = history.details.cost_ms,
         band = call.stream_class.as_str(),
         at_band = history.details.upstream_class.as_str(),
+        digest_age_ms = host.digest.age(now).map(|a| a.0),
         config = call.config_version,
         end,
         status,
