A new leader keeps the shares of services that nobody has reported yet

The first digest of a new leader contained only the services in the reports that had come by then, mostly none, and all else that the last digest said was forgotten: the shares went back to their defaults and speeds were learnt anew. It now carries over what the last digest says of configured services. The test of a leader that is lost in the middle of a change had given the new one a request of its own, which hid this; without, it failed.

Gaps below 10 ms are not compared any more, since they are measured in milliseconds.

--- a/crates/policy/src/engine_speeds.rs
+++ b/crates/policy/src/engine_speeds.rs
@@ -10,6 +10,7 @@
 use std::collections;
 
 use base::clock;
+use smallvec::SmallVec;
 
 /// Time for which a sample counts.
 const SAMPLE_TTL: clock::Millis = clock::Millis::secs(15);
@@ -23,6 +24,9 @@
 const GAP_QUANTILE: f64 = 0.2;
 /// Gaps below this are of events that arrived together, in milliseconds.
 const MIN_GAP_MS: u16 = 3;
+/// Gaps below this are not compared, in milliseconds: they are measured in whole milliseconds, which is
+/// too coarse for them.
+const MIN_COMPARED_MS: f64 = 10.0;
 /// Number of measured engines of a class below which they are not compared.
 const MIN_ENGINES: usize = 3;
 /// Divisor of the moving mean of a speed.
@@ -66,10 +70,10 @@
         if self.0.len() < MIN_SAMPLES {
             return None;
         }
-        let mut values: Vec<u16> = self.0.iter().map(|(_, v)| *v).collect();
-        values.sort_unstable();
+        let mut values: SmallVec<[u16; MAX_SAMPLES]> = self.0.iter().map(|(_, v)| *v).collect();
         let index = (values.len() as f64 * quantile) as usize;
-        Some(f64::from(values[index.min(values.len() - 1)]))
+        let index = index.min(values.len() - 1);
+        Some(f64::from(*values.select_nth_unstable(index).1))
     }
 }
 
@@ -134,7 +138,8 @@
                 engine.class = class;
                 engine.gaps = Samples::default();
             }
-            if let Some(gap_ms) = engine.gaps.quantile(GAP_QUANTILE, now) {
+            let gap_ms = engine.gaps.quantile(GAP_QUANTILE, now);
+            if let Some(gap_ms) = gap_ms.filter(|gap| *gap >= MIN_COMPARED_MS) {
                 measured.entry(class).or_default().push((id, gap_ms));
             }
         }
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -209,7 +209,15 @@
     let config = host.current_config();
     let last = host.digest.get();
     let mut services = Vec::new();
-    for (service, total) in loads.totals() {
+    let mut totals = loads.totals();
+    // A new leader has few reports at first, and must not forget what the last digest says.
+    for known in last.iter().flat_map(|d| &d.services) {
+        let is_configured = |c: &rc::Rc<model::Config>| c.services.contains_key(&known.service);
+        if config.as_ref().is_none_or(is_configured) {
+            totals.entry(known.service.clone()).or_default();
+        }
+    }
+    for (service, total) in totals {
         let known = last.as_ref().and_then(|d| {
             let mut services = d.services.iter();
             services.find(|s| s.service == service)
--- a/crates/router/tests/digest.rs
+++ b/crates/router/tests/digest.rs
@@ -121,11 +121,8 @@
         first.store_mode.set(env::StoreMode::Unavailable);
         first.host.is_leader.set(false);
         env::run_leader_election(&second);
+        // It has had no request itself, and no other host reports to it yet.
         start_reports(&second);
-        {
-            let mut meter = second.host.load_meter.borrow_mut();
-            meter.record_sent(&"s".into(), stream_class::StreamClass::Other, 0);
-        }
         env::sleep_ms(8_000).await;
         let next = second.host.digest.get().expect("a digest");
         assert!(next.version > last.version);
