A new leader takes no engines from classes that have had no request yet

A class without demand keeps its smallest share for 30 s, but at a leader that had just started it lost all engines within seconds, because its earlier demand was not known. The 30 s now also count from the leader's first decision. Seen in a soak of three hosts, where the engines of short-gap streams were given away four seconds after the start.

--- a/crates/policy/src/engine_classes.rs
+++ b/crates/policy/src/engine_classes.rs
@@ -175,7 +175,9 @@
     ) -> Decision {
         let demand = demand.map(|d| d.clamped().0);
         for (class, demand) in demand.iter().enumerate() {
-            if demand.is_any() {
+            // A new leader doesn't know which classes had demand before.
+            let is_first = self.samples.is_empty() && self.shares[class] > 0;
+            if demand.is_any() || is_first {
                 self.demanded_at[class] = Some(now);
             }
         }
--- a/crates/policy/tests/engine_classes.rs
+++ b/crates/policy/tests/engine_classes.rs
@@ -104,7 +104,10 @@
 #[test]
 fn class_that_vanishes_and_returns() {
     let mut run = Run::default();
-    run.play(10, |_| [20.0, 20.0, 60.0]);
+    let shares = run.play(25, |_| [20.0, 0.0, 60.0]);
+    assert!((1..=70).contains(&shares[1]), "{shares:?} at a new leader");
+    let shares = run.play(10, |_| [20.0, 20.0, 60.0]);
+    assert!(shares[1] >= 120, "{shares:?} with demand");
     let shares = run.play(15, |_| [20.0, 0.0, 60.0]);
     assert!(
         (1..=70).contains(&shares[1]),
