--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cold_start;
 pub mod dispatch;
 pub mod engine_classes;
+pub mod engine_speeds;
 pub mod lease;
 pub mod length;
 pub mod placement;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,18 +1,22 @@
 //! Counters and histograms, exported in the Prometheus text format.
 
-use base::refusal;
+use base::{clock, name, refusal};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::metrics as sdk;
+use policy::engine_classes;
 
-use crate::{memory, selection};
+use crate::{memory, selection, stream_class};
 
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] = [
     1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 64.0, 100.0, 200.0, 400.0, 670.0, 1_000.0, 5_000.0, 30_000.0,
 ];
 
+/// Highest exported pressure: the exporter leaves out infinite values.
+const MAX_PRESSURE: f64 = 1_000.0;
+
 /// Metric instruments of one host.
 pub struct Metrics {
     registry: prometheus::Registry,
@@ -25,6 +29,9 @@
     drained_dcs: metrics::Gauge<u64>,
     cold_upstreams: metrics::Gauge<u64>,
     cold_requests: metrics::Counter<u64>,
+    class_share: metrics::Gauge<f64>,
+    class_pressure: metrics::Gauge<f64>,
+    digest_age_ms: metrics::Gauge<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -66,6 +73,9 @@
             drained_dcs: meter.u64_gauge("drained_dcs").build(),
             cold_upstreams: meter.u64_gauge("cold_upstreams").build(),
             cold_requests: meter.u64_counter("cold_requests").build(),
+            class_share: meter.f64_gauge("class_share").build(),
+            class_pressure: meter.f64_gauge("class_pressure").build(),
+            digest_age_ms: meter.u64_gauge("digest_age").with_unit("ms").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -117,6 +127,28 @@
         }
     }
 
+    /// Records the share of a service's engines for each class, from 0 to 1.
+    pub fn record_shares(&self, service: &name::Service, shares: &engine_classes::Shares) {
+        let shares = shares.map(|s| f64::from(s) / f64::from(engine_classes::WHOLE));
+        record_by_class(&self.class_share, service, &shares);
+    }
+
+    /// Records the engines needed per engine of each class, as the leader sees them; at most
+    /// [`MAX_PRESSURE`], also for a class without engines.
+    pub fn record_pressure(
+        &self,
+        service: &name::Service,
+        pressure: &[f64; engine_classes::CLASS_COUNT],
+    ) {
+        let pressure = pressure.map(|p| p.min(MAX_PRESSURE));
+        record_by_class(&self.class_pressure, service, &pressure);
+    }
+
+    /// Records the time since the leader's latest digest was received.
+    pub fn record_digest_age(&self, age: clock::Millis) {
+        self.digest_age_ms.record(age.0, &[]);
+    }
+
     /// Counts bytes of the store's contents that were sent to followers.
     pub fn record_relayed(&self, bytes: u64) {
         self.relayed_bytes.add(bytes, &[]);
@@ -145,3 +177,17 @@
         })
     }
 }
+
+fn record_by_class(
+    gauge: &metrics::Gauge<f64>,
+    service: &name::Service,
+    values: &[f64; engine_classes::CLASS_COUNT],
+) {
+    for (class, value) in stream_class::StreamClass::ALL.iter().zip(values) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("class", class.as_str()),
+        ];
+        gauge.record(*value, &labels);
+    }
+}
