No upstreams are ordered in a drained data centre

The leader planned orders for all data centres of a service, also for one that the operator drains: upstreams would have started where no request goes, and its engines counted as ready, so the others stayed too few.

A drained data centre is left out of the plan: no orders there, its ready and starting engines do not count, and the others make up for it within their maximum. The engines that operators provisioned are still observed in all data centres. It stays out for 5 s after the drain, while its upstreams are cold, so that the others are not reduced at once. Orders that are still to be sent when a drain begins are dropped.

--- a/crates/router/src/fleet/dc_drains.rs
+++ b/crates/router/src/fleet/dc_drains.rs
@@ -1,5 +1,7 @@
 //! Which data centres may serve a request: rules that no cost overrides.
 
+use std::collections;
+
 use base::{clock, name};
 use policy::placement;
 
@@ -26,6 +28,11 @@
         self.drained_dcs.contains(dc)
     }
 
+    /// Data centres that are being drained.
+    pub fn drained_dcs(&self) -> &collections::BTreeSet<name::Dc> {
+        &self.drained_dcs
+    }
+
     /// Returns why the data centre of `tracked` may not serve a request that is limited to `homes`;
     /// `None` if it may.
     pub(super) fn exclusion(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod model;
+pub mod order_scope;
 pub mod ports;
 pub mod prefix_cache;
 pub mod prompt_evidence;
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -5,7 +5,7 @@
 use base::{clock, name};
 use tokio::time;
 
-use crate::{host, leader, membership, model, ports};
+use crate::{host, leader, membership, model, order_scope, ports};
 
 /// Interval between scaling decisions.
 const PLAN_INTERVAL: clock::Millis = clock::Millis(1_000);
@@ -179,8 +179,10 @@
         let preemptible = |dc: &name::Dc| ready.get(dc).map_or(0, |r| r.preemptible);
         let ready_preemptible = saturating_sum(dcs.iter().map(|dc| preemptible(dc)));
         let startup_period = scaling.startup_time + STARTUP_MARGIN;
-        let starting = self.dcs.values().map(|s| s.starting(now, startup_period));
-        let starting_preemptible = saturating_sum(starting);
+        // Engines that start where nothing may be ordered replace no others.
+        let starting = dcs.iter().filter_map(|dc| self.dcs.get(*dc));
+        let starting_preemptible =
+            saturating_sum(starting.map(|s| s.starting(now, startup_period)));
         let wanted = (target * ON_DEMAND_HEADROOM).ceil() as u32;
         let min = wanted
             .saturating_sub(ready_preemptible.saturating_add(starting_preemptible))
@@ -313,11 +315,13 @@
         .iter()
         .map(|(s, n)| (s.clone(), Scaler::with_provisioned(*n)))
         .collect();
+    let mut scope = order_scope::OrderScope::default();
     loop {
         time::sleep(PLAN_INTERVAL.duration()).await;
         let Some(config) = host.current_config() else {
             continue;
         };
+        scope.update(host.fleet.borrow().drained_dcs(), host.now());
         for service in config.services.values() {
             let Some(scaling) = &service.scaling else {
                 continue;
@@ -328,16 +332,16 @@
             let Some(target) = scaler.target_engines(&ready, &demand, host.now()) else {
                 continue;
             };
+            let (ready, scaling) = (&scope.limit(&ready), &scope.limit_scaling(scaling));
             if saved.get(&service.name) != Some(&scaler.provisioned) {
                 saved.insert(service.name.clone(), scaler.provisioned);
                 save_provisioned(host, &saved).await;
             }
             let orders = scaler.plan_preemptible(&service.name, scaling, target, host.now());
-            send_orders(host, tenure, scaler, &orders, &ready, &demand).await;
+            send_orders(host, tenure, scaler, &orders, ready, &demand).await;
             let now = host.now();
-            let orders =
-                scaler.plan_on_demand(&service.name, scaling, &ready, &demand, target, now);
-            send_orders(host, tenure, scaler, &orders, &ready, &demand).await;
+            let orders = scaler.plan_on_demand(&service.name, scaling, ready, &demand, target, now);
+            send_orders(host, tenure, scaler, &orders, ready, &demand).await;
         }
     }
 }
@@ -388,6 +392,10 @@
     demand: &membership::Demand,
 ) {
     for order in orders {
+        // A drain may have begun while earlier orders were sent.
+        if host.fleet.borrow().is_drained(&order.dc) {
+            continue;
+        }
         let result = host.orders.scale(tenure.term(), order).await;
         log_order(order, demand, tenure.token, result);
         let ready = ready.get(&order.dc).copied().unwrap_or_default();
--- a/crates/router/tests/scale.rs
+++ b/crates/router/tests/scale.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use base::{clock, name};
-use router::{membership, model, ports, scale};
+use router::{membership, model, order_scope, ports, scale};
 
 const SERVICE: &str = "llm";
 
@@ -37,18 +37,29 @@
     demand: &membership::Demand,
     now: u64,
     preemptible_result: Result<(), ports::OrderError>,
+) -> Vec<ports::Order> {
+    plan_with(scaler, &scaling(), ready, demand, now, preemptible_result)
+}
+
+/// Like `plan`, with these limits and prices.
+fn plan_with(
+    scaler: &mut scale::Scaler,
+    scaling: &model::Scaling,
+    ready: &ReadyEngines,
+    demand: &membership::Demand,
+    now: u64,
+    preemptible_result: Result<(), ports::OrderError>,
 ) -> Vec<ports::Order> {
     let now = clock::Millis(now);
     let service = name::Service::from(SERVICE);
-    let scaling = scaling();
     let Some(target) = scaler.target_engines(ready, demand, now) else {
         return Vec::new();
     };
-    let mut orders = scaler.plan_preemptible(&service, &scaling, target, now);
+    let mut orders = scaler.plan_preemptible(&service, scaling, target, now);
     for order in &orders {
         scaler.record_result(order, ready[&order.dc], preemptible_result, now);
     }
-    let on_demand = scaler.plan_on_demand(&service, &scaling, ready, demand, target, now);
+    let on_demand = scaler.plan_on_demand(&service, scaling, ready, demand, target, now);
     for order in &on_demand {
         scaler.record_result(order, ready[&order.dc], Ok(()), now);
     }
@@ -204,3 +215,40 @@
         "{first:?} {later:?}"
     );
 }
+
+/// Guards against orders in a data centre that is being drained, against a plan that counts its
+/// engines, and against one that reduces the others before its engines are warm again.
+#[test]
+fn other_data_centres_make_up_for_a_drained_one() {
+    let mut scaler = scale::Scaler::with_provisioned(9.0);
+    let mut scope = order_scope::OrderScope::default();
+    let idle = membership::Demand::default();
+    let all = ready_engines([(0, 5), (1, 4), (0, 5)]);
+    let mut plan_at = |ready: &ReadyEngines, drained: &[&str], now: u64| {
+        let drained = drained.iter().map(|dc| (*dc).into()).collect();
+        scope.update(&drained, clock::Millis(now));
+        let ready = scope.limit(ready);
+        let scaling = scope.limit_scaling(&scaling());
+        plan_with(&mut scaler, &scaling, &ready, &idle, now, Ok(()))
+    };
+    // Engines ordered by data centre and kind: an order stays in force until the next one.
+    let mut ordered = collections::BTreeMap::new();
+    let mut per_dc = |orders: &[ports::Order]| -> [u32; 3] {
+        for order in orders {
+            ordered.insert((order.dc.to_string(), order.preemptible), order.count);
+        }
+        ["a", "b", "c"].map(|dc| {
+            let kinds = [true, false].map(|kind| ordered.get(&(dc.to_owned(), kind)));
+            kinds.into_iter().flatten().sum()
+        })
+    };
+    assert_eq!(per_dc(&plan_at(&all, &[], 10_000)), [5, 5, 5]);
+    let drained = plan_at(&all, &["b"], 11_000);
+    assert!(drained.iter().all(|o| o.dc.as_str() != "b"), "{drained:?}");
+    assert_eq!(per_dc(&drained), [6, 5, 6], "both at their maximum");
+    for now in [12_000, 15_900] {
+        assert_eq!(plan_at(&all, &[], now), [], "at {now}");
+    }
+    assert_eq!(per_dc(&plan_at(&all, &[], 16_000)), [5, 5, 5]);
+    assert_eq!(plan_at(&all, &["a", "b", "c"], 17_000), []);
+}
