A host that was suspended waits for its watch before it sends

A host that resumes after a pause goes on with what it knew before. Its first requests could reach a data centre that had been drained for longer than the deadline, because its watch answers only after them. An attempt now waits, for at most 500 ms, while what the host knows of drains is older than 0.85 of their deadline and nothing says that it has lost the store. The counter drain_waits has the number of these attempts.

The tests of drains also cover the prefix preference and the engines of each class; without the rule at either place they fail.

--- a/crates/router/src/dc_drain.rs
+++ b/crates/router/src/dc_drain.rs
@@ -2,13 +2,20 @@
 
 use std::collections;
 
-use base::name;
+use base::{clock, name};
 use serde::{Deserialize, Serialize};
+use tokio::time;
 
 use crate::{host, ports};
 
 /// Number of faulty keys that are remembered so that each is logged once. Further ones are not logged.
 const MAX_FAULTY_KEYS: usize = 64;
+/// Share of the deadline of drains up to which what a host knows of them may be old. The rest is for
+/// sending the request, which may have to open a connection.
+const MAX_AGE_SHARE: f64 = 0.85;
+/// Longest time that an attempt waits for the watch to answer, and time between checks.
+const MAX_WAIT: clock::Millis = clock::Millis(500);
+const CHECK_INTERVAL: clock::Millis = clock::Millis(10);
 
 /// Data centres that are being drained at a revision of the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
@@ -28,6 +35,32 @@
     }
 }
 
+/// Whether a drain may have reached its deadline without this host knowing, although nothing says that
+/// the host has lost the store.
+fn may_have_missed_drain(host: &host::Host, deadline: clock::Millis) -> bool {
+    let max_age = clock::Millis((deadline.0 as f64 * MAX_AGE_SHARE) as u64);
+    let known_until = host.freshness.operator_known_until();
+    known_until.is_some_and(|until| host.now().since(until) > max_age)
+        && !host.store_health.is_lost()
+}
+
+/// Waits before an attempt while this host may have missed a drain: the process was suspended, and its
+/// watch has not answered or failed since. Without an answer in time the last known set is used, as
+/// during a loss of the store.
+pub async fn wait_until_known(host: &host::Host) {
+    let Some(deadline) = host.settings.dc_drain_deadline else {
+        return;
+    };
+    if !may_have_missed_drain(host, deadline) {
+        return;
+    }
+    host.metrics.record_drain_wait();
+    let begin = host.now();
+    while may_have_missed_drain(host, deadline) && host.now().since(begin) < MAX_WAIT {
+        time::sleep(CHECK_INTERVAL.duration()).await;
+    }
+}
+
 /// Applies a complete list of the operators' keys at a store revision.
 pub fn apply_list(host: &host::Host, items: &[ports::Item], revision: u64) {
     let dcs = items.iter().filter_map(|item| drained_dc(host, item));
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -21,7 +21,7 @@
 /// Data in the store that is watched.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WatchTarget {
-    /// The configuration.
+    /// The configuration, and the drained data centres.
     Config,
     /// The entries of upstreams.
     Upstreams,
@@ -88,6 +88,13 @@
         read.max(self.relayed.get())
     }
 
+    /// Time up to which this host knows the configuration and the drained data centres; `None` until it
+    /// has read them.
+    pub fn operator_known_until(&self) -> Option<clock::Millis> {
+        let read = self.read[WatchTarget::Config as usize].get();
+        read.max(self.relayed.get())
+    }
+
     /// Whether contents that a source knew up to `until` are recent enough to do without the store.
     pub fn is_recent(&self, until: clock::Millis, now: clock::Millis) -> bool {
         now.since(until) <= self.share(MAX_RELAYED_SHARE)
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -23,6 +23,7 @@
     relayed_bytes: metrics::Counter<u64>,
     announcements: metrics::Counter<u64>,
     drained_dcs: metrics::Gauge<u64>,
+    drain_waits: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -62,6 +63,7 @@
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
             announcements: meter.u64_counter("upstream_announcements").build(),
             drained_dcs: meter.u64_gauge("drained_dcs").build(),
+            drain_waits: meter.u64_counter("drain_waits").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -96,6 +98,11 @@
         self.drained_dcs.record(count as u64, &[]);
     }
 
+    /// Counts an attempt that waited because this host may have missed a drain.
+    pub fn record_drain_wait(&self) {
+        self.drain_waits.add(1, &[]);
+    }
+
     /// Counts bytes of the store's contents that were sent to followers.
     pub fn record_relayed(&self, bytes: u64) {
         self.relayed_bytes.add(bytes, &[]);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -7,7 +7,7 @@
 use tokio::time;
 
 use crate::{
-    attempt, bodies, headers, host, model, reports, response, retry, stream, stream_class,
+    attempt, bodies, dc_drain, headers, host, model, reports, response, retry, stream, stream_class,
 };
 
 /// Suggested delay before a client retries when the host is stopping or no upstream ran the
@@ -212,6 +212,7 @@
 ) -> response::Response {
     let mut error_response: Option<response::Response> = None;
     let reason = loop {
+        dc_drain::wait_until_known(host).await;
         let selection = match retry::select_upstream(host, call, history) {
             Ok(selection) => selection,
             Err(reason) => break reason,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -10,8 +10,8 @@
 use tokio::{task, time};
 
 use crate::{
-    attempt, crash_log, headers, host, in_flight, memory, prompt_evidence, reports, response,
-    retry, serve, sse,
+    attempt, crash_log, dc_drain, headers, host, in_flight, memory, prompt_evidence, reports,
+    response, retry, serve, sse,
 };
 
 /// Number of events buffered for a client that reads too slowly.
@@ -197,6 +197,7 @@
     history: &mut retry::AttemptHistory,
     last_event_id: Option<u64>,
 ) -> Result<StartOutcome, refusal::Reason> {
+    dc_drain::wait_until_known(host).await;
     let selection = retry::select_upstream(host, call, history)?;
     let base_latency = selection.base_latency;
     let sent_at = host.now();
--- a/crates/router/tests/dc_drain.rs
+++ b/crates/router/tests/dc_drain.rs
@@ -85,37 +85,62 @@
     counts
 }
 
-/// Guards against a drain whose load all goes to the nearest neighbour, and against engines of the
-/// drained data centre that stay reserved for a class, which then has too few.
-#[test]
-fn load_of_data_centres_drained_at_the_peak_spreads_over_the_others() {
+/// Fleet of a host in the data centre `a1` with eight upstreams in each data centre; the region has the
+/// first letter of its name.
+fn large_fleet() -> fleet::Fleet {
     const DCS: [&str; 5] = ["a1", "a2", "a3", "b1", "b2"];
-    let mut fleet = fleet::Fleet::new(
-        location::Location {
-            dc: "a1".into(),
-            regions: DCS.map(|dc| (dc.into(), dc[..1].into())).into(),
-        },
-        clock::Millis(2_500),
-    );
+    let location = location::Location {
+        dc: "a1".into(),
+        regions: DCS.map(|dc| (dc.into(), dc[..1].into())).into(),
+    };
+    let mut fleet = fleet::Fleet::new(location, clock::Millis(2_500));
     for dc in DCS {
         for n in 0..8 {
             fleet.put(env::upstream(&format!("{dc}-{n}"), dc));
         }
     }
+    fleet
+}
+
+/// Guards against a prefix that stays assigned to an upstream of the drained data centre, so that hosts
+/// do not agree on another one and each reads it again.
+#[test]
+fn prefixes_get_other_upstreams_during_a_drain() {
+    let service = name::Service::from("s");
+    let mut fleet = large_fleet();
+    fleet.begin_dc_drain(&"a1".into());
+    for id in 0..60 {
+        let parts = [id, 1_000 + id].map(|id| ports::PromptPart { id, tokens: 4_000 });
+        let criteria = selection::Criteria {
+            prompt_parts: &parts,
+            prompt_tokens: 8_000,
+            ..plain(&service, &[])
+        };
+        let selection = fleet.select(&criteria, NOW).expect("an upstream");
+        assert!(selection.details.prefix_cached, "prefix {id}");
+    }
+}
+
+/// Guards against a drain whose load all goes to the nearest neighbour, and against engines of the
+/// drained data centre that stay reserved for a class, which then has too few.
+#[test]
+fn load_of_data_centres_drained_at_the_peak_spreads_over_the_others() {
+    let mut fleet = large_fleet();
     send_prompts(&mut fleet, 2_000);
-    for (drained, max_share) in [("a1", 0.35), ("a2", 0.45)] {
+    for (drained, max_share, classes) in [("a1", 0.35, [7, 6, 19]), ("a2", 0.45, [5, 4, 15])] {
         fleet.begin_dc_drain(&drained.into());
         let counts = send_prompts(&mut fleet, 2_000);
         assert!(!counts.contains_key(drained), "{counts:?}");
         let max = counts.values().max().copied().unwrap_or(0) as f64;
         assert!(max <= max_share * 2_000.0, "{counts:?}");
-        for class in stream_class::StreamClass::ALL {
-            let usable = fleet.names().into_iter().filter(|name| {
+        let usable = stream_class::StreamClass::ALL.map(|class| {
+            let names = fleet.names().into_iter().filter(|name| {
                 let tracked = fleet.get(name).expect("listed");
                 tracked.stream_class == class && !fleet.is_drained(&tracked.upstream.dc)
             });
-            assert!(usable.count() >= 4, "engines of {class:?}");
-        }
+            names.count()
+        });
+        assert_eq!(usable, classes, "engines of each class");
     }
     fleet.end_dc_drain(&"a1".into(), NOW);
     let counts = send_prompts(&mut fleet, 2_000);
@@ -249,6 +274,30 @@
     });
 }
 
+/// Guards against a host that goes on with what it knew before it was suspended: its watch answers only
+/// after the first requests, which went to a data centre drained long before.
+#[test]
+fn host_that_resumes_after_a_pause_waits_for_its_watch() {
+    env::run(|| async {
+        let cluster = cluster();
+        let node = start(&cluster);
+        env::sleep_ms(3_000).await;
+        assert_eq!(used(&node), ["a", "b"]);
+        cluster.put("config/drain/a", "{}");
+        cluster.clock.advance(clock::Millis(8_000));
+        let before = node.host.now();
+        dc_drain::wait_until_known(&node.host).await;
+        assert_eq!(used(&node), ["b"]);
+        assert!(node.host.now().since(before).0 <= 500);
+        // Without the store there is nothing to wait for.
+        node.store_mode.set(env::StoreMode::Unavailable);
+        env::sleep_ms(10_000).await;
+        let before = node.host.now();
+        dc_drain::wait_until_known(&node.host).await;
+        assert_eq!(node.host.now(), before);
+    });
+}
+
 /// Guards against late messages of a slow host: they brought back a drain that was revoked, or undid
 /// one that was set again.
 #[test]
@@ -285,6 +334,8 @@
         assert_eq!(used(&node), ["b"], "a late list");
         relay(31, &["mars", "b"]);
         assert_eq!(used(&node), ["a"], "unknown names are ignored");
+        dc_drain::apply_events(&node.host, &[put(30)], 40);
+        assert_eq!(used(&node), ["a"], "a late event of a later response");
     });
 }
 
--- a/crates/router/tests/tries.rs
+++ b/crates/router/tests/tries.rs
@@ -3,11 +3,9 @@
 mod env;
 
 use std::net;
-use std::rc;
 
 use base::{clock, refusal};
-use router::{attempt, model, ports, retry, selection, stream_class};
-use smallvec::smallvec;
+use router::{attempt, model, retry, selection};
 
 fn call() -> attempt::Call {
     let route = model::Route {
@@ -16,29 +14,7 @@
         max_attempts: 1,
         ..env::route()
     };
-    attempt::Call {
-        meta: ports::RequestMeta {
-            id: "q".to_owned(),
-            timeout: None,
-            api_key: None,
-            prompt_parts: smallvec![],
-            prompt_tokens: 0,
-            last_event_id: None,
-        },
-        method: http::Method::POST,
-        uri: http::Uri::from_static("/"),
-        headers: http::HeaderMap::new(),
-        body: bytes::Bytes::new(),
-        route: rc::Rc::new(route),
-        service: "s".into(),
-        team: None,
-        tier: 0,
-        stream_class: stream_class::StreamClass::Other,
-        config_version: 1,
-        received_at: clock::Millis::ZERO,
-        client_deadline: clock::Millis(10_000),
-        finish_by: clock::Millis(10_000),
-    }
+    env::call(route)
 }
 
 fn node() -> env::Node {
