--- a/crates/router/src/dc_drain.rs
+++ b/crates/router/src/dc_drain.rs
@@ -9,7 +9,6 @@
 
 /// Number of faulty keys that are remembered so that each is logged once. Further ones are not logged.
 const MAX_FAULTY_KEYS: usize = 64;
-
 /// Data centres that are being drained at a revision of the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct DrainedDcs {
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -21,7 +21,7 @@
 /// Data in the store that is watched.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WatchTarget {
-    /// The configuration.
+    /// The configuration, and the drained data centres.
     Config,
     /// The entries of upstreams.
     Upstreams,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod model;
+pub mod order_scope;
 pub mod ports;
 pub mod preference;
 pub mod prefix_cache;
