Only a leader that closes the stream is reported to without the load

A leader that was merely slow to answer a first report was taken for one of an earlier release, and so was the next leader for the rest of the 30 s: the host's demand was missing and it got no digest. Now the stream must have been closed before the time limit, and the finding holds for that leader only.

--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -142,8 +142,8 @@
     is_first: bool,
     /// Whether the reports on this connection contain the load.
     has_load: bool,
-    /// Time until which reports are sent without the load.
-    no_load_until: clock::Millis,
+    /// Leader that gets reports without the load, and until when.
+    without_load: Option<(net::SocketAddr, clock::Millis)>,
 }
 
 impl Uplink {
@@ -158,11 +158,17 @@
         counts: Option<&membership::HostReport>,
         load: Option<&digest::HostLoad>,
     ) -> Result<(), link::Closed> {
+        let begin = host.now();
         let mut result = self.exchange(host, counts, load).await;
-        let is_remote = matches!(self.target, Some((_, Some(_))));
-        if result.is_err() && is_remote && self.is_first && self.has_load {
+        let now = host.now();
+        let is_closed = result.is_err() && now.since(begin) < ACK_TIMEOUT;
+        if let Some((leader, Some(_))) = self.target
+            && is_closed
+            && self.is_first
+            && self.has_load
+        {
             // A leader of an earlier release closes the stream at a handshake that it doesn't know.
-            self.no_load_until = host.now() + NO_LOAD_PERIOD;
+            self.without_load = Some((leader, now + NO_LOAD_PERIOD));
             result = self.exchange(host, counts, load).await;
         }
         if result.is_err() {
@@ -178,7 +184,9 @@
         load: Option<&digest::HostLoad>,
     ) -> Result<(), link::Closed> {
         let leader = host.leader.get().ok_or(link::Closed)?;
-        let has_load = host.now() >= self.no_load_until;
+        let now = host.now();
+        let is_without = |(to, until)| to == leader && now < until;
+        let has_load = !self.without_load.is_some_and(is_without);
         let is_other = self.target.as_ref().is_none_or(|(to, _)| *to != leader);
         if is_other || self.has_load != has_load {
             self.has_load = has_load;
