Learnt speeds move engines together, and waiting prompts exaggerate no need

Speeds were told as soon as each had changed enough, so while they were learnt, engines would have changed their place in the order of classes one by one, and some twice. They are now told every 10 s. The need of a class follows the learnt reading rate by a factor of 0.5 to 2 only: where most prompts wait, the rate is below that of an idle engine.

--- a/crates/policy/src/engine_speeds.rs
+++ b/crates/policy/src/engine_speeds.rs
@@ -37,6 +37,9 @@
 /// percent.
 const TOLD_DIFFERENCE: u8 = 10;
 const TOLD_CHANGE: u8 = 7;
+/// Time between two changes of the told speeds. Engines are ordered by them, so speeds that were told
+/// one by one while they are learnt would move engines to and fro between classes.
+const TOLD_INTERVAL: clock::Millis = clock::Millis::secs(10);
 /// Speed of an engine that is not known to differ from the others, in percent.
 const MEAN_PERCENT: u8 = 100;
 
@@ -102,6 +105,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Speeds {
     engines: collections::BTreeMap<u32, Engine>,
+    /// When the told speeds were changed last, or the first update came.
+    told_at: Option<clock::Millis>,
 }
 
 impl Speeds {
@@ -110,6 +115,7 @@
         let engine = |(id, percent): &(u32, u8)| (*id, Engine::new(*percent));
         Self {
             engines: known.iter().map(engine).collect(),
+            told_at: None,
         }
     }
 
@@ -147,7 +153,12 @@
             self.compare(engines);
         }
         self.normalize();
-        self.told()
+        let told_at = *self.told_at.get_or_insert(now);
+        let is_due = now.since(told_at) >= TOLD_INTERVAL;
+        if is_due {
+            self.told_at = Some(now);
+        }
+        self.told(is_due)
     }
 
     /// Updates the speeds of the engines of one class by their gaps in milliseconds.
@@ -175,11 +186,11 @@
         }
     }
 
-    fn told(&mut self) -> Vec<(u32, u8)> {
+    fn told(&mut self, is_due: bool) -> Vec<(u32, u8)> {
         let mut told = Vec::new();
         for (id, engine) in &mut self.engines {
             let percent = (engine.speed * f64::from(MEAN_PERCENT)).round() as u8;
-            if percent.abs_diff(engine.told) >= TOLD_CHANGE {
+            if is_due && percent.abs_diff(engine.told) >= TOLD_CHANGE {
                 engine.told = percent;
             }
             if engine.told.abs_diff(MEAN_PERCENT) > TOLD_DIFFERENCE {
--- a/crates/policy/tests/engine_speeds.rs
+++ b/crates/policy/tests/engine_speeds.rs
@@ -16,11 +16,12 @@
     class: impl Fn(u32, u64) -> usize,
 ) -> (Vec<(u32, u8)>, usize) {
     let mut rng = rngs::StdRng::seed_from_u64(1);
-    let (mut told, mut changes) = (Vec::new(), 0);
+    let (mut told, mut changes, mut all_changes) = (Vec::new(), 0, 0);
     for second in 0..seconds {
         let now = clock::Millis::secs(1_000 + second);
         let classes: Vec<_> = (0..ENGINES).map(|e| (e, class(e, second))).collect();
         let before = std::mem::replace(&mut told, speeds.update(&classes, now));
+        all_changes += usize::from(before != told);
         changes += usize::from(second > seconds / 2 && before != told);
         for (engine, class) in classes {
             let load = [1.0, 2.2, 1.4][class];
@@ -34,6 +35,10 @@
             }
         }
     }
+    assert!(
+        all_changes <= seconds as usize / 10,
+        "{all_changes} changes"
+    );
     (told, changes)
 }
 
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -28,6 +28,9 @@
 /// Share of an engine's slots that can be in use without delaying the tokens of its requests: 10 of
 /// 16.
 const USABLE_SLOTS_SHARE: f64 = 0.625;
+/// Range of the factor by which a learnt reading rate changes the need of a class. Where most prompts
+/// wait, the learnt rate is below that of an idle engine, and would exaggerate the need for prompts.
+const READING_FACTORS: (f64, f64) = (0.5, 2.0);
 
 /// Load that hosts reported, by process.
 #[derive(Debug, Default)]
@@ -173,7 +176,8 @@
     }
     if reading_rate > 0 {
         let default = f64::from(engine_speeds::DEFAULT_READING_RATE);
-        result.tokens_per_s *= f64::from(reading_rate) / default;
+        let factor = f64::from(reading_rate) / default;
+        result.tokens_per_s *= factor.clamp(READING_FACTORS.0, READING_FACTORS.1);
     }
     result
 }
