--- a/crates/router/src/order_scope.rs
+++ b/crates/router/src/order_scope.rs
@@ -18,11 +18,20 @@
 }
 
 impl OrderScope {
-    /// Records the data centres that are being drained at `now`.
+    /// Records the data centres that are being drained at `now`, and logs what changes by it.
     pub fn update(&mut self, drained: &collections::BTreeSet<name::Dc>, now: clock::Millis) {
-        self.excluded_until.retain(|_, until| now < *until);
+        self.excluded_until.retain(|dc, until| {
+            let is_excluded = now < *until || drained.contains(dc);
+            if !is_excluded {
+                tracing::info!(event = "dc_orders_resumed", %dc);
+            }
+            is_excluded
+        });
         for dc in drained {
-            self.excluded_until.insert(dc.clone(), now + RESUME_DELAY);
+            let until = self.excluded_until.insert(dc.clone(), now + RESUME_DELAY);
+            if until.is_none() {
+                tracing::info!(event = "dc_orders_paused", %dc);
+            }
         }
     }
 
@@ -43,10 +52,4 @@
             ..scaling.clone()
         }
     }
-
-    /// Names of the data centres that are left out, as text for log lines.
-    pub fn excluded(&self) -> String {
-        let names = self.excluded_until.keys().map(name::Dc::as_str);
-        names.collect::<Vec<_>>().join(",")
-    }
 }
