--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -7,7 +7,7 @@
 
 use base::{clock, name};
 use peer::{link, message};
-use policy::{pool, request, scale, spill, usage};
+use policy::{dc_link, pool, request, scale, usage};
 use ports::hosts;
 
 use crate::{admission, blocked_keys, config_sync, context, load_summaries, stop};
@@ -35,7 +35,7 @@
     load_summaries: load_summaries::LoadSummaries,
     draining: sync::Mutex<(Vec<name::Upstream>, clock::Millis)>,
     announced_records: sync::Mutex<usage::NumberSet>,
-    link_budget: sync::Mutex<spill::LinkBudget>,
+    link_budget: sync::Mutex<dc_link::LinkBudget>,
 }
 
 /// Recipients of a broadcast.
@@ -65,7 +65,7 @@
         }
         let (dc, region) = (context.settings.dc.clone(), context.settings.region.clone());
         let rate = context.settings.limits.link_rate / 1_000;
-        let link_budget = spill::LinkBudget::new(rate, context.clock.now());
+        let link_budget = dc_link::LinkBudget::new(rate, context.clock.now());
         Self {
             context,
             config_sync,
@@ -467,7 +467,7 @@
                 candidate.received_at,
             );
             candidate.state.free_slots = candidate.state.free_slots.saturating_sub(sent);
-            if !spill::should_spill(&candidate.state, wait, slack, now) {
+            if !candidate.state.is_better(wait, slack, now) {
                 continue;
             }
             links.keep_connected(&candidate.host, &candidate.dc, candidate.address);
--- a/crates/host/src/load_summaries.rs
+++ b/crates/host/src/load_summaries.rs
@@ -6,7 +6,7 @@
 
 use base::{clock, name};
 use peer::message;
-use policy::{scale, spill};
+use policy::{offload, scale};
 
 /// Assumed one-way delay between data centres of the same region.
 const DELAY_WITHIN_REGION: clock::Millis = clock::Millis(1);
@@ -31,8 +31,8 @@
     pub address: net::SocketAddr,
     /// Time at which this host received the load summary.
     pub received_at: clock::Millis,
-    /// Load and link of the data centre, as input of the decision to spill.
-    pub state: spill::Neighbour,
+    /// Load and link of the data centre, as input of the decision to leave.
+    pub state: offload::Neighbour,
 }
 
 /// Latest load summary of each dispatching host.
@@ -108,7 +108,7 @@
                 dc: summary.dc.clone(),
                 address: summary.address,
                 received_at: t.received_at,
-                state: spill::Neighbour {
+                state: offload::Neighbour {
                     free_slots,
                     waiting,
                     one_way_delay,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,13 +5,14 @@
 
 pub mod breaker;
 pub mod budget;
+pub mod dc_link;
 pub mod dispatch;
 pub mod lease;
 pub mod length;
+pub mod offload;
 pub mod pool;
 pub mod queue;
 pub mod request;
 pub mod scale;
 pub mod share;
-pub mod spill;
 pub mod usage;
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -2,7 +2,7 @@
 //! upstream.
 
 use base::clock;
-use policy::{breaker, budget, pool, request, share, spill};
+use policy::{breaker, budget, dc_link, offload, pool, request, share};
 
 const NOW: clock::Millis = clock::Millis(100_000);
 
@@ -46,20 +46,20 @@
 
 #[test]
 fn request_spills_only_if_neighbour_is_faster() {
-    let near = spill::Neighbour {
+    let near = offload::Neighbour {
         free_slots: 2,
         waiting: 0,
         one_way_delay: clock::Millis(1),
         metered: false,
         reported_at: NOW,
     };
-    let far = spill::Neighbour {
+    let far = offload::Neighbour {
         one_way_delay: clock::Millis(20),
         metered: true,
         ..near
     };
-    let full = spill::Neighbour { waiting: 2, ..near };
-    let stale = spill::Neighbour {
+    let full = offload::Neighbour { waiting: 2, ..near };
+    let stale = offload::Neighbour {
         reported_at: clock::Millis(90_000),
         ..near
     };
@@ -75,7 +75,7 @@
     ];
     for (name, neighbour, wait, slack, expected) in cases {
         assert_eq!(
-            spill::should_spill(&neighbour, ms(wait), ms(slack), NOW),
+            neighbour.is_better(ms(wait), ms(slack), NOW),
             expected,
             "{name}"
         );
@@ -84,7 +84,7 @@
 
 #[test]
 fn metered_link_budget_refills_at_its_rate() {
-    let mut link = spill::LinkBudget::new(100, NOW);
+    let mut link = dc_link::LinkBudget::new(100, NOW);
     assert!(link.try_spend(100_000, NOW));
     assert!(!link.try_spend(1, NOW));
     assert!(link.try_spend(5_000, after_ms(50)) && !link.try_spend(1, after_ms(50)));
