Requests leave their data centre by load in bounded shares

A data centre that is short sent requests away whenever an engine elsewhere looked cheaper to one host, so all hosts moved at once and returned at once. Slow or lossy links went unnoticed, and traffic between regions had no price.

Hosts now measure links by the time and the time-outs of opening connections, weigh the bytes and the price between regions, and with load figures of both data centres move a share of each service's flow in steps. Prompts that are cached elsewhere still go there.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -9,8 +9,8 @@
 use tokio::time;
 
 use crate::{
-    bodies, crash_log, headers, host, http_client, in_flight, model, ports, response, selection,
-    stream_class, verdict,
+    bodies, crash_log, headers, host, http_client, in_flight, model, offloading, ports, response,
+    selection, stream_class, verdict,
 };
 
 /// Time limit for connecting to an upstream.
@@ -209,6 +209,7 @@
             }
             Ok(Ok(bytes)) => bytes,
         };
+        self.in_flight.record_bytes(bytes.len());
         self.in_flight.keep_connection(self.conn, &self.meta);
         Ok((self.parts, bytes, self.in_flight))
     }
@@ -294,7 +295,11 @@
             }
         }
     }
-    let Ok(conn) = http_client::Connection::open(address, CONNECT_TIMEOUT).await else {
+    let opening_at = host.now();
+    let opened = http_client::Connection::open(address, CONNECT_TIMEOUT).await;
+    let result = opened.as_ref().map(|_| ()).map_err(|e| *e);
+    offloading::record_connection(host, &in_flight.selection, opening_at, result);
+    let Ok(conn) = opened else {
         return Err(Outcome::NotRun(Failure::Connect));
     };
     match conn.send(request).await {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -9,20 +9,21 @@
 use base::{clock, hash, name};
 
 use crate::{
-    announcements, location, model, ports, prefix_cache, selection, slowdown, stream_class, tracked,
+    announcements, location, model, offloading, ports, prefix_cache, selection, slowdown,
+    stream_class, tracked,
 };
 
 /// Prompt tokens that an idle engine processes per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 112.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 112.0;
 /// Time from sending a prompt to its first event, excluding prompt processing, in milliseconds.
 const FIRST_EVENT_BASE_MS: f64 = 50.0;
 /// Weight of a request's own unread tokens relative to tokens queued before it. It exceeds 1
 /// because processing this prompt also delays the other requests of the engine.
 const OWN_PREFILL_WEIGHT: f64 = 2.0;
 /// Estimated delay of the first token per active request at an engine, in milliseconds.
-const ACTIVE_REQUEST_COST_MS: f64 = 1.0;
+pub(crate) const ACTIVE_REQUEST_COST_MS: f64 = 1.0;
 /// Estimated delay per active request at an upstream that is not an engine, in milliseconds.
-const PLAIN_REQUEST_COST_MS: f64 = 20.0;
+pub(crate) const PLAIN_REQUEST_COST_MS: f64 = 20.0;
 /// Share of the drain deadline for which an upstream that leaves is still used if there is no other. It
 /// goes on serving for longer, and its successor may need that time to start.
 const LEAVING_USE_SHARE: f64 = 0.5;
@@ -45,6 +46,8 @@
     last_mark: u64,
     /// What upstreams said of themselves in responses.
     pub announcements: announcements::Announcements,
+    /// What leaves for other data centres.
+    pub offloading: offloading::Offloading,
     /// Time for which an upstream that said that it leaves may get requests that no other takes.
     leaving_use: clock::Millis,
 }
@@ -54,6 +57,7 @@
     /// leaves gets no request after `drain_deadline`.
     pub fn new(location: location::Location, drain_deadline: clock::Millis) -> Self {
         Self {
+            offloading: offloading::Offloading::new(location.clone()),
             location,
             upstreams: collections::HashMap::new(),
             services: collections::HashMap::new(),
@@ -228,6 +232,7 @@
             .map_or_else(slowdown::TypicalSlowdown::default, |p| p.typical);
         let mut best: Option<(f64, &tracked::TrackedUpstream, u64)> = None;
         let mut last_resort = None;
+        let mut cost_here_ms: Option<f64> = None;
         let mut details = selection::Details::default();
         for (tracked, willingness) in self.untried(criteria, now) {
             if willingness != announcements::Willingness::Willing {
@@ -248,6 +253,9 @@
             let unread_tokens =
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
             let cost_ms = self.cost_ms(criteria, tracked, &typical, unread_tokens, now);
+            if tracked.upstream.dc == self.location.dc {
+                cost_here_ms = Some(cost_here_ms.map_or(cost_ms, |c| c.min(cost_ms)));
+            }
             if best.is_none_or(|(c, _, _)| cost_ms < c) {
                 best = Some((cost_ms, tracked, unread_tokens));
             }
@@ -262,8 +270,10 @@
             report_age_ms,
             cost_ms: cost_ms as u64,
             upstream_class: tracked.stream_class,
+            cost_here_ms: cost_here_ms.map(|c| c as u64),
             ..details
         };
+        let details = self.offloading.explain(details, criteria, tracked, now);
         let base_latency_ms = FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
         let likely_latency_ms = base_latency_ms
             * tracked
@@ -348,7 +358,10 @@
             (own_tokens + tracked.unread_tokens as f64) / PREFILL_TOKENS_PER_MS
                 + tracked.active_requests(now) * ACTIVE_REQUEST_COST_MS
         };
-        let distance_cost = self.location.distance_cost_ms(&tracked.upstream.dc);
+        let read_before = u64::from(criteria.prompt_tokens).saturating_sub(unread_tokens);
+        let saving_ms = read_before as f64 * OWN_PREFILL_WEIGHT / PREFILL_TOKENS_PER_MS;
+        let dc = &tracked.upstream.dc;
+        let distance_cost = self.offloading.cost_ms(criteria, dc, saving_ms, now);
         let class_cost = if criteria.prompt_parts.is_empty() {
             0.0
         } else {
@@ -380,12 +393,12 @@
         tracked.in_flight += 1;
         tracked.unread_tokens += selection.unread_tokens;
         let instance_id = tracked.process().id;
-        let Some((_, shared_parts)) = parts.split_last() else {
-            return;
-        };
+        let service = tracked.upstream.service.clone();
+        let shared_parts = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         for part in shared_parts {
             self.prefix_cache.insert(part.id, instance_id, now);
         }
+        self.update_offloading(&service, !parts.is_empty(), now);
     }
 
     /// Records that the upstream has processed a prompt, or never will, so that the prompt no
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     budget, crash_log, fleet, freshness, http_client, location, membership, memory, metrics, model,
-    ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
+    offloading, ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
 };
 
 /// Checked settings of a host.
@@ -43,6 +43,8 @@
     /// Time within which a data centre that is drained gets no further requests; `None` if data
     /// centres are not drained in this deployment.
     pub dc_drain_deadline: Option<clock::Millis>,
+    /// Price and links of what leaves for other data centres.
+    pub offload: offloading::Settings,
 }
 
 /// Requests that a cold upstream may get in one second, relative to its limit per second.
@@ -173,6 +175,8 @@
         let location = settings.location.clone();
         let change_deadline = settings.timing.change_deadline;
         let memory = memory::Budget::new(settings.held_bytes);
+        let mut fleet = fleet::Fleet::new(location, change_deadline);
+        fleet.offloading.configure(settings.offload);
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
@@ -182,7 +186,7 @@
             clock: dependencies.clock,
             boot_id: rand::random(),
             config: cell::RefCell::default(),
-            fleet: cell::RefCell::new(fleet::Fleet::new(location, change_deadline)),
+            fleet: cell::RefCell::new(fleet),
             upstreams_listed: cell::Cell::new(false),
             pool: http_client::Pool::default(),
             metrics: metrics::Metrics::new(&memory)?,
--- a/crates/router/src/in_flight.rs
+++ b/crates/router/src/in_flight.rs
@@ -6,7 +6,7 @@
 use base::{clock, name};
 use tokio::time;
 
-use crate::{attempt, host, http_client, ports, selection};
+use crate::{attempt, host, http_client, offloading, ports, selection};
 
 /// Accounting entry of a request at an upstream. Dropping it ends the request in the fleet's
 /// accounts.
@@ -20,6 +20,10 @@
     pub sent_at: clock::Millis,
     /// Whether the prompt still counts among the upstream's unread tokens.
     prompt_pending: cell::Cell<bool>,
+    /// Data centre of the upstream; `None` if the upstream was removed before the request was sent.
+    dc: Option<name::Dc>,
+    /// Bytes of the request's and the response's body so far.
+    bytes: cell::Cell<u64>,
 }
 
 impl InFlight {
@@ -30,15 +34,29 @@
         selection: selection::Selection,
     ) -> Self {
         let now = host.now();
-        host.fleet
-            .borrow_mut()
-            .record_sent(&selection, &call.meta.prompt_parts, now);
-        Self {
+        let mut fleet = host.fleet.borrow_mut();
+        fleet.record_sent(&selection, &call.meta.prompt_parts, now);
+        let dc = fleet.get(&selection.name).map(|t| t.upstream.dc.clone());
+        drop(fleet);
+        let in_flight = Self {
             host: host.clone(),
             service: call.service.clone(),
             selection,
             sent_at: now,
             prompt_pending: cell::Cell::new(true),
+            dc,
+            bytes: cell::Cell::new(0),
+        };
+        in_flight.record_bytes(call.body.len());
+        in_flight
+    }
+
+    /// Records bytes of the request's or the response's body.
+    pub fn record_bytes(&self, bytes: usize) {
+        let bytes = bytes as u64;
+        self.bytes.set(self.bytes.get() + bytes);
+        if let Some(dc) = &self.dc {
+            offloading::record_bytes(&self.host, dc, bytes);
         }
     }
 
@@ -87,6 +105,10 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.record_prompt_read();
+        let distance = self.selection.details.distance.as_str();
+        self.host
+            .metrics
+            .record_transfer(distance, self.bytes.get());
         self.host
             .fleet
             .borrow_mut()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod model;
+pub mod offloading;
 pub mod ports;
 pub mod prefix_cache;
 pub mod prompt_evidence;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -21,6 +21,8 @@
     retries: metrics::Counter<u64>,
     responses: metrics::Counter<u64>,
     relayed_bytes: metrics::Counter<u64>,
+    upstream_requests: metrics::Counter<u64>,
+    upstream_bytes: metrics::Counter<u64>,
     announcements: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
@@ -59,6 +61,8 @@
             retries: meter.u64_counter("retries").build(),
             responses: meter.u64_counter("answers").build(),
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
+            upstream_requests: meter.u64_counter("upstream_requests").build(),
+            upstream_bytes: meter.u64_counter("upstream_bytes").build(),
             announcements: meter.u64_counter("upstream_announcements").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
@@ -94,6 +98,14 @@
         self.relayed_bytes.add(bytes, &[]);
     }
 
+    /// Counts a request that was sent to an upstream at `distance`, and the bytes of its body and of
+    /// the response's.
+    pub fn record_transfer(&self, distance: &'static str, bytes: u64) {
+        let distance = [KeyValue::new("distance", distance)];
+        self.upstream_requests.add(1, &distance);
+        self.upstream_bytes.add(bytes, &distance);
+    }
+
     /// Counts a finished response and records its times to the first byte and to the end, in
     /// milliseconds.
     pub fn record_response(&self, route: &str, end: &'static str, first: Option<f64>, total: f64) {
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -92,6 +92,7 @@
         excluded: &history.tried,
         homes: None,
         is_retryable: call.route.is_retryable(),
+        id: &call.meta.id,
     };
     let fleet = host.fleet.borrow();
     let now = host.now();
@@ -267,6 +268,10 @@
         told = history.details.reported_requests,
         told_age_ms = history.details.report_age_ms,
         cost_ms = history.details.cost_ms,
+        distance = history.details.distance.as_str(),
+        cost_here_ms = history.details.cost_here_ms,
+        leaves_by = history.details.leaves_by,
+        figures_age_ms = history.details.figures_age.map(|a| a.0),
         band = call.stream_class.as_str(),
         at_band = history.details.upstream_class.as_str(),
         config = call.config_version,
--- a/crates/router/src/selection.rs
+++ b/crates/router/src/selection.rs
@@ -2,7 +2,7 @@
 
 use base::{clock, name};
 
-use crate::{announcements, ports, stream_class};
+use crate::{announcements, location, ports, stream_class};
 
 /// Properties of a request that determine which upstream is selected for it.
 #[derive(Clone, Debug)]
@@ -23,6 +23,8 @@
     pub homes: Option<&'a [name::Region]>,
     /// Whether the request may be sent again after an attempt that may have run.
     pub is_retryable: bool,
+    /// Identifier of the request, by which it belongs to the share that leaves for another data centre.
+    pub id: &'a str,
 }
 
 impl Criteria<'_> {
@@ -80,6 +82,15 @@
     pub cost_ms: u64,
     /// Class of streams that the selected upstream is reserved for.
     pub upstream_class: stream_class::StreamClass,
+    /// How far the selected upstream is.
+    pub distance: location::Distance,
+    /// Lowest estimated cost in this host's own data centre, in milliseconds; `None` if no upstream
+    /// there was usable.
+    pub cost_here_ms: Option<u64>,
+    /// What load allowed the request; `None` if it stayed or there were no figures.
+    pub leaves_by: Option<&'static str>,
+    /// Age of the load figures of both data centres, the older one; `None` without current ones.
+    pub figures_age: Option<clock::Millis>,
 }
 
 impl Details {
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -90,6 +90,7 @@
             Some(Ok(frame)) => {
                 in_flight.record_data();
                 if let Some(data) = frame.data_ref() {
+                    in_flight.record_bytes(data.len());
                     parser.push(data);
                 }
                 if hold.resize(parser.buffered_bytes()).is_err() {
--- a/crates/router/tests/announcements.rs
+++ b/crates/router/tests/announcements.rs
@@ -70,6 +70,7 @@
         excluded: &[],
         homes: None,
         is_retryable: true,
+        id: "r",
     };
     match fleet.select(&criteria, now) {
         Some(selection) => Ok(selection.name.to_string()),
@@ -139,6 +140,7 @@
         excluded: &[],
         homes: None,
         is_retryable: true,
+        id: "r",
     };
     let details = |fleet: &fleet::Fleet, ms| {
         let now = START + clock::Millis(ms);
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -11,7 +11,7 @@
 use std::rc;
 
 use base::{clock, diagnostic, name};
-use router::{budget, host, leader, location, model, ports};
+use router::{budget, host, leader, location, model, offloading, ports};
 use smallvec::smallvec;
 use tokio::{task, time};
 
@@ -385,6 +385,7 @@
         },
         cold_tolerance: None,
         dc_drain_deadline: None,
+        offload: offloading::Settings::default(),
     };
     let dependencies = host::Dependencies {
         protocol: Box::new(TestProtocol),
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -66,6 +66,7 @@
         excluded: &[],
         homes: None,
         is_retryable: true,
+        id: "r",
     }
 }
 
--- a/crates/router/tests/plain_overload.rs
+++ b/crates/router/tests/plain_overload.rs
@@ -111,6 +111,7 @@
                 excluded: &[],
                 homes: None,
                 is_retryable: true,
+                id: "r",
             };
             if fleets[host].select(&criteria, now).is_none() {
                 continue;
@@ -198,6 +199,7 @@
         excluded: &[],
         homes: None,
         is_retryable: true,
+        id: "r",
     };
     for (report, hold_ms) in [
         ([u32::MAX; 3], MAX_HOLD_MS),
