A manifest is checked before it is deployed

Operators learnt only from hosts, after a manifest was in the store, that it had errors, and never that a route could not match, that limits contradicted each other, or what a version changed.

It reports errors and entries without effect with place and remedy, and the differences from the version in force without API keys. Files over 64 MiB are refused by all commands that read one. A test of usage names a type that was inferred before, because the base package now uses the JSON library; what it checks is the same.

The exit code is 2 with an error and 0 with warnings alone.

--- a/crates/base/src/diagnostic.rs
+++ b/crates/base/src/diagnostic.rs
@@ -3,6 +3,7 @@
 use std::error;
 use std::fmt;
 use std::fs;
+use std::io::{self, Read as _};
 use std::path;
 
 /// Position of a diagnostic in an input file.
@@ -70,13 +71,28 @@
     }
 }
 
+/// Size up to which files are read.
+pub const MAX_FILE_BYTES: u64 = 64 << 20;
+
+fn read_bounded(file: &path::Path) -> io::Result<String> {
+    let mut bytes = Vec::new();
+    let file = fs::File::open(file)?;
+    file.take(MAX_FILE_BYTES + 1).read_to_end(&mut bytes)?;
+    if bytes.len() as u64 > MAX_FILE_BYTES {
+        let message = format!("it is larger than {MAX_FILE_BYTES} bytes");
+        return Err(io::Error::other(message));
+    }
+    String::from_utf8(bytes).map_err(|_| io::Error::other("it is no UTF-8 text"))
+}
+
 /// Reads a text file into a string.
 ///
 /// # Errors
 ///
-/// Returns one diagnostic with `hint` if the file can't be read.
+/// Returns one diagnostic with `hint` if the file can't be read, is no UTF-8 text or is larger than
+/// [`MAX_FILE_BYTES`].
 pub fn read_file(file: &path::Path, hint: &str) -> Result<String, Diagnostics> {
-    fs::read_to_string(file).map_err(|e| {
+    read_bounded(file).map_err(|e| {
         let mut diagnostics = Diagnostics::default();
         let file = file.display().to_string();
         let location = Location {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -20,6 +20,10 @@
         cmd check {
             /// The document, a YAML file.
             required file: PathBuf
+            /// List the differences from this document, the one in force.
+            optional --against against: PathBuf
+            /// Print the result as JSON.
+            optional --json
         }
         /// Show the changes that applying a document would make.
         cmd diff {
@@ -110,6 +114,9 @@
 #[derive(Debug)]
 pub struct Check {
     pub file: PathBuf,
+
+    pub against: Option<PathBuf>,
+    pub json: bool,
 }
 
 #[derive(Debug)]
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fmt;
+use std::io;
 
 use base::diagnostic;
 use config::log_store;
@@ -9,8 +10,12 @@
 use crate::exit_codes;
 
 /// Error of a command.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub(crate) enum Error {
+    /// The document has errors, which have been printed.
+    Reported,
+    /// The result can't be printed.
+    Output(io::Error),
     /// The document could not be read or has errors.
     Document(diagnostic::Diagnostics),
     /// The configuration log could not be read or written.
@@ -44,15 +49,17 @@
     /// Returns the exit code for the error.
     pub(crate) fn exit_code(&self) -> exit_codes::ExitCode {
         match self {
-            Self::Document(_) => exit_codes::ExitCode::Usage,
+            Self::Document(_) | Self::Reported => exit_codes::ExitCode::Usage,
             Self::ChangeLog(log_store::Error::Conflict(_)) | Self::DigestMismatch(_) => {
                 exit_codes::ExitCode::Conflict
             }
             Self::ChangeLog(log_store::Error::Unknown) => exit_codes::ExitCode::Unknown,
             Self::Secret(_) => exit_codes::ExitCode::Usage,
-            Self::ChangeLog(_) | Self::UnknownTeam(_) | Self::UnknownKey | Self::Host(_) => {
-                exit_codes::ExitCode::Failure
-            }
+            Self::Output(_)
+            | Self::ChangeLog(_)
+            | Self::UnknownTeam(_)
+            | Self::UnknownKey
+            | Self::Host(_) => exit_codes::ExitCode::Failure,
         }
     }
 }
@@ -60,6 +67,8 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Reported => f.write_str("the document has errors"),
+            Self::Output(e) => write!(f, "the result can't be printed: {e}"),
             Self::Document(diagnostics) => write!(f, "{diagnostics}"),
             Self::ChangeLog(e @ log_store::Error::Conflict(_)) => {
                 write!(
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod error;
 mod exit_codes;
 mod key;
+mod review;
 mod show;
 
 use std::process;
@@ -12,7 +13,7 @@
 fn main() -> process::ExitCode {
     let flags = cli::Jacinthctl::from_env_or_exit();
     let result = match &flags.subcommand {
-        cli::JacinthctlCmd::Check(c) => show::check(&c.file),
+        cli::JacinthctlCmd::Check(c) => show::check(c),
         cli::JacinthctlCmd::Diff(d) => show::diff(d),
         cli::JacinthctlCmd::Apply(a) => change::apply(a),
         cli::JacinthctlCmd::Promote(p) => change::promote(p),
@@ -25,7 +26,9 @@
     match result {
         Ok(()) => exit_codes::ExitCode::Success.into(),
         Err(error) => {
-            eprintln!("{error}");
+            if !matches!(error, error::Error::Reported) {
+                eprintln!("{error}");
+            }
             error.exit_code().into()
         }
     }
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -2,11 +2,11 @@
 
 use std::path;
 
-use base::diagnostic;
+use base::{diagnostic, findings};
 use config::{document, item, log, log_store, parse};
 use ports::{store, store_http};
 
-use crate::{change, cli, error};
+use crate::{change, cli, error, review};
 
 /// Maximum number of revisions that `history` lists.
 const HISTORY_LENGTH: u64 = 20;
@@ -17,17 +17,43 @@
     Ok(parse::document(&file.display().to_string(), &text)?)
 }
 
-/// Runs `check`: validates a document and prints a summary.
-pub(crate) fn check(file: &path::Path) -> Result<(), error::Error> {
-    let doc = read_document(file)?;
-    let digest = item::digest(&item::items(&doc));
-    println!(
-        "{}: no fault found; {} classes, {} teams, {} services; digest {digest}",
-        file.display(),
-        doc.classes.len(),
-        doc.teams.len(),
-        doc.services.len()
-    );
+/// Runs `check`: validates a document, compares it with another one, and prints a summary.
+pub(crate) fn check(args: &cli::Check) -> Result<(), error::Error> {
+    let mut report = findings::Report::default();
+    let file = args.file.display().to_string();
+    let doc = match read_document(&args.file) {
+        Ok(doc) => Some(doc),
+        Err(error::Error::Document(diagnostics)) => {
+            report.add_diagnostics(&diagnostics);
+            None
+        }
+        Err(e) => return Err(e),
+    };
+    if let Some(doc) = &doc {
+        review::add_findings(doc, &file, &mut report);
+    }
+    if let (Some(doc), Some(against)) = (&doc, &args.against) {
+        match read_document(against) {
+            Ok(old) => report.changes = Some(review::differences(&old, doc)?),
+            Err(error::Error::Document(diagnostics)) => report.add_diagnostics(&diagnostics),
+            Err(e) => return Err(e),
+        }
+    }
+    report
+        .print(&file, args.json)
+        .map_err(error::Error::Output)?;
+    if report.has_errors() {
+        return Err(error::Error::Reported);
+    }
+    if let Some(doc) = doc.filter(|_| !args.json) {
+        let digest = item::digest(&item::items(&doc));
+        println!(
+            "{} classes, {} teams, {} services; digest {digest}",
+            doc.classes.len(),
+            doc.teams.len(),
+            doc.services.len()
+        );
+    }
     Ok(())
 }
 
--- a/crates/ctl/tests/check.rs
+++ b/crates/ctl/tests/check.rs
@@ -52,3 +52,42 @@
     assert_eq!(code, 1);
     assert!(err.contains("can't be reached"), "{err}");
 }
+
+/// Guards against a document that is applied with entries without effect, or whose changes nobody saw.
+#[test]
+fn warnings_and_differences_of_a_valid_document_are_printed() {
+    let text = "classes:\n  - {name: chat, tier: 1, first_ms: 600}\n  - {name: idle, tier: 2, first_ms: 600}\n\
+                teams:\n  - {name: quotes, classes: [chat]}\n";
+    let write = |name: &str, text: &str| {
+        let file = format!("jacinth-review-{name}-{}.yaml", process::id());
+        let file = std::env::temp_dir().join(file);
+        fs::write(&file, text).expect("document");
+        file.display().to_string()
+    };
+    let old = write("old", text);
+    let new = write("new", &text.replace("tier: 1", "tier: 3"));
+    let run = |args: &[&str]| {
+        let program = env!("CARGO_BIN_EXE_jacinthctl");
+        let out = process::Command::new(program).args(args).output();
+        let out = out.expect("jacinthctl");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (out.status.code(), text(&out.stdout), text(&out.stderr))
+    };
+    let (code, out, err) = run(&["check", &new, "--against", &old]);
+    assert_eq!(code, Some(0), "{err}");
+    assert!(
+        err.contains("class idle: warning: no team uses it"),
+        "{err}"
+    );
+    assert!(out.contains("~ class \"chat\"\n    tier: 1 -> 3"), "{out}");
+    let (code, out, _) = run(&["check", &new, "--against", &old, "--json"]);
+    let json: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!(
+        (code, &json["changes"][0]["change"]),
+        (Some(0), &"changed".into())
+    );
+    let (code, out, err) = run(&["check", "no-such-file.yaml", "--json"]);
+    assert_eq!((code, err.as_str()), (Some(2), ""));
+    assert!(out.contains("\"severity\":\"error\""), "{out}");
+    let _ = (fs::remove_file(old), fs::remove_file(new));
+}
--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -28,6 +28,12 @@
             optional --held-mb mb: u32
             /// Check the settings file, report all errors and exit.
             optional --check
+            /// With --check: check this manifest (JSON) too.
+            optional --manifest manifest: PathBuf
+            /// With --manifest: list the differences from this manifest, the version in force.
+            optional --against against: PathBuf
+            /// With --check: print the result as JSON.
+            optional --json
         }
         /// Check a settings file, report all errors and exit.
         cmd check {
@@ -64,6 +70,9 @@
     pub settings: Option<PathBuf>,
     pub held_mb: Option<u32>,
     pub check: bool,
+    pub manifest: Option<PathBuf>,
+    pub against: Option<PathBuf>,
+    pub json: bool,
 }
 
 #[derive(Debug)]
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod permit;
 pub mod plain;
 pub mod platform;
+pub mod platform_check;
 pub mod read_timeout;
 pub mod report;
 pub mod response;
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -10,7 +10,7 @@
 use router::{host, lifecycle};
 use tokio::task;
 
-use crate::{cli, exit_codes, logs};
+use crate::{cli, exit_codes, logs, platform_check};
 
 /// Runs a host on the users' platform until SIGTERM, or only checks its settings with `--check`.
 pub fn run(args: &cli::Platform) -> exit_codes::ExitCode {
@@ -22,6 +22,16 @@
         );
         return exit_codes::ExitCode::Usage;
     };
+    let is_misused = !args.check && (args.manifest.is_some() || args.json);
+    if is_misused || args.manifest.is_none() && args.against.is_some() {
+        eprintln!(
+            "jacinthslip: --manifest and --json need --check, and --against needs --manifest."
+        );
+        return exit_codes::ExitCode::Usage;
+    }
+    if args.check {
+        return platform_check::run(args, &file);
+    }
     let mut settings = match settings::read(&file) {
         Ok(settings) => settings,
         Err(diagnostics) => {
@@ -29,10 +39,6 @@
             return exit_codes::ExitCode::Usage;
         }
     };
-    if args.check {
-        println!("{}: no fault found", file.display());
-        return exit_codes::ExitCode::Success;
-    }
     match args.held_mb {
         None => {}
         Some(0) => {
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -209,7 +209,7 @@
         }
         prop_assert_eq!(sim.host.ledger.pending(), 0);
         sim.seal();
-        prop_assert_eq!(sim.billed(), (1..=sim.recorded).sum());
+        prop_assert_eq!(sim.billed(), (1..=sim.recorded).sum::<u64>());
     }
 
     #[test]
