--- a/crates/policy/src/engine_classes.rs
+++ b/crates/policy/src/engine_classes.rs
@@ -1,8 +1,8 @@
 //! Decides what share of a service's engines is reserved for each class of streams.
 //!
-//! The shares follow the demand of the classes. An engine that changes its class loses the use of
-//! the prefixes in its cache, so shares change only when the classes are clearly unequal, and in
-//! bounded steps.
+//! An engine that changes its class loses the use of the prefixes in its cache, and the next burst may be
+//! of another class. So the shares stay at their defaults until one class is crowded while another has
+//! engines to spare, and then move once, by a bounded part.
 
 use std::collections;
 
@@ -19,35 +19,25 @@
 /// Shares while no demand has called for others.
 pub const DEFAULT_SHARES: Shares = [200, 200, 600];
 
+/// Class that gives no engines away: streams with short gaps need engines that process few prompts.
+const SHORT_GAP: usize = 0;
 /// Samples of the need whose median counts. A burst of two seconds changes no median of five.
 const SAMPLE_COUNT: usize = 5;
 /// Samples from which on shares are changed.
 const MIN_SAMPLES: usize = 4;
-/// Divisor of the moving mean of the median: the newest one has weight `1 / N`. With the median alone,
-/// noise of 40% changed the shares every six seconds.
-const SMOOTHING: f64 = 3.0;
-/// Ratio of two classes' pressures above which the shares begin to change, and below which they
-/// are left alone again.
-const START_RATIO: f64 = 1.5;
-const STOP_RATIO: f64 = 1.25;
-/// Sum over the decisions of the ratio's excess over [`START_RATIO`] at which a change begins: a ratio
-/// of [`MAX_RATIO`] starts it at once, one of 1.6, as in noise, after ten seconds.
-const MIN_EXCESS: f64 = 1.0;
-/// Ratio above which a larger one makes no difference.
-const MAX_RATIO: f64 = 4.0;
-/// Highest pressure below which no change begins: no request waits, and caches would be lost for
-/// nothing.
-const MIN_PRESSURE: f64 = 0.1;
-/// Largest part of all engines that changes its class at once, in thousandths.
-const MAX_STEP: u16 = 100;
-/// Difference from the intended shares that is left alone, in thousandths.
-const TOLERANCE: u16 = 30;
-/// Smallest share of a class with any demand, in thousandths.
-const MIN_SHARE: u16 = 50;
-/// Time between the end of one change and the begin of the next.
-const SETTLE_PERIOD: clock::Millis = clock::Millis::secs(5);
-/// Time since its last demand after which a class keeps no engine.
-const IDLE_PERIOD: clock::Millis = clock::Millis::secs(30);
+/// Ratio of two classes' crowding from which on engines move, and the ratio that remains after it. Bursts
+/// of one class by a factor of 2.5 pass below the first one; following these cost 0.05 to 0.08 of the value
+/// of all responses, in prefixes that were read again.
+const START_RATIO: f64 = 4.0;
+const STOP_RATIO: f64 = 2.0;
+/// Decisions in a row that have to call for a change.
+const MIN_CALLS: u32 = 2;
+/// Part of its default share that a class gives away at most.
+const MAX_GIVEN: f64 = 1.0 / 3.0;
+/// Engines needed per engine of a class below which it is not crowded.
+const MIN_CROWDING: f64 = 0.4;
+/// Time for which the crowding must have been even before the defaults are restored.
+const RETURN_PERIOD: clock::Millis = clock::Millis::secs(10);
 /// Largest plausible figure of the demand.
 const MAX_FIGURE: f64 = 1e9;
 
@@ -80,10 +70,6 @@
         };
         (clamped, clamped == *self)
     }
-
-    fn is_any(&self) -> bool {
-        self.prompt_tokens > 0.0 || self.running > 0.0 || self.requests > 0.0
-    }
 }
 
 /// What one engine can do.
@@ -130,14 +116,10 @@
 pub struct Planner {
     shares: Shares,
     samples: collections::VecDeque<[f64; CLASS_COUNT]>,
-    /// Moving mean of the median of the samples; `None` before the first sample.
-    need: Option<[f64; CLASS_COUNT]>,
-    /// When each class last had any demand.
-    demanded_at: [Option<clock::Millis>; CLASS_COUNT],
-    is_changing: bool,
-    /// Sum of the excesses of the ratio over [`START_RATIO`], see [`MIN_EXCESS`].
-    excess: f64,
-    settled_at: Option<clock::Millis>,
+    /// Decisions in a row that called for a change.
+    calls: u32,
+    /// When the classes became evenly crowded; `None` while they are not.
+    even_since: Option<clock::Millis>,
 }
 
 impl Default for Planner {
@@ -156,11 +138,8 @@
                 DEFAULT_SHARES
             },
             samples: collections::VecDeque::new(),
-            need: None,
-            demanded_at: [None; CLASS_COUNT],
-            is_changing: false,
-            excess: 0.0,
-            settled_at: None,
+            calls: 0,
+            even_since: None,
         }
     }
 
@@ -173,25 +152,16 @@
         model: &EngineModel,
         now: clock::Millis,
     ) -> Decision {
-        let demand = demand.map(|d| d.clamped().0);
-        for (class, demand) in demand.iter().enumerate() {
-            // A new leader doesn't know which classes had demand before.
-            let is_first = self.samples.is_empty() && self.shares[class] > 0;
-            if demand.is_any() || is_first {
-                self.demanded_at[class] = Some(now);
-            }
-        }
         if self.samples.len() >= SAMPLE_COUNT {
             self.samples.pop_front();
         }
-        self.samples.push_back(demand.map(|d| model.need(&d)));
-        let need = self.smooth_need();
-        let pressure = self.pressure(&need, engines);
+        let sample = demand.map(|d| model.need(&d.clamped().0));
+        self.samples.push_back(sample);
+        let need = self.median_need();
+        let pressure = crowding(&need, &self.shares, engines);
         let before = self.shares;
-        if engines > 0 {
-            let min = self.min_shares(engines, now);
-            self.admit_returning(&demand, &min);
-            self.change(&need, &pressure, &min, engines, now);
+        if engines > 0 && self.samples.len() >= MIN_SAMPLES {
+            self.change(&need, engines, now);
         }
         Decision {
             shares: self.shares,
@@ -201,177 +171,84 @@
         }
     }
 
-    fn smooth_need(&mut self) -> [f64; CLASS_COUNT] {
+    fn median_need(&self) -> [f64; CLASS_COUNT] {
         let mut median = [0.0; CLASS_COUNT];
         for (class, median) in median.iter_mut().enumerate() {
             let mut samples: Vec<f64> = self.samples.iter().map(|s| s[class]).collect();
             samples.sort_by(f64::total_cmp);
             *median = samples[samples.len() / 2];
         }
-        if self.samples.len() <= MIN_SAMPLES {
-            self.need = None;
-        }
-        let need = self.need.get_or_insert(median);
-        for (need, median) in need.iter_mut().zip(median) {
-            *need += (median - *need) / SMOOTHING;
-        }
-        *need
-    }
-
-    fn pressure(&self, need: &[f64; CLASS_COUNT], engines: u32) -> [f64; CLASS_COUNT] {
-        let mut pressure = [0.0; CLASS_COUNT];
-        for (class, pressure) in pressure.iter_mut().enumerate() {
-            if need[class] > 0.0 {
-                let share = f64::from(self.shares[class]) / f64::from(WHOLE);
-                *pressure = need[class] / (share * f64::from(engines));
-            }
-        }
-        pressure
-    }
-
-    /// Smallest share of each class: that of one engine at least if it had any demand lately.
-    fn min_shares(&self, engines: u32, now: clock::Millis) -> Shares {
-        let one_engine = u32::from(WHOLE).div_ceil(engines.max(1)) as u16;
-        let min = MIN_SHARE.max(one_engine).min(WHOLE / CLASS_COUNT as u16);
-        self.demanded_at.map(|at| match at {
-            Some(at) if now.since(at) < IDLE_PERIOD => min,
-            _ => 0,
-        })
+        median
     }
 
-    /// Gives a class that had no engine its smallest share as soon as it has demand.
-    fn admit_returning(&mut self, demand: &[Demand; CLASS_COUNT], min: &Shares) {
-        for class in 0..CLASS_COUNT {
-            if self.shares[class] > 0 || !demand[class].is_any() {
-                continue;
+    fn change(&mut self, need: &[f64; CLASS_COUNT], engines: u32, now: clock::Millis) {
+        let crowding = crowding(need, &DEFAULT_SHARES, engines);
+        let Some((crowded, donor)) = most_uneven(&crowding) else {
+            return;
+        };
+        let ratio = |class: usize| crowding[class] / crowding[donor];
+        if ratio(crowded) <= STOP_RATIO {
+            self.calls = 0;
+            let since = *self.even_since.get_or_insert(now);
+            if now.since(since) >= RETURN_PERIOD {
+                self.shares = DEFAULT_SHARES;
             }
-            let Some(donor) = (0..CLASS_COUNT).max_by_key(|c| self.shares[*c]) else {
-                continue;
-            };
-            let given = min[class].min(self.shares[donor]);
-            self.shares[donor] -= given;
-            self.shares[class] += given;
+            return;
         }
-    }
-
-    fn change(
-        &mut self,
-        need: &[f64; CLASS_COUNT],
-        pressure: &[f64; CLASS_COUNT],
-        min: &Shares,
-        engines: u32,
-        now: clock::Millis,
-    ) {
-        let highest = pressure.iter().copied().fold(0.0, f64::max);
-        if self.samples.len() < MIN_SAMPLES || highest <= 0.0 {
+        self.even_since = None;
+        // Engines stay with the class that has got them until it does without.
+        let is_needed =
+            |class: usize| self.shares[class] > DEFAULT_SHARES[class] && ratio(class) > STOP_RATIO;
+        let is_uneven = ratio(crowded) >= START_RATIO && crowding[crowded] >= MIN_CROWDING;
+        if !is_uneven || (0..CLASS_COUNT).any(is_needed) {
+            self.calls = 0;
             return;
         }
-        let target = target_shares(need, min);
-        let ratio = self.imbalance(pressure, min, highest);
-        if self.is_changing {
-            let is_near = (0..CLASS_COUNT)
-                .all(|class| self.shares[class].abs_diff(target[class]) <= TOLERANCE);
-            if is_near || ratio <= STOP_RATIO {
-                self.is_changing = false;
-                self.settled_at = Some(now);
-                return;
-            }
-        } else {
-            let is_settling = self
-                .settled_at
-                .is_some_and(|at| now.since(at) < SETTLE_PERIOD);
-            let excess = self.excess + ratio.min(MAX_RATIO) - START_RATIO;
-            self.excess = excess.clamp(0.0, MIN_EXCESS);
-            let is_unequal = ratio > START_RATIO && self.excess >= MIN_EXCESS;
-            if !is_unequal || highest < MIN_PRESSURE || is_settling {
-                return;
-            }
-            self.excess = 0.0;
-            self.is_changing = true;
+        self.calls += 1;
+        if self.calls >= MIN_CALLS {
+            self.calls = 0;
+            self.shares = moved_shares(need, crowded, donor);
         }
-        let one_engine = u32::from(WHOLE).div_ceil(engines) as u16;
-        self.shares = step(&self.shares, &target, MAX_STEP.max(one_engine));
     }
+}
 
-    /// Ratio of the highest pressure to the lowest of the classes that can give engines away; 1 if
-    /// there is none.
-    fn imbalance(&self, pressure: &[f64; CLASS_COUNT], min: &Shares, highest: f64) -> f64 {
-        let lowest = (0..CLASS_COUNT)
-            .filter(|class| self.shares[*class] > min[*class] + TOLERANCE)
-            .map(|class| pressure[class])
-            .fold(highest, f64::min);
-        if lowest == highest {
-            1.0
-        } else {
-            highest / lowest
+/// Engines needed per engine of each class; 0 for a class without demand.
+fn crowding(need: &[f64; CLASS_COUNT], shares: &Shares, engines: u32) -> [f64; CLASS_COUNT] {
+    let mut crowding = [0.0; CLASS_COUNT];
+    for (class, crowding) in crowding.iter_mut().enumerate() {
+        if need[class] > 0.0 {
+            let share = f64::from(shares[class]) / f64::from(WHOLE);
+            *crowding = need[class] / (share * f64::from(engines));
         }
     }
+    crowding
 }
 
-/// Whether shares are complete: their sum is [`WHOLE`].
-pub fn is_valid(shares: &Shares) -> bool {
-    shares.iter().map(|s| u32::from(*s)).sum::<u32>() == u32::from(WHOLE)
+/// Returns the most crowded class and the least crowded other one that may give engines away; `None` if
+/// there is no such pair. A class without demand keeps its engines: others use them at a low cost.
+fn most_uneven(crowding: &[f64; CLASS_COUNT]) -> Option<(usize, usize)> {
+    let by_crowding = |a: &usize, b: &usize| crowding[*a].total_cmp(&crowding[*b]);
+    let crowded = (0..CLASS_COUNT).max_by(by_crowding)?;
+    let may_give =
+        |class: &usize| *class != SHORT_GAP && *class != crowded && crowding[*class] > 0.0;
+    let donor = (0..CLASS_COUNT).filter(may_give).min_by(by_crowding)?;
+    Some((crowded, donor))
 }
 
-/// Shares in proportion to the need, except that no class gets less than `min`.
-fn target_shares(need: &[f64; CLASS_COUNT], min: &Shares) -> Shares {
-    let mut is_at_min = [false; CLASS_COUNT];
-    let mut shares = [0.0; CLASS_COUNT];
-    // Each round adds at least one class to those at their minimum, or is the last one.
-    for _ in 0..=CLASS_COUNT {
-        let mut rest = f64::from(WHOLE);
-        let mut rest_need = 0.0;
-        for class in 0..CLASS_COUNT {
-            if is_at_min[class] {
-                rest -= f64::from(min[class]);
-            } else {
-                rest_need += need[class];
-            }
-        }
-        for class in 0..CLASS_COUNT {
-            shares[class] = if is_at_min[class] {
-                f64::from(min[class])
-            } else {
-                rest * need[class] / rest_need.max(f64::MIN_POSITIVE)
-            };
-        }
-        let mut is_last = true;
-        for class in 0..CLASS_COUNT {
-            if !is_at_min[class] && shares[class] < f64::from(min[class]) {
-                is_at_min[class] = true;
-                is_last = false;
-            }
-        }
-        if is_last {
-            break;
-        }
-    }
-    completed(shares)
-}
-
-/// Rounds shares; the class with the largest one takes what is missing from the whole.
-fn completed(shares: [f64; CLASS_COUNT]) -> Shares {
-    let mut rounded = shares.map(|s| s.round().clamp(0.0, f64::from(WHOLE)) as i32);
-    let missing = i32::from(WHOLE) - rounded.iter().sum::<i32>();
-    if let Some(largest) = rounded.iter_mut().max() {
-        *largest += missing;
-    }
-    rounded.map(|s| s.clamp(0, i32::from(WHOLE)) as u16)
+/// The default shares, with engines moved from `donor` to `crowded` until the ratio of their crowding is
+/// [`STOP_RATIO`], but no more than [`MAX_GIVEN`].
+fn moved_shares(need: &[f64; CLASS_COUNT], crowded: usize, donor: usize) -> Shares {
+    let mut shares = DEFAULT_SHARES;
+    let (taker, giver) = (f64::from(shares[crowded]), f64::from(shares[donor]));
+    let given = (need[crowded] * giver - STOP_RATIO * need[donor] * taker)
+        / (need[crowded] + STOP_RATIO * need[donor]);
+    let given = given.clamp(0.0, giver * MAX_GIVEN) as u16;
+    shares[crowded] += given;
+    shares[donor] -= given;
+    shares
 }
 
-/// Moves `shares` towards `target`; classes gain at most `limit` together.
-fn step(shares: &Shares, target: &Shares, limit: u16) -> Shares {
-    let gain: u16 = (0..CLASS_COUNT)
-        .map(|class| target[class].saturating_sub(shares[class]))
-        .sum();
-    if gain <= limit {
-        return *target;
-    }
-    let part = f64::from(limit) / f64::from(gain);
-    let mut next = [0.0; CLASS_COUNT];
-    for (class, next) in next.iter_mut().enumerate() {
-        let share = f64::from(shares[class]);
-        *next = share + (f64::from(target[class]) - share) * part;
-    }
-    completed(next)
+/// Whether shares are complete: their sum is [`WHOLE`].
+pub fn is_valid(shares: &Shares) -> bool {
+    shares.iter().map(|s| u32::from(*s)).sum::<u32>() == u32::from(WHOLE)
 }
--- a/crates/router/src/digest.rs
+++ b/crates/router/src/digest.rs
@@ -187,6 +187,9 @@
             rate => rate.clamp(READING_RATES.0, READING_RATES.1),
         };
         fleet.set_figures(&service.service, service.shares, speeds, reading_rate);
+        if host.settings.offload.by_load {
+            fleet.record_dc_loads(&service.service, &service.dcs, host.now());
+        }
     }
     drop(fleet);
     *host.digest.digest.borrow_mut() = Some((digest.clone(), host.now()));
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -11,8 +11,8 @@
 mod dc_drains;
 
 use crate::{
-    announcements, location, model, ports, preference, prefix_cache, selection, slowdown,
-    stream_class, tracked, warm_up,
+    announcements, location, model, offloading, ports, preference, prefix_cache, selection,
+    slowdown, stream_class, tracked, warm_up,
 };
 
 /// Time from sending a prompt to its first event, excluding prompt processing, in milliseconds.
@@ -21,9 +21,9 @@
 /// because processing this prompt also delays the other requests of the engine.
 const OWN_PREFILL_WEIGHT: f64 = 2.0;
 /// Estimated delay of the first token per active request at an engine, in milliseconds.
-const ACTIVE_REQUEST_COST_MS: f64 = 1.0;
+pub(crate) const ACTIVE_REQUEST_COST_MS: f64 = 1.0;
 /// Estimated delay per active request at an upstream that is not an engine, in milliseconds.
-const PLAIN_REQUEST_COST_MS: f64 = 20.0;
+pub(crate) const PLAIN_REQUEST_COST_MS: f64 = 20.0;
 /// Share of the drain deadline for which an upstream that leaves is still used if there is no other. It
 /// goes on serving for longer, and its successor may need that time to start.
 const LEAVING_USE_SHARE: f64 = 0.5;
@@ -50,6 +50,8 @@
     pub announcements: announcements::Announcements,
     /// Cold upstreams, and what this host may send to them.
     pub warm_up: warm_up::WarmUp,
+    /// What leaves for other data centres.
+    pub offloading: offloading::Offloading,
     /// Time for which an upstream that said that it leaves may get requests that no other takes.
     leaving_use: clock::Millis,
     /// Data centres whose upstreams get no requests.
@@ -61,6 +63,7 @@
     /// leaves gets no request after `drain_deadline`.
     pub fn new(location: location::Location, drain_deadline: clock::Millis) -> Self {
         Self {
+            offloading: offloading::Offloading::new(location.clone()),
             location,
             upstreams: collections::HashMap::new(),
             services: collections::HashMap::new(),
@@ -232,6 +235,7 @@
         // The second one is used only if there is no other.
         let mut best: [Option<(f64, &tracked::TrackedUpstream, u64)>; 2] = [None; 2];
         let mut last_resort = None;
+        let mut cost_here_ms: Option<f64> = None;
         let mut details = selection::Details::default();
         for (tracked, willingness) in self.untried(criteria, now) {
             if details.record_excluded(self.exclusion(criteria.homes, tracked)) {
@@ -261,6 +265,9 @@
                 self.tokens_to_read(criteria, tracked, shared_prefix, preferred, now);
             let cost_ms = self.cost_ms(criteria, tracked, service, unread_tokens, now)
                 + admission.cost_ms(criteria, unread_tokens);
+            if tracked.upstream.dc == self.location.dc {
+                cost_here_ms = Some(cost_here_ms.map_or(cost_ms, |c| c.min(cost_ms)));
+            }
             let best = &mut best[usize::from(admission.is_last_choice(criteria))];
             if best.is_none_or(|(c, _, _)| cost_ms < c) {
                 *best = Some((cost_ms, tracked, unread_tokens));
@@ -278,8 +285,10 @@
             cost_ms: cost_ms as u64,
             upstream_class: tracked.stream_class,
             cold_left: gate.admission(tracked.process(), now).cold_left(),
+            cost_here_ms: cost_here_ms.map(|c| c as u64),
             ..details
         };
+        let details = self.offloading.explain(details, criteria, tracked, now);
         let base_latency_ms =
             (FIRST_EVENT_BASE_MS + unread_tokens as f64 / reading_rate) / tracked.speed();
         let likely_latency_ms = base_latency_ms
@@ -334,7 +343,10 @@
             (own_tokens + tracked.unread_tokens as f64) / service.figures.reading_rate
                 + tracked.active_requests(now) * ACTIVE_REQUEST_COST_MS
         };
-        let distance_cost = self.location.distance_cost_ms(&tracked.upstream.dc);
+        let read_before = u64::from(criteria.prompt_tokens).saturating_sub(unread_tokens);
+        let saving_ms = read_before as f64 * OWN_PREFILL_WEIGHT / service.figures.reading_rate;
+        let dc = &tracked.upstream.dc;
+        let distance_cost = self.offloading.cost_ms(criteria, dc, saving_ms, now);
         let class_cost = if criteria.prompt_parts.is_empty() {
             0.0
         } else {
@@ -367,12 +379,12 @@
         tracked.in_flight += 1;
         tracked.unread_tokens += selection.unread_tokens;
         let instance_id = tracked.process().id;
-        let Some((_, shared_parts)) = parts.split_last() else {
-            return;
-        };
+        let service = tracked.upstream.service.clone();
+        let shared_parts = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         for part in shared_parts {
             self.prefix_cache.insert(part.id, instance_id, now);
         }
+        self.update_offloading(&service, !parts.is_empty(), now);
     }
 
     /// Records that the upstream has processed a prompt, or never will, so that the prompt no
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     budget, crash_log, digest, digest_leader, fleet, freshness, http_client, load_meter, location,
-    membership, memory, metrics, model, ports, quarantine, quarantine_leader, shutdown,
+    membership, memory, metrics, model, offloading, ports, quarantine, quarantine_leader, shutdown,
     store_cache, store_watch, warm_up, windows,
 };
 
@@ -44,6 +44,8 @@
     /// Time within which a data centre that is drained gets no further requests; `None` if data
     /// centres are not drained in this deployment.
     pub dc_drain_deadline: Option<clock::Millis>,
+    /// Price and links of what leaves for other data centres.
+    pub offload: offloading::Settings,
 }
 
 /// Requests that a cold upstream may get in one second, relative to its limit per second.
@@ -185,6 +187,7 @@
         let memory = memory::Budget::new(settings.held_bytes);
         let mut fleet = fleet::Fleet::new(location, change_deadline);
         fleet.warm_up = warm_up::WarmUp::new(settings.host.clone(), settings.cold_tolerance);
+        fleet.offloading.configure(settings.offload);
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
--- a/crates/router/src/preference.rs
+++ b/crates/router/src/preference.rs
@@ -42,6 +42,15 @@
 }
 
 impl fleet::Fleet {
+    /// Prompt tokens that an idle engine of the service processes per millisecond.
+    pub(crate) fn reading_rate(&self, service: &name::Service) -> f64 {
+        let known = self.services.get(service);
+        known.map_or_else(
+            || Figures::default().reading_rate,
+            |s| s.figures.reading_rate,
+        )
+    }
+
     /// Sets the shares of a service's engines by class, the speeds of those that differ from the
     /// mean, and the reading rate in tokens per millisecond.
     pub fn set_figures(
--- a/crates/router/tests/cold_return.rs
+++ b/crates/router/tests/cold_return.rs
@@ -205,6 +205,7 @@
                 let parts = parts.map(|id| ports::PromptPart { id, tokens: 800 });
                 let parts = &parts[usize::from(self.rng.random_bool(0.5))..];
                 let criteria = selection::Criteria {
+                    id: "q",
                     service: &service,
                     prompt_parts: parts,
                     prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
--- a/crates/router/tests/cold_select.rs
+++ b/crates/router/tests/cold_select.rs
@@ -76,6 +76,7 @@
     is_retryable: bool,
 ) -> selection::Criteria<'a> {
     selection::Criteria {
+        id: "q",
         service,
         prompt_parts,
         prompt_tokens: prompt_parts.iter().map(|p| p.tokens).sum(),
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -11,7 +11,7 @@
 use std::rc;
 
 use base::{clock, diagnostic, name};
-use router::{attempt, budget, host, leader, location, model, ports, stream_class};
+use router::{attempt, budget, host, leader, location, model, offloading, ports, stream_class};
 use smallvec::smallvec;
 use tokio::{task, time};
 
@@ -390,6 +390,7 @@
         },
         cold_tolerance: None,
         dc_drain_deadline: cluster.dc_drain_deadline.get(),
+        offload: offloading::Settings::default(),
     };
     let dependencies = host::Dependencies {
         protocol: Box::new(TestProtocol),
--- a/crates/router/tests/homes.rs
+++ b/crates/router/tests/homes.rs
@@ -58,6 +58,7 @@
         let part = |id, tokens| ports::PromptPart { id, tokens };
         let parts = [part(id % 40, 13_000), part(1_000 + id, 3_000)];
         let criteria = selection::Criteria {
+            id: "q",
             service: &service,
             prompt_parts: &parts,
             prompt_tokens: 16_000,
