--- a/crates/router/tests/engine_speeds.rs
+++ b/crates/router/tests/engine_speeds.rs
@@ -40,6 +40,7 @@
         tokens: prefix_tokens,
     };
     let criteria = selection::Criteria {
+        id: "q",
         service: &"llm".into(),
         prompt_parts: &[shared, own],
         prompt_tokens: own.tokens + prefix_tokens,
