Hosts on the platform stay within their machine when clients observe no limit

What clients saw: 60 bodies in small pieces or in one-byte chunks took a host over the memory of its machine; a few hundred silent connections, unread responses or bodies that never come took all descriptors.

Cause: a body was kept as one frame a chunk. A one-byte chunk cost 32 to 64 bytes and a small piece kept a receive buffer of 8 KB, and neither was counted; joining them made a second copy. Nothing limited connections, and nothing let go of clients that stalled.

Change: a body is copied into one buffer that grows in counted steps; an announced length over the limit is refused before reading. When memory is used up, the connection that holds most for the longest time without progress is closed. Open connections are limited by the machine's descriptors and memory (--max-connections); beyond it the one that has waited longest for its client is closed. client_closures_total{cause} and a bounded log line tell which.

--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -26,6 +26,9 @@
             /// Bytes of all requests and responses that are held at the same time, in MB; defaults to
             /// a third of the machine's memory.
             optional --held-mb mb: u32
+            /// Open connections of clients at most; defaults to what the machine's descriptors and memory
+            /// allow.
+            optional --max-connections count: u32
             /// Check the settings file, report all errors and exit.
             optional --check
         }
@@ -63,6 +66,7 @@
 pub struct Platform {
     pub settings: Option<PathBuf>,
     pub held_mb: Option<u32>,
+    pub max_connections: Option<u32>,
     pub check: bool,
 }
 
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -41,6 +41,14 @@
         }
         Some(mb) => settings.host.held_bytes = mb as usize * 1_000_000,
     }
+    match args.max_connections {
+        None => {}
+        Some(0) => {
+            eprintln!("jacinthslip: --max-connections 0 admits no client. Give 1 or more.");
+            return exit_codes::ExitCode::Usage;
+        }
+        Some(count) => settings.host.max_connections = count as usize,
+    }
     let _logs = logs::start();
     match serve(settings, &file) {
         Ok(()) => exit_codes::ExitCode::Success,
--- a/crates/host/tests/misbehaving/rig.rs
+++ b/crates/host/tests/misbehaving/rig.rs
@@ -249,6 +249,7 @@
     let peak_mb = process::peak_memory_mb(process).expect("the host lives");
     let fds = fs::read_dir(format!("/proc/{process}/fd")).expect("the host lives");
     let fds = fds.count();
+    println!("{peak_mb} MB, {fds} descriptors");
     assert!(peak_mb < MEMORY_MB, "{peak_mb} MB, {fds} descriptors");
     assert!(fds <= MAX_FDS, "{fds} descriptors, {peak_mb} MB");
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -199,8 +199,9 @@
         timeout: clock::Millis,
         max_bytes: usize,
     ) -> Result<(http::response::Parts, Bytes, in_flight::InFlight), Failure> {
-        let memory = self.in_flight.host.memory.clone();
-        let reading = bodies::read(self.body, max_bytes, &memory);
+        let host = &self.in_flight.host;
+        let free_memory = async || host.free_memory().await;
+        let reading = bodies::read(self.body, max_bytes, &host.memory, free_memory);
         let bytes = match time::timeout(timeout.duration(), reading).await {
             Err(_) => return Err(Failure::Timeout),
             Ok(Err(bodies::Error::Broken)) => return Err(Failure::Truncated),
--- a/crates/router/src/bodies.rs
+++ b/crates/router/src/bodies.rs
@@ -1,11 +1,15 @@
 //! Reading of whole bodies, of requests and responses, into the memory for them.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use http_body::Body as _;
 use http_body_util::BodyExt as _;
 use hyper::body;
 
 use crate::memory;
 
+/// Least number of bytes by which the buffer of a body grows, unless the body is shorter.
+const MIN_GROWTH_BYTES: usize = 4 << 10;
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Error {
@@ -17,36 +21,52 @@
     Broken,
 }
 
-/// Reads a body of at most `max_bytes`. The memory is held until the returned bytes are dropped.
+/// Reads a body of at most `max_bytes` into one buffer, whose whole size counts as held: a frame may
+/// be a single byte and still keep a receive buffer of kilobytes. `free_memory` is called while there
+/// is no memory, and returns whether some was freed. The memory is held until the returned bytes are
+/// dropped.
 ///
 /// # Errors
 ///
-/// See [`Error`]; the memory is free again.
+/// See [`Error`]; the memory is free again. A body whose announced length is too large is not read.
 pub async fn read(
     mut body: body::Incoming,
     max_bytes: usize,
     memory: &memory::Budget,
+    mut free_memory: impl AsyncFnMut() -> bool,
 ) -> Result<Bytes, Error> {
+    let announced = body.size_hint().exact();
+    if announced.is_some_and(|n| n > max_bytes as u64) {
+        return Err(Error::TooLarge);
+    }
+    let max_capacity = announced.map_or(max_bytes, |n| n as usize);
     let mut hold = memory.open();
-    let mut frames = Vec::new();
-    let mut length = 0;
+    let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
             continue;
         };
-        length += data.len();
+        let length = bytes.len() + data.len();
         if length > max_bytes {
             return Err(Error::TooLarge);
         }
-        hold.resize(length).map_err(|_| Error::Exhausted)?;
-        frames.push(data);
+        if length > bytes.capacity() {
+            let capacity = length + (length / 4).max(MIN_GROWTH_BYTES);
+            let capacity = capacity.min(max_capacity).max(length);
+            while hold.resize(capacity).is_err() {
+                if !free_memory().await {
+                    return Err(Error::Exhausted);
+                }
+            }
+            bytes.reserve_exact(capacity - bytes.len());
+        }
+        bytes.extend_from_slice(&data);
     }
-    if length == 0 {
+    if bytes.is_empty() {
         return Ok(Bytes::new());
     }
-    let mut bytes = BytesMut::with_capacity(length);
-    for frame in frames {
-        bytes.extend_from_slice(&frame);
-    }
-    Ok(hold.attach(bytes.freeze()))
+    bytes.shrink_to_fit();
+    // Shrinking never fails.
+    let _ = hold.resize(bytes.len());
+    Ok(hold.attach(bytes.into()))
 }
--- a/crates/router/src/framing.rs
+++ b/crates/router/src/framing.rs
@@ -90,6 +90,11 @@
         self.heads.pop_front().unwrap_or(false)
     }
 
+    /// Whether the body of the last complete head has not arrived to its end.
+    pub fn is_in_body(&self) -> bool {
+        !matches!(self.part, Part::Name | Part::Length | Part::RestOfLine)
+    }
+
     fn push_byte(&mut self, b: u8) {
         match self.part {
             Part::Name | Part::Length | Part::RestOfLine => self.push_head_byte(b),
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,8 +10,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget, crash_log, fleet, freshness, http_client, location, membership, memory, metrics, model,
-    ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch, windows,
+    budget, connections, crash_log, fleet, freshness, http_client, location, membership, memory,
+    metrics, model, ports, quarantine, quarantine_leader, shutdown, store_cache, store_watch,
+    windows,
 };
 
 /// Checked settings of a host.
@@ -34,6 +35,8 @@
     pub metrics_address: net::SocketAddr,
     /// Limit of the bytes held for all requests and responses together.
     pub held_bytes: usize,
+    /// Limit of the open connections of clients.
+    pub max_connections: usize,
     /// Limit on the retries of each service.
     pub retry_limit: budget::RetryLimit,
     /// Deadlines and periods given by the platform.
@@ -160,7 +163,7 @@
     /// Schedule of the shutdown; `None` until the stop signal.
     pub shutdown: cell::Cell<Option<shutdown::Schedule>>,
     /// Open client connections.
-    pub open_connections: cell::Cell<u32>,
+    pub connections: connections::Connections,
 }
 
 impl Host {
@@ -173,6 +176,7 @@
         let location = settings.location.clone();
         let change_deadline = settings.timing.change_deadline;
         let memory = memory::Budget::new(settings.held_bytes);
+        let connections = connections::Connections::new(settings.max_connections);
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
@@ -203,10 +207,18 @@
             is_leader: cell::Cell::new(false),
             phase: watch::Sender::new(Phase::Serving),
             shutdown: cell::Cell::new(None),
-            open_connections: cell::Cell::new(0),
+            connections,
         })
     }
 
+    /// Closes the connection of a client that holds most memory for the longest time without
+    /// progress. Returns whether memory was freed.
+    pub async fn free_memory(&self) -> bool {
+        self.connections
+            .free_memory(self.now(), &self.metrics)
+            .await
+    }
+
     /// Monotonic time from the host's clock.
     pub fn now(&self) -> clock::Millis {
         self.clock.now()
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -132,7 +132,7 @@
 /// ended or the time is up. No phase waits for the store or another host.
 async fn stop(host: &rc::Rc<host::Host>, writer: &rc::Rc<membership::ReportWriter>) {
     let schedule = shutdown::Schedule::new(host.now(), host.settings.timing.shutdown_grace);
-    let open_connections = host.open_connections.get();
+    let open_connections = host.connections.count();
     tracing::info!(event = "stop", connections = open_connections);
     host.shutdown.set(Some(schedule));
     host.phase.send_replace(host::Phase::Unready);
@@ -144,10 +144,7 @@
     });
     sleep_until(host, schedule.begin(host::Phase::Refusing)).await;
     host.phase.send_replace(host::Phase::Refusing);
-    tracing::info!(
-        event = "refusing",
-        connections = host.open_connections.get()
-    );
+    tracing::info!(event = "refusing", connections = host.connections.count());
     wait_for_connections(host, schedule.begin(host::Phase::Ending)).await;
     host.phase.send_replace(host::Phase::Ending);
     let responses_end = (host.now() + LAST_RESPONSES_TIMEOUT).min(schedule.exit_at());
@@ -164,7 +161,7 @@
     if time::timeout(time_left.duration(), farewell).await.is_err() {
         tracing::warn!(event = "farewell_unfinished", time_left_ms = time_left.0);
     }
-    let remaining = host.open_connections.get();
+    let remaining = host.connections.count();
     tracing::info!(event = "stopped", connections = remaining);
 }
 
@@ -174,7 +171,7 @@
 
 /// Waits until no client connection is open, at most until `end`.
 async fn wait_for_connections(host: &host::Host, end: clock::Millis) {
-    while host.open_connections.get() > 0 && host.now() < end {
+    while host.connections.count() > 0 && host.now() < end {
         time::sleep(CHECK_INTERVAL.duration()).await;
     }
 }
--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -1,6 +1,5 @@
 //! Listeners for clients, for the load balancer's readiness probe and for metrics.
 
-use std::cell;
 use std::io;
 use std::net;
 use std::pin;
@@ -15,7 +14,7 @@
 use hyper_util::rt as util;
 use tokio::{net as tokio_net, task as tokio_task, time};
 
-use crate::{framing, host, memory, response, serve};
+use crate::{connections, host, response, serve};
 
 /// Delay after a connection could not be accepted, as when the process has no free file
 /// descriptors.
@@ -47,80 +46,10 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
-/// Activity on a client's connection, for its timeouts.
-#[derive(Debug)]
-struct ConnectionActivity {
-    /// Requests in progress on the connection.
-    in_flight: cell::Cell<u32>,
-    /// Time at which the last request ended or the connection was opened.
-    idle_since: cell::Cell<clock::Millis>,
-    /// Time of the first byte of a request head that is not complete; `None` between requests.
-    receiving_since: cell::Cell<Option<clock::Millis>>,
-    /// Scanner of all bytes of the connection.
-    scanner: cell::RefCell<framing::RequestScanner>,
-    /// Memory of the request head, until the end of the request.
-    head_hold: cell::RefCell<memory::Hold>,
-    clock: clock::Clock,
-}
-
-impl ConnectionActivity {
-    fn new(clock: clock::Clock, memory: &memory::Budget) -> Self {
-        Self {
-            in_flight: cell::Cell::new(0),
-            idle_since: cell::Cell::new(clock.now()),
-            receiving_since: cell::Cell::new(None),
-            scanner: cell::RefCell::default(),
-            head_hold: cell::RefCell::new(memory.open()),
-            clock,
-        }
-    }
-
-    /// Records the begin of a request. Returns whether its head contains both a length and a
-    /// transfer coding.
-    fn begin_request(&self) -> bool {
-        self.in_flight.set(self.in_flight.get() + 1);
-        self.receiving_since.set(None);
-        self.scanner.borrow_mut().take_head()
-    }
-
-    fn end_request(&self) {
-        self.in_flight.set(self.in_flight.get().saturating_sub(1));
-        self.idle_since.set(self.clock.now());
-        // Shrinking never fails.
-        let _ = self.head_hold.borrow_mut().resize(0);
-    }
-
-    /// Records received bytes. Fails if there is no memory for those of a request head.
-    fn record_bytes(&self, bytes: &[u8]) -> io::Result<()> {
-        self.scanner.borrow_mut().push(bytes);
-        if self.in_flight.get() > 0 || bytes.is_empty() {
-            return Ok(());
-        }
-        let grown = self.head_hold.borrow_mut().grow(bytes.len());
-        grown.map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))?;
-        if self.receiving_since.get().is_none() {
-            self.receiving_since.set(Some(self.clock.now()));
-        }
-        Ok(())
-    }
-
-    /// Whether a request head, or the next request, has not arrived in time.
-    fn is_timed_out(&self, head_timeout: clock::Millis, idle_timeout: clock::Millis) -> bool {
-        if self.in_flight.get() > 0 {
-            return false;
-        }
-        let now = self.clock.now();
-        match self.receiving_since.get() {
-            Some(since) => now.since(since) >= head_timeout,
-            None => now.since(self.idle_since.get()) >= idle_timeout,
-        }
-    }
-}
-
 /// Socket of a client that records when bytes of a request head arrive.
 struct MonitoredSocket {
     io: util::TokioIo<tokio_net::TcpStream>,
-    activity: rc::Rc<ConnectionActivity>,
+    activity: rc::Rc<connections::Activity>,
 }
 
 impl rt::Read for MonitoredSocket {
@@ -133,7 +62,7 @@
         let capacity = buf.remaining().min(MAX_READ_BYTES);
         let mut received = rt::ReadBuf::new(&mut bytes[..capacity]);
         task::ready!(pin::Pin::new(&mut self.io).poll_read(cx, received.unfilled()))?;
-        self.activity.record_bytes(received.filled())?;
+        self.activity.record_read(received.filled())?;
         buf.put_slice(received.filled());
         task::Poll::Ready(Ok(()))
     }
@@ -145,7 +74,9 @@
         cx: &mut task::Context<'_>,
         buf: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.io).poll_write(cx, buf)
+        let written = pin::Pin::new(&mut self.io).poll_write(cx, buf);
+        self.activity.record_write(written.is_pending());
+        written
     }
 
     fn poll_flush(
@@ -171,51 +102,62 @@
         cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+        let written = pin::Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.activity.record_write(written.is_pending());
+        written
     }
 }
 
 /// Accepts and serves connections of clients until the process ends.
 pub async fn serve_clients(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio_task::spawn_local(serve_connection(host.clone(), stream));
-            }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(e) => {
                 tracing::warn!(event = "accept_failed", error = %e);
                 time::sleep(ACCEPT_RETRY_DELAY.duration()).await;
+                continue;
             }
+        };
+        if host.connections.make_place(host.now(), &host.metrics).await {
+            let open = OpenConnection::new(&host);
+            tokio_task::spawn_local(serve_connection(open, stream));
         }
     }
 }
 
-/// Guard that counts a connection as open until it is dropped.
-struct OpenConnection(rc::Rc<host::Host>);
+/// Connection in the list of open ones until it is dropped.
+struct OpenConnection {
+    host: rc::Rc<host::Host>,
+    activity: rc::Rc<connections::Activity>,
+    id: u64,
+}
 
 impl OpenConnection {
     fn new(host: &rc::Rc<host::Host>) -> Self {
-        host.open_connections.set(host.open_connections.get() + 1);
-        Self(host.clone())
+        let activity = connections::Activity::new(host.clock.clone(), &host.memory);
+        let activity = rc::Rc::new(activity);
+        Self {
+            host: host.clone(),
+            id: host.connections.add(activity.clone()),
+            activity,
+        }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0
-            .open_connections
-            .set(self.0.open_connections.get() - 1);
+        self.host.connections.remove(self.id);
     }
 }
 
-async fn serve_connection(host: rc::Rc<host::Host>, stream: tokio_net::TcpStream) {
-    let _open = OpenConnection::new(&host);
+async fn serve_connection(open: OpenConnection, stream: tokio_net::TcpStream) {
+    let (host, activity) = (&open.host, &open.activity);
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "socket_option", error = %e);
     }
     let limits = host.current_config().map(|c| c.limits);
     let max_head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes);
-    let activity = rc::Rc::new(ConnectionActivity::new(host.clock.clone(), &host.memory));
     let io = MonitoredSocket {
         io: util::TokioIo::new(stream),
         activity: activity.clone(),
@@ -237,6 +179,7 @@
             // Connection errors are caused by the client and not logged; each request has a log
             // line of its own.
             _ = connection.as_mut() => return,
+            () = activity.wait_for_close() => return,
             _ = phase.wait_for(|p| *p >= host::Phase::Closing), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -244,7 +187,7 @@
             () = time::sleep(head_timeout.max(MIN_CHECK_INTERVAL).duration()) => {
                 if activity.is_timed_out(head_timeout, idle_timeout) {
                     connection.as_mut().graceful_shutdown();
-                    if activity.receiving_since.get().is_some() {
+                    if activity.is_receiving_head() {
                         return;
                     }
                 }
@@ -254,7 +197,7 @@
 }
 
 /// Guard that counts a request as in progress until its response is written.
-struct RequestGuard(rc::Rc<ConnectionActivity>);
+struct RequestGuard(rc::Rc<connections::Activity>);
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
@@ -263,11 +206,11 @@
 }
 
 async fn respond(
-    (host, activity): (rc::Rc<host::Host>, rc::Rc<ConnectionActivity>),
+    (host, activity): (rc::Rc<host::Host>, rc::Rc<connections::Activity>),
     request: http::Request<body::Incoming>,
 ) -> Result<http::Response<GuardedBody>, std::convert::Infallible> {
     let ambiguous = activity.begin_request();
-    let guard = RequestGuard(activity);
+    let guard = RequestGuard(activity.clone());
     let mut response = if ambiguous {
         serve::refuse_ambiguous_length(&host)
     } else {
@@ -279,6 +222,8 @@
             .headers_mut()
             .insert(http::header::CONNECTION, close);
     }
+    let length = body::Body::size_hint(response.body()).exact();
+    activity.begin_response(length.unwrap_or_default() as usize);
     Ok(response.map(|body| GuardedBody {
         body,
         _guard: guard,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,7 +6,7 @@
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::metrics as sdk;
 
-use crate::memory;
+use crate::{connections, memory};
 
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] = [
@@ -22,6 +22,7 @@
     responses: metrics::Counter<u64>,
     relayed_bytes: metrics::Counter<u64>,
     announcements: metrics::Counter<u64>,
+    closures: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -60,6 +61,7 @@
             responses: meter.u64_counter("answers").build(),
             relayed_bytes: meter.u64_counter("relayed_bytes").build(),
             announcements: meter.u64_counter("upstream_announcements").build(),
+            closures: meter.u64_counter("client_closures").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -70,6 +72,11 @@
                 .refusals
                 .add(0, &[KeyValue::new("reason", reason.as_str())]);
         }
+        for cause in connections::Cause::ALL {
+            instruments
+                .closures
+                .add(0, &[KeyValue::new("cause", cause.as_str())]);
+        }
         Ok(instruments)
     }
 
@@ -79,6 +86,12 @@
             .add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
+    /// Counts a connection of a client that the host closed for `cause`.
+    pub fn record_closure(&self, cause: connections::Cause) {
+        self.closures
+            .add(1, &[KeyValue::new("cause", cause.as_str())]);
+    }
+
     /// Counts a retry, labelled with the failure that caused it.
     pub fn record_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -169,7 +169,8 @@
     body: body::Incoming,
     limits: &model::Limits,
 ) -> Result<bytes::Bytes, refusal::Reason> {
-    let reading = bodies::read(body, limits.body_bytes, &host.memory);
+    let free_memory = async || host.free_memory().await;
+    let reading = bodies::read(body, limits.body_bytes, &host.memory, free_memory);
     match time::timeout(limits.idle_timeout.duration(), reading).await {
         Err(_) => Err(refusal::Reason::SlowCaller),
         Ok(Err(bodies::Error::TooLarge)) => Err(refusal::Reason::TooLarge),
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -371,6 +371,7 @@
         seeds: Vec::new(),
         metrics_address: any_address,
         held_bytes: 64 << 20,
+        max_connections: 1_024,
         retry_limit: budget::RetryLimit {
             ratio: 0.2,
             base_retries: 50.0,
