--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -10,9 +10,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget, crash_log, digest, digest_leader, fleet, freshness, http_client, load_meter, location,
-    membership, memory, metrics, model, offloading, ports, quarantine, quarantine_leader, shutdown,
-    store_cache, store_watch, warm_up, windows,
+    budget, connections, crash_log, digest, digest_leader, fleet, freshness, http_client,
+    load_meter, location, membership, memory, metrics, model, offloading, ports, quarantine,
+    quarantine_leader, shutdown, store_cache, store_watch, warm_up, windows,
 };
 
 /// Checked settings of a host.
@@ -35,6 +35,8 @@
     pub metrics_address: net::SocketAddr,
     /// Limit of the bytes held for all requests and responses together.
     pub held_bytes: usize,
+    /// Limit of the open connections of clients.
+    pub max_connections: usize,
     /// Limit on the retries of each service.
     pub retry_limit: budget::RetryLimit,
     /// Deadlines and periods given by the platform.
@@ -169,7 +171,7 @@
     /// Schedule of the shutdown; `None` until the stop signal.
     pub shutdown: cell::Cell<Option<shutdown::Schedule>>,
     /// Open client connections.
-    pub open_connections: cell::Cell<u32>,
+    pub connections: connections::Connections,
 }
 
 impl Host {
@@ -188,6 +190,7 @@
         let mut fleet = fleet::Fleet::new(location, change_deadline);
         fleet.warm_up = warm_up::WarmUp::new(settings.host.clone(), settings.cold_tolerance);
         fleet.offloading.configure(settings.offload);
+        let connections = connections::Connections::new(settings.max_connections);
         Ok(Self {
             settings,
             protocol: dependencies.protocol,
@@ -221,10 +224,18 @@
             is_leader: cell::Cell::new(false),
             phase: watch::Sender::new(Phase::Serving),
             shutdown: cell::Cell::new(None),
-            open_connections: cell::Cell::new(0),
+            connections,
         })
     }
 
+    /// Closes the connection of a client that holds most memory for the longest time without
+    /// progress. Returns whether memory was freed.
+    pub async fn free_memory(&self) -> bool {
+        self.connections
+            .free_memory(self.now(), &self.metrics)
+            .await
+    }
+
     /// Monotonic time from the host's clock.
     pub fn now(&self) -> clock::Millis {
         self.clock.now()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod blame;
 pub mod bodies;
 pub mod budget;
+pub mod client_connection;
+pub mod connections;
 pub mod crash_log;
 pub mod dc_drain;
 pub mod delta;
--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -1,37 +1,27 @@
 //! Listeners for clients, for the load balancer's readiness probe and for metrics.
 
-use std::cell;
 use std::io;
 use std::net;
-use std::pin;
 use std::rc;
-use std::task;
 
 use base::clock;
 use hyper::body;
-use hyper::rt;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt as util;
 use tokio::{net as tokio_net, task as tokio_task, time};
 
-use crate::{framing, host, memory, response, serve};
+use crate::{client_connection, connections, host, response, serve};
 
 /// Delay after a connection could not be accepted, as when the process has no free file
 /// descriptors.
 const ACCEPT_RETRY_DELAY: clock::Millis = clock::Millis(50);
 /// Length of the queue of connections that are not accepted yet.
 const ACCEPT_BACKLOG: u32 = 1_024;
-/// Largest number of bytes read from a client at a time.
-const MAX_READ_BYTES: usize = 8 << 10;
 /// Limit of a request head in bytes while no configuration is known.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
-/// Smallest limit of a request head that the HTTP library accepts, in bytes.
-const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Time for a request head to arrive while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: clock::Millis = clock::Millis(3_000);
-/// Least time between two checks of a connection's timeouts.
-const MIN_CHECK_INTERVAL: clock::Millis = clock::Millis(50);
 /// Time between two requests on a connection while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: clock::Millis = clock::Millis(15_000);
 
@@ -47,227 +37,83 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
-/// Activity on a client's connection, for its timeouts.
-#[derive(Debug)]
-struct ConnectionActivity {
-    /// Requests in progress on the connection.
-    in_flight: cell::Cell<u32>,
-    /// Time at which the last request ended or the connection was opened.
-    idle_since: cell::Cell<clock::Millis>,
-    /// Time of the first byte of a request head that is not complete; `None` between requests.
-    receiving_since: cell::Cell<Option<clock::Millis>>,
-    /// Scanner of all bytes of the connection.
-    scanner: cell::RefCell<framing::RequestScanner>,
-    /// Memory of the request head, until the end of the request.
-    head_hold: cell::RefCell<memory::Hold>,
-    clock: clock::Clock,
-}
-
-impl ConnectionActivity {
-    fn new(clock: clock::Clock, memory: &memory::Budget) -> Self {
-        Self {
-            in_flight: cell::Cell::new(0),
-            idle_since: cell::Cell::new(clock.now()),
-            receiving_since: cell::Cell::new(None),
-            scanner: cell::RefCell::default(),
-            head_hold: cell::RefCell::new(memory.open()),
-            clock,
-        }
-    }
-
-    /// Records the begin of a request. Returns whether its head contains both a length and a
-    /// transfer coding.
-    fn begin_request(&self) -> bool {
-        self.in_flight.set(self.in_flight.get() + 1);
-        self.receiving_since.set(None);
-        self.scanner.borrow_mut().take_head()
-    }
-
-    fn end_request(&self) {
-        self.in_flight.set(self.in_flight.get().saturating_sub(1));
-        self.idle_since.set(self.clock.now());
-        // Shrinking never fails.
-        let _ = self.head_hold.borrow_mut().resize(0);
-    }
-
-    /// Records received bytes. Fails if there is no memory for those of a request head.
-    fn record_bytes(&self, bytes: &[u8]) -> io::Result<()> {
-        self.scanner.borrow_mut().push(bytes);
-        if self.in_flight.get() > 0 || bytes.is_empty() {
-            return Ok(());
-        }
-        let grown = self.head_hold.borrow_mut().grow(bytes.len());
-        grown.map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))?;
-        if self.receiving_since.get().is_none() {
-            self.receiving_since.set(Some(self.clock.now()));
-        }
-        Ok(())
-    }
-
-    /// Whether a request head, or the next request, has not arrived in time.
-    fn is_timed_out(&self, head_timeout: clock::Millis, idle_timeout: clock::Millis) -> bool {
-        if self.in_flight.get() > 0 {
-            return false;
-        }
-        let now = self.clock.now();
-        match self.receiving_since.get() {
-            Some(since) => now.since(since) >= head_timeout,
-            None => now.since(self.idle_since.get()) >= idle_timeout,
-        }
-    }
-}
-
-/// Socket of a client that records when bytes of a request head arrive.
-struct MonitoredSocket {
-    io: util::TokioIo<tokio_net::TcpStream>,
-    activity: rc::Rc<ConnectionActivity>,
-}
-
-impl rt::Read for MonitoredSocket {
-    fn poll_read(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        mut buf: rt::ReadBufCursor<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        let mut bytes = [0; MAX_READ_BYTES];
-        let capacity = buf.remaining().min(MAX_READ_BYTES);
-        let mut received = rt::ReadBuf::new(&mut bytes[..capacity]);
-        task::ready!(pin::Pin::new(&mut self.io).poll_read(cx, received.unfilled()))?;
-        self.activity.record_bytes(received.filled())?;
-        buf.put_slice(received.filled());
-        task::Poll::Ready(Ok(()))
-    }
-}
-
-impl rt::Write for MonitoredSocket {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-}
-
 /// Accepts and serves connections of clients until the process ends.
 pub async fn serve_clients(host: rc::Rc<host::Host>, listener: rc::Rc<tokio_net::TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio_task::spawn_local(serve_connection(host.clone(), stream));
-            }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(e) => {
                 tracing::warn!(event = "accept_failed", error = %e);
                 time::sleep(ACCEPT_RETRY_DELAY.duration()).await;
+                continue;
             }
+        };
+        if host.connections.make_place(host.now(), &host.metrics).await {
+            let open = OpenConnection::new(&host);
+            tokio_task::spawn_local(serve_connection(open, stream));
         }
     }
 }
 
-/// Guard that counts a connection as open until it is dropped.
-struct OpenConnection(rc::Rc<host::Host>);
+/// Connection in the list of open ones until it is dropped.
+struct OpenConnection {
+    host: rc::Rc<host::Host>,
+    activity: rc::Rc<connections::Activity>,
+    id: u64,
+}
 
 impl OpenConnection {
     fn new(host: &rc::Rc<host::Host>) -> Self {
-        host.open_connections.set(host.open_connections.get() + 1);
-        Self(host.clone())
+        let activity = connections::Activity::new(host.clock.clone(), &host.memory);
+        let activity = rc::Rc::new(activity);
+        Self {
+            host: host.clone(),
+            id: host.connections.add(activity.clone()),
+            activity,
+        }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0
-            .open_connections
-            .set(self.0.open_connections.get() - 1);
+        self.host.connections.remove(self.id);
     }
 }
 
-async fn serve_connection(host: rc::Rc<host::Host>, stream: tokio_net::TcpStream) {
-    let _open = OpenConnection::new(&host);
+async fn serve_connection(open: OpenConnection, stream: tokio_net::TcpStream) {
+    let (host, activity) = (&open.host, &open.activity);
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "socket_option", error = %e);
     }
     let limits = host.current_config().map(|c| c.limits);
     let max_head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes);
-    let activity = rc::Rc::new(ConnectionActivity::new(host.clock.clone(), &host.memory));
-    let io = MonitoredSocket {
-        io: util::TokioIo::new(stream),
-        activity: activity.clone(),
+    let options = client_connection::Options {
+        head_bytes: max_head_bytes,
+        head_timeout: limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout),
+        idle_timeout: limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout),
+        write_timeout: None,
+        half_close: false,
+        title_case: false,
     };
     let served = (host.clone(), activity.clone());
     let service = service::service_fn(move |request| respond(served.clone(), request));
-    let mut connection = pin::pin!(
-        http1::Builder::new()
-            .max_buf_size(max_head_bytes.max(MIN_HEAD_BYTES))
-            .serve_connection(io, service)
-    );
     let mut phase = host.phase.subscribe();
-    // A connection accepted while the host closes idle connections serves a single request.
-    let mut closing = *phase.borrow() >= host::Phase::Closing;
-    loop {
-        let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
-        let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
-        tokio::select! {
-            // Connection errors are caused by the client and not logged; each request has a log
-            // line of its own.
-            _ = connection.as_mut() => return,
-            _ = phase.wait_for(|p| *p >= host::Phase::Closing), if !closing => {
-                closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = time::sleep(head_timeout.max(MIN_CHECK_INTERVAL).duration()) => {
-                if activity.is_timed_out(head_timeout, idle_timeout) {
-                    connection.as_mut().graceful_shutdown();
-                    if activity.receiving_since.get().is_some() {
-                        return;
-                    }
-                }
-            }
-        }
-    }
+    let closing = async move {
+        // Fails only if the host was dropped.
+        let _ = phase.wait_for(|p| *p >= host::Phase::Closing).await;
+    };
+    client_connection::serve(stream, activity, &options, closing, service).await;
 }
 
-/// Guard that counts a request as in progress until its response is written.
-struct RequestGuard(rc::Rc<ConnectionActivity>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.end_request();
-    }
-}
+/// Response body of a client's request.
+type ClientBody = client_connection::GuardedBody<client_connection::RequestGuard>;
 
 async fn respond(
-    (host, activity): (rc::Rc<host::Host>, rc::Rc<ConnectionActivity>),
+    (host, activity): (rc::Rc<host::Host>, rc::Rc<connections::Activity>),
     request: http::Request<body::Incoming>,
-) -> Result<http::Response<GuardedBody>, std::convert::Infallible> {
+) -> Result<http::Response<ClientBody>, std::convert::Infallible> {
     let ambiguous = activity.begin_request();
-    let guard = RequestGuard(activity);
+    let guard = client_connection::RequestGuard::new(activity.clone());
     let mut response = if ambiguous {
         serve::refuse_ambiguous_length(&host)
     } else {
@@ -279,36 +125,9 @@
             .headers_mut()
             .insert(http::header::CONNECTION, close);
     }
-    Ok(response.map(|body| GuardedBody {
-        body,
-        _guard: guard,
-    }))
-}
-
-/// Response body that counts its request as in progress until it is written.
-struct GuardedBody {
-    body: response::Body,
-    _guard: RequestGuard,
-}
-
-impl body::Body for GuardedBody {
-    type Data = bytes::Bytes;
-    type Error = response::BodyAborted;
-
-    fn poll_frame(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, response::BodyAborted>>> {
-        pin::Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> body::SizeHint {
-        self.body.size_hint()
-    }
+    let length = body::Body::size_hint(response.body()).exact();
+    activity.begin_response(length.unwrap_or_default() as usize);
+    Ok(response.map(|body| client_connection::GuardedBody::new(body, guard)))
 }
 
 /// Serves the load balancer's readiness probe: 200 if this host accepts clients, 503 otherwise.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -7,7 +7,7 @@
 use opentelemetry_sdk::metrics as sdk;
 use policy::engine_classes;
 
-use crate::{memory, selection, stream_class};
+use crate::{connections, memory, selection, stream_class};
 
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] = [
@@ -34,6 +34,7 @@
     class_share: metrics::Gauge<f64>,
     class_pressure: metrics::Gauge<f64>,
     digest_age_ms: metrics::Gauge<u64>,
+    closures: metrics::Counter<u64>,
     first_byte_ms: metrics::Histogram<f64>,
     response_ms: metrics::Histogram<f64>,
 }
@@ -80,6 +81,7 @@
             class_share: meter.f64_gauge("class_share").build(),
             class_pressure: meter.f64_gauge("class_pressure").build(),
             digest_age_ms: meter.u64_gauge("digest_age").with_unit("ms").build(),
+            closures: meter.u64_counter("client_closures").build(),
             first_byte_ms: latency("first_byte"),
             response_ms: latency("answer_time"),
             registry,
@@ -90,6 +92,11 @@
                 .refusals
                 .add(0, &[KeyValue::new("reason", reason.as_str())]);
         }
+        for cause in connections::Cause::ALL {
+            instruments
+                .closures
+                .add(0, &[KeyValue::new("cause", cause.as_str())]);
+        }
         Ok(instruments)
     }
 
@@ -203,3 +210,10 @@
         gauge.record(*value, &labels);
     }
 }
+
+impl connections::ClosureCounter for Metrics {
+    fn record_closure(&self, cause: connections::Cause) {
+        self.closures
+            .add(1, &[KeyValue::new("cause", cause.as_str())]);
+    }
+}
