The estimate of prompt processing is one constant again

The rate at which engines process prompts was learnt from the time to the first event. That time includes the wait behind other prompts, so the learnt rate fell with load: engines that process 64 tokens a millisecond were first taken for 92 and after 14 s for 22 to 25.

The learnt rate is removed from reports, digests, logs and the choice of upstreams. The tests of the learnt rate go with it. The tests of engine speeds did not compile for a missing field of the criteria; they do now.

--- a/crates/policy/src/engine_speeds.rs
+++ b/crates/policy/src/engine_speeds.rs
@@ -1,5 +1,4 @@
-//! Speeds of the engines of a service, relative to each other, and the rate at which they process
-//! prompts.
+//! Speeds of the engines of a service, relative to each other.
 //!
 //! The gap between two events of a stream grows with the load of the engine, and for some hundred
 //! milliseconds at a time with the load of its machine. Therefore a low quantile of many gaps counts,
@@ -14,7 +13,7 @@
 
 /// Time for which a sample counts.
 const SAMPLE_TTL: clock::Millis = clock::Millis::secs(15);
-/// Largest number of samples that are kept of an engine, or of prompts of a service.
+/// Largest number of samples that are kept of an engine.
 const MAX_SAMPLES: usize = 96;
 /// Number of samples below which nothing is concluded.
 const MIN_SAMPLES: usize = 20;
@@ -43,19 +42,7 @@
 /// Speed of an engine that is not known to differ from the others, in percent.
 const MEAN_PERCENT: u8 = 100;
 
-/// Prompt tokens that an idle engine processes per millisecond, unless other figures are learnt.
-pub const DEFAULT_READING_RATE: u16 = 112;
-/// Range of learnt rates.
-const READING_RATE_RANGE: (f64, f64) = (20.0, 400.0);
-/// Quantile of the rates that counts: prompts that wait, or whose cached prefix was lost, seem to be
-/// processed slowly.
-const RATE_QUANTILE: f64 = 0.75;
-/// Divisor of the moving mean of the rate.
-const RATE_SMOOTHING: f64 = 4.0;
-/// Relative change of a told rate from which on it is told.
-const RATE_TOLD_CHANGE: f64 = 0.1;
-
-/// Recent samples of one figure.
+/// Recent gaps between events of one engine.
 #[derive(Clone, Debug, Default)]
 struct Samples(collections::VecDeque<(clock::Millis, u16)>);
 
@@ -200,51 +187,3 @@
         told
     }
 }
-
-/// Rate at which the engines of one service process prompts.
-#[derive(Clone, Debug)]
-pub struct ReadingRate {
-    rates: Samples,
-    /// Prompt tokens per millisecond.
-    rate: f64,
-    /// Rate as it was told last; 0 until one is learnt.
-    told: u16,
-}
-
-impl ReadingRate {
-    /// Creates the state of a leader that knows this rate from the one before it; 0 if none is known.
-    pub fn with_known(known: u16) -> Self {
-        let rate = if known == 0 {
-            DEFAULT_READING_RATE
-        } else {
-            known
-        };
-        Self {
-            rates: Samples::default(),
-            rate: f64::from(rate).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1),
-            told: known,
-        }
-    }
-
-    /// Records the rate at which a prompt was processed, in tokens per millisecond.
-    pub fn record(&mut self, rate: u16, now: clock::Millis) {
-        self.rates.push(rate, now);
-    }
-
-    /// Updates the rate and returns it in tokens per millisecond; 0 while none is learnt.
-    pub fn update(&mut self, now: clock::Millis) -> u16 {
-        if let Some(rate) = self.rates.quantile(RATE_QUANTILE, now) {
-            let rate = rate.clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
-            self.rate += (rate - self.rate) / RATE_SMOOTHING;
-            let told = if self.told == 0 {
-                DEFAULT_READING_RATE
-            } else {
-                self.told
-            };
-            if (self.rate / f64::from(told) - 1.0).abs() >= RATE_TOLD_CHANGE {
-                self.told = self.rate.round() as u16;
-            }
-        }
-        self.told
-    }
-}
--- a/crates/policy/tests/engine_speeds.rs
+++ b/crates/policy/tests/engine_speeds.rs
@@ -81,35 +81,3 @@
     let told: Vec<u32> = told.into_iter().map(|(engine, _)| engine).collect();
     assert_eq!(told, [1, 2]);
 }
-
-/// Load of the measured engines, which process 64 tokens per millisecond when idle. Most prompts wait,
-/// and some figures are absurd.
-#[test]
-fn reading_rate_under_load() {
-    let mut rng = rngs::StdRng::seed_from_u64(1);
-    let mut rate = engine_speeds::ReadingRate::with_known(0);
-    assert_eq!(rate.update(clock::Millis(1)), 0, "nothing is learnt");
-    let mut told = 0;
-    for second in 0..60 {
-        let now = clock::Millis::secs(second);
-        for _ in 0..20 {
-            let sample = match rng.random_range(0..100) {
-                0..5 => u16::MAX,
-                5..50 => rng.random_range(60..68),
-                _ => rng.random_range(5..60),
-            };
-            rate.record(sample, now);
-        }
-        told = rate.update(now);
-    }
-    assert!((55..=72).contains(&told), "{told}");
-    for (sample, expected) in [(0, 20), (u16::MAX, 400)] {
-        let mut rate = engine_speeds::ReadingRate::with_known(told);
-        let mut told = 0;
-        for second in 0..60 {
-            (0..50).for_each(|_| rate.record(sample, clock::Millis::secs(second)));
-            told = rate.update(clock::Millis::secs(second));
-        }
-        assert!(told.abs_diff(expected) <= expected / 10, "{told}");
-    }
-}
--- a/crates/router/src/digest.rs
+++ b/crates/router/src/digest.rs
@@ -8,7 +8,7 @@
 use std::rc;
 
 use base::{clock, hash, name};
-use policy::{engine_classes, engine_speeds};
+use policy::engine_classes;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -20,9 +20,6 @@
 /// Range of plausible speeds, in percent of the mean.
 const SPEED_PERCENT: std::ops::RangeInclusive<u8> = 25..=250;
 
-/// Range of plausible reading rates, in tokens per millisecond.
-const READING_RATES: (u16, u16) = (20, 400);
-
 /// Version of a digest. A later leader's digests are newer than all of an earlier one's.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Version {
@@ -72,8 +69,6 @@
     pub dcs: Vec<(name::Dc, DcLoad)>,
     /// Gaps between events by engine.
     pub gaps: Vec<EngineGaps>,
-    /// Prompt tokens per millisecond at which engines processed some of the prompts.
-    pub reading_rates: SmallVec<[u16; 8]>,
 }
 
 /// Load that one host reports to the leader.
@@ -98,8 +93,6 @@
     pub shares: engine_classes::Shares,
     /// Speeds in percent of the mean of those engines, by [`engine_id`], that differ from it.
     pub speeds: Vec<(u32, u8)>,
-    /// Prompt tokens that an idle engine processes per millisecond; 0 if this is not known.
-    pub reading_rate: u16,
     /// Load by data centre over all hosts.
     pub dcs: Vec<(name::Dc, DcLoad)>,
 }
@@ -182,11 +175,7 @@
         if speeds.len() < service.speeds.len() {
             host.digest.warn_once("speeds", &service.service);
         }
-        let reading_rate = match service.reading_rate {
-            0 => engine_speeds::DEFAULT_READING_RATE,
-            rate => rate.clamp(READING_RATES.0, READING_RATES.1),
-        };
-        fleet.set_figures(&service.service, service.shares, speeds, reading_rate);
+        fleet.set_figures(&service.service, service.shares, speeds);
         if host.settings.offload.by_load {
             fleet.record_dc_loads(&service.service, &service.dcs, host.now());
         }
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -28,9 +28,6 @@
 /// Share of an engine's slots that can be in use without delaying the tokens of its requests: 10 of
 /// 16.
 const USABLE_SLOTS_SHARE: f64 = 0.625;
-/// Range of the factor by which a learnt reading rate changes the need of a class. Where most prompts
-/// wait, the learnt rate is below that of an idle engine, and would exaggerate the need for prompts.
-const READING_FACTORS: (f64, f64) = (0.5, 2.0);
 
 /// Load that hosts reported, by process.
 #[derive(Debug, Default)]
@@ -44,7 +41,6 @@
 struct ServiceState {
     planner: engine_classes::Planner,
     speeds: engine_speeds::Speeds,
-    reading_rate: engine_speeds::ReadingRate,
 }
 
 impl ServiceState {
@@ -54,9 +50,6 @@
         Self {
             planner: engine_classes::Planner::new(shares),
             speeds: engine_speeds::Speeds::with_known(known.map_or(&[], |d| &d.speeds)),
-            reading_rate: engine_speeds::ReadingRate::with_known(
-                known.map_or(0, |d| d.reading_rate),
-            ),
         }
     }
 }
@@ -101,9 +94,6 @@
                     state.speeds.record_gap(engine.engine, gap_ms, now);
                 }
             }
-            for rate in std::mem::take(&mut load.reading_rates) {
-                state.reading_rate.record(rate, now);
-            }
         }
     }
 
@@ -149,7 +139,6 @@
         for engine in &mut service.gaps {
             engine.gaps_ms.truncate(MAX_SAMPLES);
         }
-        service.reading_rates.truncate(MAX_SAMPLES);
         for class in &mut service.classes {
             let before = *class;
             class.requests = class.requests.min(MAX_REQUESTS);
@@ -167,18 +156,12 @@
     changed
 }
 
-/// Returns what one engine of the model can do that processes `reading_rate` prompt tokens per
-/// millisecond when idle; 0 if that is not known.
-fn engine_model(engine: &model::Engine, reading_rate: u16) -> engine_classes::EngineModel {
+/// Returns what one engine of the model can do.
+fn engine_model(engine: &model::Engine) -> engine_classes::EngineModel {
     let mut result = engine_classes::EngineModel::default();
     if engine.slots > 0 {
         result.requests = f64::from(engine.slots) * USABLE_SLOTS_SHARE;
     }
-    if reading_rate > 0 {
-        let default = f64::from(engine_speeds::DEFAULT_READING_RATE);
-        let factor = f64::from(reading_rate) / default;
-        result.tokens_per_s *= factor.clamp(READING_FACTORS.0, READING_FACTORS.1);
-    }
     result
 }
 
@@ -230,7 +213,6 @@
             service,
             shares: known.map_or(engine_classes::DEFAULT_SHARES, |d| d.shares),
             speeds: Vec::new(),
-            reading_rate: 0,
             dcs: total.dcs.into_iter().collect(),
         };
         let service = &entry.service;
@@ -245,8 +227,7 @@
             let classes = engine_classes_of(host, service);
             loads.take_samples(service, state, now);
             entry.speeds = state.speeds.update(&classes, now);
-            entry.reading_rate = state.reading_rate.update(now);
-            let model = engine_model(engine, entry.reading_rate);
+            let model = engine_model(engine);
             let ready = classes.len() as u32;
             let decision = state.planner.decide(&total.classes, ready, &model, now);
             host.metrics.record_pressure(service, &decision.pressure);
@@ -269,14 +250,14 @@
         .collect()
 }
 
-/// Logs speeds and a reading rate that differ from those of the last digest.
+/// Logs speeds that differ from those of the last digest.
 fn log_speeds(
     entry: &digest::ServiceDigest,
     known: Option<&digest::ServiceDigest>,
     age: clock::Millis,
 ) {
-    let (speeds, rate) = known.map_or((&[][..], 0), |d| (&d.speeds[..], d.reading_rate));
-    if entry.speeds == speeds && entry.reading_rate == rate {
+    let speeds = known.map_or(&[][..], |d| &d.speeds[..]);
+    if entry.speeds == speeds {
         return;
     }
     let slow = entry.speeds.iter().filter(|(_, s)| *s < 100).count();
@@ -286,7 +267,6 @@
         slow,
         fast = entry.speeds.len() - slow,
         slowest_percent = entry.speeds.iter().map(|(_, s)| *s).min(),
-        reading_rate = entry.reading_rate,
         oldest_ms = age.0,
     );
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -17,6 +17,9 @@
 
 /// Time from sending a prompt to its first event, excluding prompt processing, in milliseconds.
 pub(crate) const FIRST_EVENT_BASE_MS: f64 = 50.0;
+/// Prompt tokens that an idle engine processes per millisecond; the measured slowdown corrects it for
+/// other engines.
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 112.0;
 /// Weight of a request's own unread tokens relative to tokens queued before it. It exceeds 1
 /// because processing this prompt also delays the other requests of the engine.
 const OWN_PREFILL_WEIGHT: f64 = 2.0;
@@ -230,7 +233,7 @@
         let preferred =
             shared_prefix.and_then(|(id, _)| self.preferred_upstream(criteria, id, now));
         let service = self.services.get(criteria.service)?;
-        let (typical, reading_rate) = (service.typical, service.figures.reading_rate);
+        let typical = service.typical;
         let gate = self.warm_up.gate(criteria.service);
         // The second one is used only if there is no other.
         let mut best: [Option<(f64, &tracked::TrackedUpstream, u64)>; 2] = [None; 2];
@@ -290,7 +293,7 @@
         };
         let details = self.offloading.explain(details, criteria, tracked, now);
         let base_latency_ms =
-            (FIRST_EVENT_BASE_MS + unread_tokens as f64 / reading_rate) / tracked.speed();
+            (FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS) / tracked.speed();
         let likely_latency_ms = base_latency_ms
             * tracked
                 .slowdown
@@ -340,11 +343,11 @@
             tracked.active_requests(now) * PLAIN_REQUEST_COST_MS
         } else {
             let own_tokens = unread_tokens as f64 * OWN_PREFILL_WEIGHT;
-            (own_tokens + tracked.unread_tokens as f64) / service.figures.reading_rate
+            (own_tokens + tracked.unread_tokens as f64) / PREFILL_TOKENS_PER_MS
                 + tracked.active_requests(now) * ACTIVE_REQUEST_COST_MS
         };
         let read_before = u64::from(criteria.prompt_tokens).saturating_sub(unread_tokens);
-        let saving_ms = read_before as f64 * OWN_PREFILL_WEIGHT / service.figures.reading_rate;
+        let saving_ms = read_before as f64 * OWN_PREFILL_WEIGHT / PREFILL_TOKENS_PER_MS;
         let dc = &tracked.upstream.dc;
         let distance_cost = self.offloading.cost_ms(criteria, dc, saving_ms, now);
         let class_cost = if criteria.prompt_parts.is_empty() {
--- a/crates/router/src/in_flight.rs
+++ b/crates/router/src/in_flight.rs
@@ -21,9 +21,6 @@
     pub sent_at: clock::Millis,
     /// Whether the prompt still counts among the upstream's unread tokens.
     prompt_pending: cell::Cell<bool>,
-    /// Whether the tokens that the upstream has to process are known: its cached prefix is, or the
-    /// prompt has none that other hosts may have sent.
-    is_reading_known: bool,
     engine: u32,
     last_event: cell::Cell<Option<clock::Millis>>,
     /// Data centre of the upstream; `None` if the upstream was removed before the request was sent.
@@ -49,9 +46,7 @@
             call.stream_class,
             selection.unread_tokens,
         );
-        let is_reading_known = selection.details.prefix_cached || call.meta.prompt_parts.len() <= 1;
         let in_flight = Self {
-            is_reading_known,
             engine: digest::engine_id(&selection.name),
             last_event: cell::Cell::new(None),
             host: host.clone(),
@@ -84,18 +79,6 @@
         }
     }
 
-    /// Records the time from sending the request to its first event, by which the reading rate of
-    /// the service is learnt.
-    pub fn record_first_event(&self, latency: clock::Millis) {
-        let fleet = self.host.fleet.borrow();
-        if self.is_reading_known
-            && let Some(rate) = fleet.measured_reading_rate(&self.selection, latency)
-        {
-            let mut meter = self.host.load_meter.borrow_mut();
-            meter.record_reading_rate(&self.service, rate);
-        }
-    }
-
     /// Records that an event of a stream arrived.
     pub fn record_event(&self) {
         let now = self.host.now();
--- a/crates/router/src/load_meter.rs
+++ b/crates/router/src/load_meter.rs
@@ -8,8 +8,6 @@
 
 use crate::{digest, fleet, stream_class};
 
-/// Number of reading rates of a service that are reported.
-const MAX_RATES: usize = 8;
 /// Number of gaps of an engine that are reported.
 const MAX_GAPS: usize = 4;
 /// Number of engines whose gaps are reported, the first ones of each period. Over all hosts, that gives
@@ -21,7 +19,6 @@
 struct ServiceMeter {
     classes: [digest::ClassLoad; stream_class::StreamClass::ALL.len()],
     gaps: collections::BTreeMap<u32, Draw<MAX_GAPS>>,
-    reading_rates: Draw<MAX_RATES>,
 }
 
 /// Random draw of some of the values of a period, each with the same probability.
@@ -91,11 +88,6 @@
         }
     }
 
-    /// Records the rate at which an engine processed a prompt, in tokens per millisecond.
-    pub fn record_reading_rate(&mut self, service: &name::Service, rate: u16) {
-        self.service(service).reading_rates.add(rate);
-    }
-
     /// Ends the reported period and returns its length and the load of each service in it.
     pub fn report(
         &mut self,
@@ -116,7 +108,6 @@
                 classes: meter.classes,
                 dcs: load_by_dc(fleet, service),
                 gaps: gaps.collect(),
-                reading_rates: std::mem::take(&mut meter.reading_rates).values,
             });
             for class in &mut meter.classes {
                 class.requests = 0;
--- a/crates/router/src/offloading.rs
+++ b/crates/router/src/offloading.rs
@@ -427,7 +427,7 @@
             return;
         }
         let speed = if is_engine {
-            (self.reading_rate(service), fleet::ACTIVE_REQUEST_COST_MS)
+            (fleet::PREFILL_TOKENS_PER_MS, fleet::ACTIVE_REQUEST_COST_MS)
         } else {
             (f64::INFINITY, fleet::PLAIN_REQUEST_COST_MS)
         };
--- a/crates/router/src/preference.rs
+++ b/crates/router/src/preference.rs
@@ -2,25 +2,16 @@
 //! that know the same upstreams and the same digest agree on both.
 
 use base::{clock, hash, name};
-use policy::{engine_classes, engine_speeds};
+use policy::engine_classes;
 
 use crate::{announcements, digest, fleet, model, selection, stream_class, tracked};
 
-/// Prompt whose expected latency is kept when the reading rate changes, in tokens.
-const USUAL_UNREAD_TOKENS: f64 = 8_000.0;
-/// Fewest prompt tokens by which a reading rate is measured: the time for fewer is mostly the base time.
-const MIN_MEASURED_TOKENS: u64 = 4_000;
-/// Shortest time for processing a prompt by which a rate is measured, in milliseconds.
-const MIN_MEASURED_MS: f64 = 20.0;
-
 /// What the leader's digest says of the engines of a service.
 #[derive(Debug)]
 pub(crate) struct Figures {
     shares: engine_classes::Shares,
     /// Speeds in percent by engine, for those that differ from the mean.
     speeds: Vec<(u32, u8)>,
-    /// Prompt tokens that an idle engine of mean speed processes per millisecond.
-    pub(crate) reading_rate: f64,
 }
 
 impl Default for Figures {
@@ -28,7 +19,6 @@
         Self {
             shares: engine_classes::DEFAULT_SHARES,
             speeds: Vec::new(),
-            reading_rate: f64::from(engine_speeds::DEFAULT_READING_RATE),
         }
     }
 }
@@ -42,40 +32,16 @@
 }
 
 impl fleet::Fleet {
-    /// Prompt tokens that an idle engine of the service processes per millisecond.
-    pub(crate) fn reading_rate(&self, service: &name::Service) -> f64 {
-        let known = self.services.get(service);
-        known.map_or_else(
-            || Figures::default().reading_rate,
-            |s| s.figures.reading_rate,
-        )
-    }
-
-    /// Sets the shares of a service's engines by class, the speeds of those that differ from the
-    /// mean, and the reading rate in tokens per millisecond.
+    /// Sets the shares of a service's engines by class, and the speeds of those that differ from
+    /// the mean.
     pub fn set_figures(
         &mut self,
         service: &name::Service,
         shares: engine_classes::Shares,
         speeds: Vec<(u32, u8)>,
-        reading_rate: u16,
     ) {
         let entry = self.services.entry(service.clone()).or_default();
         let figures = &mut entry.figures;
-        let reading_rate = f64::from(reading_rate);
-        if figures.reading_rate != reading_rate {
-            // What was measured relative to the old estimate is expressed relative to the new one.
-            // Otherwise both would correct the same difference until enough responses have come.
-            let latency = |rate: f64| fleet::FIRST_EVENT_BASE_MS + USUAL_UNREAD_TOKENS / rate;
-            let factor = latency(figures.reading_rate) / latency(reading_rate);
-            figures.reading_rate = reading_rate;
-            entry.typical.rescale(factor);
-            for name in &entry.names {
-                if let Some(tracked) = self.upstreams.get_mut(name) {
-                    tracked.slowdown.rescale(factor);
-                }
-            }
-        }
         if figures.shares == shares && figures.speeds == speeds {
             return;
         }
@@ -84,23 +50,6 @@
         self.assign_classes(service);
     }
 
-    /// Returns the rate in tokens per millisecond at which an engine of mean speed would have
-    /// processed the prompt of a request whose first event came after `latency`. `None` if the prompt
-    /// is too short to tell.
-    pub fn measured_reading_rate(
-        &self,
-        selection: &selection::Selection,
-        latency: clock::Millis,
-    ) -> Option<u16> {
-        if selection.unread_tokens < MIN_MEASURED_TOKENS {
-            return None;
-        }
-        let speed = self.get(&selection.name)?.speed();
-        let reading_ms = latency.0 as f64 - fleet::FIRST_EVENT_BASE_MS / speed;
-        let rate = selection.unread_tokens as f64 / reading_ms.max(MIN_MEASURED_MS) / speed;
-        Some(rate as u16)
-    }
-
     /// Reserves the ready engines of a service for stream classes. All hosts compute the same
     /// assignment, which spreads the engines of each class over the data centres.
     pub(crate) fn assign_classes(&mut self, service: &name::Service) {
--- a/crates/router/src/slowdown.rs
+++ b/crates/router/src/slowdown.rs
@@ -80,12 +80,3 @@
         Self([1.0; stream_class::StreamClass::ALL.len()])
     }
 }
-
-impl TypicalSlowdown {
-    /// Multiplies the ratios by `factor`, after the expected times were divided by it.
-    pub fn rescale(&mut self, factor: f64) {
-        for ratio in &mut self.0 {
-            *ratio = (*ratio * factor).clamp(MIN_RATIO, MAX_RATIO);
-        }
-    }
-}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -261,7 +261,6 @@
                 source.stream.in_flight.record_prompt_read();
                 serve::count_started(host, call, now);
                 let latency = now.since(sent_at);
-                source.stream.in_flight.record_first_event(latency);
                 let ratio = latency.0 as f64 / base_latency.0 as f64;
                 let name = &source.stream.in_flight.selection.name;
                 host.fleet.borrow_mut().record_success(name, ratio, now);
--- a/crates/router/tests/digest.rs
+++ b/crates/router/tests/digest.rs
@@ -29,7 +29,6 @@
             service: "s".into(),
             shares,
             speeds: Vec::new(),
-            reading_rate: 0,
             dcs: Vec::new(),
         }],
     })
@@ -185,7 +184,6 @@
                 },
             )],
             gaps: Vec::new(),
-            reading_rates: Default::default(),
         };
         env::run_leader_election(&node);
         start_reports(&node);
--- a/crates/router/tests/engine_speeds.rs
+++ b/crates/router/tests/engine_speeds.rs
@@ -1,4 +1,4 @@
-//! Tests of the speeds and reading rates of the digest in the selection of an upstream.
+//! Tests of the speeds of the digest in the selection of an upstream.
 
 use base::{clock, name};
 use policy::engine_classes;
@@ -6,7 +6,6 @@
 
 const NOW: clock::Millis = clock::Millis(100_000);
 const ALL_OTHER: engine_classes::Shares = [0, 0, 1_000];
-const DEFAULT_RATE: u16 = 112;
 
 fn fleet(count: u8) -> fleet::Fleet {
     let location = location::Location {
@@ -40,6 +39,7 @@
         tokens: prefix_tokens,
     };
     let criteria = selection::Criteria {
+        id: "r",
         service: &"llm".into(),
         prompt_parts: &[shared, own],
         prompt_tokens: own.tokens + prefix_tokens,
@@ -57,7 +57,7 @@
 #[test]
 fn slow_engine_gets_fewer_prefixes() {
     let mut fleet = fleet(8);
-    fleet.set_figures(&"llm".into(), ALL_OTHER, Vec::new(), DEFAULT_RATE);
+    fleet.set_figures(&"llm".into(), ALL_OTHER, Vec::new());
     let engines = |fleet: &fleet::Fleet| -> Vec<_> {
         let prefixes = 0..4_000;
         prefixes.map(|p| select(fleet, p, 60_000).name).collect()
@@ -65,7 +65,7 @@
     let before = engines(&fleet);
     let slow = name::Upstream::from("u3");
     let speeds = vec![(digest::engine_id(&slow), 50)];
-    fleet.set_figures(&"llm".into(), ALL_OTHER, speeds, DEFAULT_RATE);
+    fleet.set_figures(&"llm".into(), ALL_OTHER, speeds);
     let after = engines(&fleet);
     let count = |names: &[name::Upstream]| names.iter().filter(|n| **n == slow).count();
     assert!((420..=580).contains(&count(&before)), "{}", count(&before));
@@ -81,7 +81,7 @@
     let mut fleet = fleet(2);
     let first = select(&fleet, 1, 0);
     let speeds = vec![(digest::engine_id(&first.name), 50)];
-    fleet.set_figures(&"llm".into(), ALL_OTHER, speeds.clone(), DEFAULT_RATE);
+    fleet.set_figures(&"llm".into(), ALL_OTHER, speeds.clone());
     assert_ne!(select(&fleet, 1, 0).name, first.name);
     let other = select(&fleet, 1, 0).name;
     fleet.remove(&other);
@@ -89,51 +89,21 @@
     assert_eq!(slow.base_latency.0 / 10, first.base_latency.0 * 2 / 10);
 }
 
-/// Guards against a learnt rate and the typical slowdown that correct the same difference: the
-/// expected latency of a host that already knew it must not jump, and must not drift afterwards.
+/// Load of engines that process 64 tokens per millisecond, not 112: guards against an expected latency
+/// that the measured slowdown doesn't correct.
 #[test]
-fn learnt_rate_and_slowdown_do_not_add_up() {
+fn slowdown_corrects_the_estimate_for_slower_engines() {
     const ACTUAL_RATE: u64 = 64;
     let mut fleet = fleet(6);
     let actual_ms = |s: &selection::Selection| 50 + s.unread_tokens / ACTUAL_RATE;
-    let serve = |fleet: &mut fleet::Fleet, prefix| {
-        let selection = select(fleet, prefix, 0);
+    for prefix in 0..300 {
+        let selection = select(&fleet, prefix, 0);
         let ratio = actual_ms(&selection) as f64 / selection.base_latency.0 as f64;
         fleet.record_success(&selection.name, ratio, NOW);
-    };
-    let error = |fleet: &fleet::Fleet| {
-        let selection = select(fleet, 5, 0);
-        selection.likely_latency.0 as f64 / actual_ms(&selection) as f64
-    };
-    (0..300).for_each(|prefix| serve(&mut fleet, prefix));
-    assert!((0.9..1.1).contains(&error(&fleet)), "{}", error(&fleet));
-    for rate in [98, 86, 76, 70, 64] {
-        fleet.set_figures(&"llm".into(), ALL_OTHER, Vec::new(), rate);
-        let at_once = error(&fleet);
-        assert!((0.85..1.15).contains(&at_once), "{at_once} at {rate}");
     }
-    (0..300).for_each(|prefix| serve(&mut fleet, prefix));
-    assert!((0.9..1.1).contains(&error(&fleet)), "{}", error(&fleet));
-}
-
-/// Guards against measuring the rate by prompts that say little of it.
-#[test]
-fn measured_rate_is_that_of_an_engine_of_mean_speed() {
-    let mut fleet = fleet(1);
-    let selection = select(&fleet, 1, 6_000);
-    let rate = |fleet: &fleet::Fleet, tokens, ms| {
-        let selection = selection::Selection {
-            unread_tokens: tokens,
-            ..selection.clone()
-        };
-        fleet.measured_reading_rate(&selection, clock::Millis(ms))
-    };
-    assert_eq!(rate(&fleet, 6_400, 150), Some(64));
-    assert_eq!(rate(&fleet, 6_400, 0), Some(320), "an absurd latency");
-    assert_eq!(rate(&fleet, 1_000, 60), None);
-    let speeds = vec![(digest::engine_id(&"u0".into()), 50)];
-    fleet.set_figures(&"llm".into(), ALL_OTHER, speeds, DEFAULT_RATE);
-    assert_eq!(rate(&fleet, 6_400, 300), Some(64));
+    let selection = select(&fleet, 5, 0);
+    let error = selection.likely_latency.0 as f64 / actual_ms(&selection) as f64;
+    assert!((0.9..1.1).contains(&error), "{error}");
 }
 
 /// Load of engines on machines shared with others, which are slow for some hundred milliseconds at a
