Only engines that stay slow are told as slow, and none as fast

On the deployment with equal engines, 12 of 211 were taken for slow.

The 0.2 quantile of few gaps grows with the prompts of an engine, and all speeds that differed from the mean were told together every 10 s.

Now the 0.05 quantile of up to 256 gaps of 15 s is compared with the median of the other engines of the class that are not slow. An engine is told as slow when it is below 0.75 of it, with at least 30 gaps, in two updates in a row. It stays so until it has been above 0.9 for 20 s; its speed is rounded to 5% and fixed meanwhile.

--- a/crates/policy/src/engine_speeds.rs
+++ b/crates/policy/src/engine_speeds.rs
@@ -1,10 +1,10 @@
-//! Speeds of the engines of a service, relative to each other.
+//! Engines of a service that are slower than the others.
 //!
 //! The gap between two events of a stream grows with the load of the engine, and for some hundred
-//! milliseconds at a time with the load of its machine. Therefore a low quantile of many gaps counts,
-//! and engines are compared with those of the same class only, which have about the same load. What
-//! the gaps of a class have in common is its load; the rest is the speed of each engine. The speed
-//! outlasts a change of the class, so that engines do not change places for ever.
+//! milliseconds at a time with the load of its machine. Therefore a low quantile of many gaps counts: a
+//! slow engine has long gaps always, a loaded one only often. Engines are compared with those of the
+//! same class only, which have about the same load. That an engine is slow outlasts a change of its
+//! class, so that engines do not change places for ever.
 
 use std::collections;
 
@@ -13,34 +13,35 @@
 
 /// Time for which a sample counts.
 const SAMPLE_TTL: clock::Millis = clock::Millis::secs(15);
-/// Largest number of samples that are kept of an engine.
-const MAX_SAMPLES: usize = 96;
+/// Largest number of samples that are kept of an engine. With fewer, some prompts in a row would be all
+/// that is known of a busy engine.
+const MAX_SAMPLES: usize = 256;
 /// Number of samples below which nothing is concluded.
-const MIN_SAMPLES: usize = 20;
-/// Quantile of the gaps that counts. Machines are slow for 15% of the time, and prompts make gaps
-/// longer, so the low gaps are those of the engine alone; the lowest ones are of events that arrived
-/// together.
-const GAP_QUANTILE: f64 = 0.2;
+const MIN_SAMPLES: usize = 30;
+/// Quantile of the gaps that counts. Machines are slow for 15% of the time, and prompts make up to 70%
+/// of the gaps longer, for up to a second at a time; a quarter of the gaps are then those of the engine
+/// alone. With 0.1, equal engines were told as slow in a simulation of few samples.
+const GAP_QUANTILE: f64 = 0.05;
 /// Gaps below this are of events that arrived together, in milliseconds.
 const MIN_GAP_MS: u16 = 3;
 /// Gaps below this are not compared, in milliseconds: they are measured in whole milliseconds, which is
 /// too coarse for them.
 const MIN_COMPARED_MS: f64 = 10.0;
-/// Number of measured engines of a class below which they are not compared.
-const MIN_ENGINES: usize = 3;
-/// Divisor of the moving mean of a speed.
-const SPEED_SMOOTHING: f64 = 4.0;
-/// Range of speeds, relative to the mean.
-const SPEED_RANGE: (f64, f64) = (0.5, 1.25);
-/// Difference from 100% above which a speed is told, and change of a told speed that is told, in
-/// percent.
-const TOLD_DIFFERENCE: u8 = 10;
-const TOLD_CHANGE: u8 = 7;
-/// Time between two changes of the told speeds. Engines are ordered by them, so speeds that were told
-/// one by one while they are learnt would move engines to and fro between classes.
-const TOLD_INTERVAL: clock::Millis = clock::Millis::secs(10);
-/// Speed of an engine that is not known to differ from the others, in percent.
-const MEAN_PERCENT: u8 = 100;
+/// Number of other engines of a class, not known to be slow, below which an engine is not compared.
+const MIN_OTHERS: usize = 2;
+/// Speed relative to the others below which an engine is slow.
+const SLOW_SPEED: f64 = 0.75;
+/// Updates in a row in which it has to be below that.
+const SLOW_UPDATES: u32 = 2;
+/// Speed above which an engine is no longer slow, and for how long it has to be above it. An engine that
+/// changes its class loses the use of its cached prefixes, so this is slow to happen.
+const USUAL_SPEED: f64 = 0.9;
+const USUAL_PERIOD: clock::Millis = clock::Millis::secs(20);
+/// Told speeds are rounded to a multiple of this, in percent, and are in this range.
+const TOLD_STEP: f64 = 5.0;
+const TOLD_RANGE: (f64, f64) = (25.0, 75.0);
+/// Speed of an engine that is not slow, in percent.
+const USUAL_PERCENT: u8 = 100;
 
 /// Recent gaps between events of one engine.
 #[derive(Clone, Debug, Default)]
@@ -67,23 +68,42 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Engine {
     gaps: Samples,
     class: usize,
-    /// Speed relative to the mean of all engines.
-    speed: f64,
-    /// Speed as it was told last, in percent.
-    told: u8,
+    /// Updates in a row in which the engine was below [`SLOW_SPEED`].
+    low_updates: u32,
+    /// Speed in percent that is told of a slow engine; `None` for others.
+    slow_percent: Option<u8>,
+    /// Since when a slow engine has been above [`USUAL_SPEED`].
+    usual_since: Option<clock::Millis>,
 }
 
 impl Engine {
-    fn new(told: u8) -> Self {
-        Self {
-            gaps: Samples::default(),
-            class: 0,
-            speed: f64::from(told) / f64::from(MEAN_PERCENT),
-            told,
+    /// Takes the speed relative to the others; `None` if it is not known now.
+    fn update(&mut self, speed: Option<f64>, now: clock::Millis) {
+        if self.slow_percent.is_some() {
+            if speed.is_none_or(|speed| speed <= USUAL_SPEED) {
+                self.usual_since = None;
+                return;
+            }
+            let since = *self.usual_since.get_or_insert(now);
+            if now.since(since) >= USUAL_PERIOD {
+                self.slow_percent = None;
+                self.low_updates = 0;
+            }
+            return;
+        }
+        let Some(speed) = speed.filter(|speed| *speed < SLOW_SPEED) else {
+            self.low_updates = 0;
+            return;
+        };
+        self.low_updates += 1;
+        if self.low_updates >= SLOW_UPDATES {
+            let percent = (speed * 100.0 / TOLD_STEP).round() * TOLD_STEP;
+            self.slow_percent = Some(percent.clamp(TOLD_RANGE.0, TOLD_RANGE.1) as u8);
+            self.usual_since = None;
         }
     }
 }
@@ -92,17 +112,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Speeds {
     engines: collections::BTreeMap<u32, Engine>,
-    /// When the told speeds were changed last, or the first update came.
-    told_at: Option<clock::Millis>,
 }
 
 impl Speeds {
     /// Creates the state of a leader that knows these speeds in percent from the one before it.
     pub fn with_known(known: &[(u32, u8)]) -> Self {
-        let engine = |(id, percent): &(u32, u8)| (*id, Engine::new(*percent));
+        let slow = known.iter().filter(|(_, p)| *p < USUAL_PERCENT);
+        let engine = |(id, percent): &(u32, u8)| {
+            let engine = Engine {
+                slow_percent: Some(*percent),
+                ..Engine::default()
+            };
+            (*id, engine)
+        };
         Self {
-            engines: known.iter().map(engine).collect(),
-            told_at: None,
+            engines: slow.map(engine).collect(),
         }
     }
 
@@ -117,73 +141,54 @@
         }
     }
 
-    /// Updates the speeds and returns those in percent that differ from the mean. `classes` has all
-    /// engines and the index of the class that each is reserved for.
+    /// Updates the speeds and returns those of the slow engines, in percent of the others'. `classes`
+    /// has all engines and the index of the class that each is reserved for. Must be called once a
+    /// second.
     pub fn update(&mut self, classes: &[(u32, usize)], now: clock::Millis) -> Vec<(u32, u8)> {
         let known: collections::BTreeMap<u32, usize> = classes.iter().copied().collect();
         self.engines.retain(|id, _| known.contains_key(id));
-        let mut measured: collections::BTreeMap<usize, Vec<(u32, f64)>> =
-            collections::BTreeMap::new();
+        let mut gaps: collections::BTreeMap<u32, f64> = collections::BTreeMap::new();
+        // Gaps of the engines that are not slow, by class.
+        let mut usual: collections::BTreeMap<usize, Vec<f64>> = collections::BTreeMap::new();
         for (id, class) in known {
-            let engine = self.engines.entry(id).or_insert(Engine::new(MEAN_PERCENT));
+            let engine = self.engines.entry(id).or_default();
             if engine.class != class {
                 // The gaps before were those of another load.
                 engine.class = class;
                 engine.gaps = Samples::default();
             }
             let gap_ms = engine.gaps.quantile(GAP_QUANTILE, now);
-            if let Some(gap_ms) = gap_ms.filter(|gap| *gap >= MIN_COMPARED_MS) {
-                measured.entry(class).or_default().push((id, gap_ms));
+            let Some(gap_ms) = gap_ms.filter(|gap| *gap >= MIN_COMPARED_MS) else {
+                continue;
+            };
+            gaps.insert(id, gap_ms);
+            if engine.slow_percent.is_none() {
+                usual.entry(class).or_default().push(gap_ms);
             }
         }
-        for engines in measured.values().filter(|m| m.len() >= MIN_ENGINES) {
-            self.compare(engines);
-        }
-        self.normalize();
-        let told_at = *self.told_at.get_or_insert(now);
-        let is_due = now.since(told_at) >= TOLD_INTERVAL;
-        if is_due {
-            self.told_at = Some(now);
-        }
-        self.told(is_due)
-    }
-
-    /// Updates the speeds of the engines of one class by their gaps in milliseconds.
-    fn compare(&mut self, engines: &[(u32, f64)]) {
-        let mut loads: Vec<f64> = engines
-            .iter()
-            .filter_map(|(id, gap_ms)| Some(gap_ms * self.engines.get(id)?.speed))
-            .collect();
-        loads.sort_by(f64::total_cmp);
-        let load = loads[loads.len() / 2];
-        for (id, gap_ms) in engines {
-            if let Some(engine) = self.engines.get_mut(id) {
-                let speed = (load / gap_ms).clamp(SPEED_RANGE.0, SPEED_RANGE.1);
-                engine.speed += (speed - engine.speed) / SPEED_SMOOTHING;
-            }
+        for gaps in usual.values_mut() {
+            gaps.sort_by(f64::total_cmp);
         }
-    }
-
-    /// Makes 1 the mean of the speeds.
-    fn normalize(&mut self) {
-        let sum: f64 = self.engines.values().map(|e| e.speed).sum();
-        let mean = sum / self.engines.len().max(1) as f64;
-        for engine in self.engines.values_mut() {
-            engine.speed = (engine.speed / mean).clamp(SPEED_RANGE.0, SPEED_RANGE.1);
+        for (id, engine) in &mut self.engines {
+            let usual = usual.get(&engine.class).map_or(&[][..], |gaps| gaps);
+            let speed = gaps.get(id).and_then(|gap_ms| {
+                let own = engine.slow_percent.is_none().then_some(*gap_ms);
+                Some(median_of_others(usual, own)? / gap_ms)
+            });
+            engine.update(speed, now);
         }
+        let told = |(id, engine): (&u32, &Engine)| Some((*id, engine.slow_percent?));
+        self.engines.iter().filter_map(told).collect()
     }
+}
 
-    fn told(&mut self, is_due: bool) -> Vec<(u32, u8)> {
-        let mut told = Vec::new();
-        for (id, engine) in &mut self.engines {
-            let percent = (engine.speed * f64::from(MEAN_PERCENT)).round() as u8;
-            if is_due && percent.abs_diff(engine.told) >= TOLD_CHANGE {
-                engine.told = percent;
-            }
-            if engine.told.abs_diff(MEAN_PERCENT) > TOLD_DIFFERENCE {
-                told.push((*id, engine.told));
-            }
-        }
-        told
+/// Returns the median of the sorted gaps without `own`, which is one of them; `None` if there are too few.
+fn median_of_others(gaps: &[f64], own: Option<f64>) -> Option<f64> {
+    let others = gaps.len() - usize::from(own.is_some());
+    if others < MIN_OTHERS {
+        return None;
     }
+    let median = others / 2;
+    let is_own_before = own.is_some_and(|own| own <= gaps[median]);
+    Some(gaps[median + usize::from(is_own_before)])
 }
--- a/crates/router/src/digest.rs
+++ b/crates/router/src/digest.rs
@@ -17,8 +17,8 @@
 /// Age of the digest at which a host asks the leader for it even if it follows another host, which
 /// may be of an earlier release.
 const STALE_AGE: clock::Millis = clock::Millis(3_000);
-/// Range of plausible speeds, in percent of the mean.
-const SPEED_PERCENT: std::ops::RangeInclusive<u8> = 25..=250;
+/// Range of plausible speeds, in percent of the others'. Only slow engines are told.
+const SPEED_PERCENT: std::ops::RangeInclusive<u8> = 25..=100;
 
 /// Version of a digest. A later leader's digests are newer than all of an earlier one's.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -91,7 +91,7 @@
     pub service: name::Service,
     /// Shares of the service's engines by class.
     pub shares: engine_classes::Shares,
-    /// Speeds in percent of the mean of those engines, by [`engine_id`], that differ from it.
+    /// Speeds of the slow engines, by [`engine_id`], in percent of the others'.
     pub speeds: Vec<(u32, u8)>,
     /// Load by data centre over all hosts.
     pub dcs: Vec<(name::Dc, DcLoad)>,
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -260,12 +260,10 @@
     if entry.speeds == speeds {
         return;
     }
-    let slow = entry.speeds.iter().filter(|(_, s)| *s < 100).count();
     tracing::info!(
         event = "engine_speeds",
         service = %entry.service,
-        slow,
-        fast = entry.speeds.len() - slow,
+        slow = entry.speeds.len(),
         slowest_percent = entry.speeds.iter().map(|(_, s)| *s).min(),
         oldest_ms = age.0,
     );
--- a/crates/router/src/preference.rs
+++ b/crates/router/src/preference.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub(crate) struct Figures {
     shares: engine_classes::Shares,
-    /// Speeds in percent by engine, for those that differ from the mean.
+    /// Speeds of the slow engines in percent of the others'.
     speeds: Vec<(u32, u8)>,
 }
 
@@ -27,13 +27,12 @@
     fn speed_percent(&self, name: &name::Upstream) -> u8 {
         let id = digest::engine_id(name);
         let known = self.speeds.iter().find(|(engine, _)| *engine == id);
-        known.map_or(tracked::MEAN_SPEED_PERCENT, |(_, percent)| *percent)
+        known.map_or(tracked::USUAL_SPEED_PERCENT, |(_, percent)| *percent)
     }
 }
 
 impl fleet::Fleet {
-    /// Sets the shares of a service's engines by class, and the speeds of those that differ from
-    /// the mean.
+    /// Sets the shares of a service's engines by class, and the speeds in percent of the slow ones.
     pub fn set_figures(
         &mut self,
         service: &name::Service,
--- a/crates/router/src/tracked.rs
+++ b/crates/router/src/tracked.rs
@@ -4,8 +4,8 @@
 
 use crate::{announcements, failures, model, reported_load, slowdown, stream_class};
 
-/// Speed of an engine, in percent of the mean of its service, if nothing else is known.
-pub const MEAN_SPEED_PERCENT: u8 = 100;
+/// Speed of an engine that is not known to be slow, in percent.
+pub const USUAL_SPEED_PERCENT: u8 = 100;
 
 /// An upstream and what this host has observed about it.
 #[derive(Debug)]
@@ -26,7 +26,7 @@
     pub missing_mark: u64,
     /// Class of streams that the upstream is reserved for.
     pub stream_class: stream_class::StreamClass,
-    /// Speed of the engine in percent of the mean of its service, by the leader's digest.
+    /// Speed of the engine in percent of the others' of its service, by the leader's digest.
     pub speed_percent: u8,
     /// Time of the latest response bytes received from the upstream.
     pub last_data: clock::Millis,
@@ -44,7 +44,7 @@
             slowdown: slowdown::Slowdown::default(),
             missing_mark: 0,
             stream_class: stream_class::StreamClass::Other,
-            speed_percent: MEAN_SPEED_PERCENT,
+            speed_percent: USUAL_SPEED_PERCENT,
             last_data: clock::Millis::ZERO,
         }
     }
@@ -55,9 +55,9 @@
         f64::from(reported_requests.max(self.in_flight))
     }
 
-    /// Speed of the engine relative to the mean of its service.
+    /// Speed of the engine relative to the others of its service.
     pub fn speed(&self) -> f64 {
-        f64::from(self.speed_percent) / f64::from(MEAN_SPEED_PERCENT)
+        f64::from(self.speed_percent) / f64::from(USUAL_SPEED_PERCENT)
     }
 
     /// Hash of the upstream's name.
