Slow engines change places, and no other engine changes its class

When the speeds of engines became known, most engines changed their class at once. They lost the use of the prefixes in their caches, and clients saw later first events.

Engines were ordered by speed before the rendezvous hash, so that some slow engines moved all the borders between classes.

The order is that of the hash again. A slow engine for short-gap streams changes places with the last engine for other streams that is not slow; nothing else moves. Slow engines still get prefixes in proportion to their speed, and their cost still follows it.

With 140 engines, one in four slow, a test shows that no slow engine is left for short gaps, that twice as many engines move as there were, and that one more slow engine moves two at most. The test of the old order asked for all slow engines among the others; those for streams that can't be resumed now stay where they are. Tests of policy and router pass but for the known first_part_before_three_others_of_its_own_is_withheld.

--- a/crates/router/src/stream_class.rs
+++ b/crates/router/src/stream_class.rs
@@ -9,7 +9,7 @@
 use base::name;
 use policy::engine_classes;
 
-use crate::model;
+use crate::{model, tracked};
 
 /// Number of engines below which none are reserved.
 const MIN_DIVIDED_ENGINES: usize = 3;
@@ -87,7 +87,7 @@
 /// An engine of a service, as [`assign_classes`] orders them.
 #[derive(Clone, Debug)]
 pub struct RankedEngine {
-    /// Speed in percent of the mean.
+    /// Speed in percent of the others'; less than 100 for slow engines.
     pub speed_percent: u8,
     /// Hash of the name, which decides among the engines of a data centre.
     pub hash: u64,
@@ -97,36 +97,31 @@
     pub name: name::Upstream,
 }
 
-/// Coarse speed of an engine; the fastest come first. Engines of about the same speed count as equal,
-/// so that a small change of a measured speed changes no classes.
-fn speed_rank(percent: u8) -> u8 {
-    match percent {
-        0..=80 => 2,
-        81..=110 => 1,
-        _ => 0,
+impl RankedEngine {
+    fn is_slow(&self) -> bool {
+        self.speed_percent < tracked::USUAL_SPEED_PERCENT
     }
 }
 
 /// Assigns a class to each engine of a service. `ranked` is sorted by hash; the engines of each
-/// class are spread over the data centres. The fastest engines are for short-gap streams. The classes
-/// follow each other in one order of the engines, so that a share that changes moves few engines.
+/// class are spread over the data centres. The classes follow each other in one order of the engines,
+/// so that a share that changes moves few engines. Slow engines are not for short-gap streams.
 pub fn assign_classes(
     ranked: Vec<RankedEngine>,
     shares: &engine_classes::Shares,
 ) -> Vec<(RankedEngine, StreamClass)> {
-    let mut next_rank: collections::HashMap<(u8, name::Dc), u32> = collections::HashMap::new();
-    let mut ordered: Vec<(u8, u32, RankedEngine)> = Vec::with_capacity(ranked.len());
+    let mut next_rank: collections::HashMap<name::Dc, u32> = collections::HashMap::new();
+    let mut ordered: Vec<(u32, RankedEngine)> = Vec::with_capacity(ranked.len());
     for engine in ranked {
-        let speed = speed_rank(engine.speed_percent);
-        let rank = next_rank.entry((speed, engine.dc.clone())).or_default();
-        ordered.push((speed, *rank, engine));
+        let rank = next_rank.entry(engine.dc.clone()).or_default();
+        ordered.push((*rank, engine));
         *rank += 1;
     }
-    ordered.sort_by_key(|(speed, rank, _)| (*speed, *rank));
+    ordered.sort_by_key(|(rank, _)| *rank);
     let [short_gap, not_resumable] = class_sizes(ordered.len(), shares);
     let divided = ordered.len() >= MIN_DIVIDED_ENGINES;
     let engines = ordered.into_iter().enumerate();
-    let class = |(i, (_, _, engine))| {
+    let class = |(i, (_, engine))| {
         let class = match i {
             _ if !divided => StreamClass::Other,
             i if i < short_gap => StreamClass::ShortGap,
@@ -135,7 +130,30 @@
         };
         (engine, class)
     };
-    engines.map(class).collect()
+    let mut assigned: Vec<_> = engines.map(class).collect();
+    exchange_slow(&mut assigned);
+    assigned
+}
+
+/// Lets slow engines for short-gap streams change places with the last engines for others that are not
+/// slow. No other engine moves: an order by speed moved most engines to another class when speeds were
+/// learnt, and their cached prefixes were read again.
+fn exchange_slow(assigned: &mut [(RankedEngine, StreamClass)]) {
+    let mut end = assigned.len();
+    for i in 0..assigned.len() {
+        let (engine, class) = &assigned[i];
+        if *class != StreamClass::ShortGap || !engine.is_slow() {
+            continue;
+        }
+        let is_replacement =
+            |(engine, class): &(RankedEngine, _)| *class == StreamClass::Other && !engine.is_slow();
+        let Some(last) = assigned[..end].iter().rposition(is_replacement) else {
+            return;
+        };
+        assigned[i].1 = StreamClass::Other;
+        assigned[last].1 = StreamClass::ShortGap;
+        end = last;
+    }
 }
 
 /// Numbers of engines for [`StreamClass::ShortGap`] and [`StreamClass::NotResumable`]. Other requests
