Learnt speeds of engines are removed; short-gap streams keep a constant share

Cause: engines that process prompts without a pause for many seconds have only long gaps between events, which no quantile tells from a slow machine. Followed bursts of short-gap streams moved engines when the burst was nearly over.

The share for short gaps neither gives nor takes engines.

--- a/crates/policy/src/engine_classes.rs
+++ b/crates/policy/src/engine_classes.rs
@@ -19,7 +19,8 @@
 /// Shares while no demand has called for others.
 pub const DEFAULT_SHARES: Shares = [200, 200, 600];
 
-/// Class that gives no engines away: streams with short gaps need engines that process few prompts.
+/// Class whose share is constant. It needs engines that process few prompts, which bursts of other classes
+/// must not take, and its own bursts last as long as its streams: engines that followed one came late.
 const SHORT_GAP: usize = 0;
 /// Samples of the need whose median counts. A burst of two seconds changes no median of five.
 const SAMPLE_COUNT: usize = 5;
@@ -228,10 +229,10 @@
 /// there is no such pair. A class without demand keeps its engines: others use them at a low cost.
 fn most_uneven(crowding: &[f64; CLASS_COUNT]) -> Option<(usize, usize)> {
     let by_crowding = |a: &usize, b: &usize| crowding[*a].total_cmp(&crowding[*b]);
-    let crowded = (0..CLASS_COUNT).max_by(by_crowding)?;
-    let may_give =
-        |class: &usize| *class != SHORT_GAP && *class != crowded && crowding[*class] > 0.0;
-    let donor = (0..CLASS_COUNT).filter(may_give).min_by(by_crowding)?;
+    let classes = || (0..CLASS_COUNT).filter(|class| *class != SHORT_GAP);
+    let crowded = classes().max_by(by_crowding)?;
+    let may_give = |class: &usize| *class != crowded && crowding[*class] > 0.0;
+    let donor = classes().filter(may_give).min_by(by_crowding)?;
     Some((crowded, donor))
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod dc_link;
 pub mod dispatch;
 pub mod engine_classes;
-pub mod engine_speeds;
 pub mod lease;
 pub mod length;
 pub mod offload;
--- a/crates/router/src/digest.rs
+++ b/crates/router/src/digest.rs
@@ -7,18 +7,15 @@
 use std::cell;
 use std::rc;
 
-use base::{clock, hash, name};
+use base::{clock, name};
 use policy::engine_classes;
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 
 use crate::host;
 
 /// Age of the digest at which a host asks the leader for it even if it follows another host, which
 /// may be of an earlier release.
 const STALE_AGE: clock::Millis = clock::Millis(3_000);
-/// Range of plausible speeds, in percent of the others'. Only slow engines are told.
-const SPEED_PERCENT: std::ops::RangeInclusive<u8> = 25..=100;
 
 /// Version of a digest. A later leader's digests are newer than all of an earlier one's.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -49,15 +46,6 @@
     pub unread_tokens: u64,
 }
 
-/// Some of the gaps between two events of streams from one engine.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct EngineGaps {
-    /// Engine, by [`engine_id`].
-    pub engine: u32,
-    /// Gaps in milliseconds.
-    pub gaps_ms: SmallVec<[u16; 4]>,
-}
-
 /// Load of one service from one host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceLoad {
@@ -67,8 +55,6 @@
     pub classes: [ClassLoad; engine_classes::CLASS_COUNT],
     /// Load by data centre of the upstreams.
     pub dcs: Vec<(name::Dc, DcLoad)>,
-    /// Gaps between events by engine.
-    pub gaps: Vec<EngineGaps>,
 }
 
 /// Load that one host reports to the leader.
@@ -91,8 +77,6 @@
     pub service: name::Service,
     /// Shares of the service's engines by class.
     pub shares: engine_classes::Shares,
-    /// Speeds of the slow engines, by [`engine_id`], in percent of the others'.
-    pub speeds: Vec<(u32, u8)>,
     /// Load by data centre over all hosts.
     pub dcs: Vec<(name::Dc, DcLoad)>,
 }
@@ -106,11 +90,6 @@
     pub services: Vec<ServiceDigest>,
 }
 
-/// Identifies an engine in messages: half of the hash of its name.
-pub fn engine_id(name: &name::Upstream) -> u32 {
-    hash::stable_hash(name.as_str().as_bytes()) as u32
-}
-
 /// Digest that a host goes by.
 #[derive(Debug, Default)]
 pub struct CurrentDigest {
@@ -165,17 +144,7 @@
         }
         host.metrics
             .record_shares(&service.service, &service.shares);
-        let is_plausible = |(_, percent): &(u32, u8)| SPEED_PERCENT.contains(percent);
-        let speeds: Vec<(u32, u8)> = service
-            .speeds
-            .iter()
-            .copied()
-            .filter(is_plausible)
-            .collect();
-        if speeds.len() < service.speeds.len() {
-            host.digest.warn_once("speeds", &service.service);
-        }
-        fleet.set_figures(&service.service, service.shares, speeds);
+        fleet.set_shares(&service.service, service.shares);
         if host.settings.offload.by_load {
             fleet.record_dc_loads(&service.service, &service.dcs, host.now());
         }
--- a/crates/router/src/digest_leader.rs
+++ b/crates/router/src/digest_leader.rs
@@ -5,7 +5,7 @@
 use std::rc;
 
 use base::{clock, name};
-use policy::{engine_classes, engine_speeds};
+use policy::engine_classes;
 use tokio::time;
 
 use crate::{digest, host, leader, model};
@@ -20,8 +20,6 @@
 const MAX_SERVICES: usize = 64;
 const MAX_DCS: usize = 64;
 const MAX_PROCESSES: usize = 4_096;
-const MAX_ENGINES: usize = 4_096;
-const MAX_SAMPLES: usize = 16;
 /// Largest plausible figures of one class at one host: requests, and prompt tokens per second.
 const MAX_REQUESTS: u32 = 100_000;
 const MAX_TOKENS: u64 = 100_000_000;
@@ -36,24 +34,6 @@
     has_warned: bool,
 }
 
-/// What the leader knows of one service.
-#[derive(Debug)]
-struct ServiceState {
-    planner: engine_classes::Planner,
-    speeds: engine_speeds::Speeds,
-}
-
-impl ServiceState {
-    /// Creates the state of a new leader, which knows the digest of the one before it.
-    fn new(known: Option<&digest::ServiceDigest>) -> Self {
-        let shares = known.map_or(engine_classes::DEFAULT_SHARES, |d| d.shares);
-        Self {
-            planner: engine_classes::Planner::new(shares),
-            speeds: engine_speeds::Speeds::with_known(known.map_or(&[], |d| &d.speeds)),
-        }
-    }
-}
-
 /// Load of one service over all hosts.
 #[derive(Debug, Default)]
 struct TotalLoad {
@@ -78,25 +58,6 @@
         self.hosts.len()
     }
 
-    /// Takes the samples of a service out of the reports, so that each counts once.
-    fn take_samples(
-        &mut self,
-        service: &name::Service,
-        state: &mut ServiceState,
-        now: clock::Millis,
-    ) {
-        for (host, _) in self.hosts.values_mut() {
-            let Some(load) = host.services.iter_mut().find(|s| s.service == *service) else {
-                continue;
-            };
-            for engine in std::mem::take(&mut load.gaps) {
-                for gap_ms in engine.gaps_ms {
-                    state.speeds.record_gap(engine.engine, gap_ms, now);
-                }
-            }
-        }
-    }
-
     /// Forgets reports that are too old, and returns the age of the oldest one that counts.
     fn expire(&mut self, now: clock::Millis) -> clock::Millis {
         self.hosts.retain(|_, (_, at)| now.since(*at) < LOAD_TTL);
@@ -134,11 +95,6 @@
     for service in &mut load.services {
         changed |= service.dcs.len() > MAX_DCS;
         service.dcs.truncate(MAX_DCS);
-        changed |= service.gaps.len() > MAX_ENGINES;
-        service.gaps.truncate(MAX_ENGINES);
-        for engine in &mut service.gaps {
-            engine.gaps_ms.truncate(MAX_SAMPLES);
-        }
         for class in &mut service.classes {
             let before = *class;
             class.requests = class.requests.min(MAX_REQUESTS);
@@ -168,7 +124,7 @@
 /// Decides while this host is the leader, and distributes the results. The first shares are those of
 /// the latest digest that this host knows.
 pub async fn run(host: &host::Host, tenure: &leader::Leadership) {
-    let mut states = collections::HashMap::new();
+    let mut planners = collections::HashMap::new();
     let mut version = digest::Version {
         token: tenure.token,
         sequence: 0,
@@ -179,14 +135,14 @@
             continue;
         }
         version.sequence += 1;
-        let digest = decide(host, &mut states, version);
+        let digest = decide(host, &mut planners, version);
         digest::apply(host, &rc::Rc::new(digest));
     }
 }
 
 fn decide(
     host: &host::Host,
-    states: &mut collections::HashMap<name::Service, ServiceState>,
+    planners: &mut collections::HashMap<name::Service, engine_classes::Planner>,
     version: digest::Version,
 ) -> digest::Digest {
     let now = host.now();
@@ -212,26 +168,18 @@
         let mut entry = digest::ServiceDigest {
             service,
             shares: known.map_or(engine_classes::DEFAULT_SHARES, |d| d.shares),
-            speeds: Vec::new(),
             dcs: total.dcs.into_iter().collect(),
         };
         let service = &entry.service;
         let config = config.as_ref().and_then(|c| c.services.get(service));
         if let Some(engine) = config.and_then(|s| s.engine.as_ref()) {
-            if !states.contains_key(service) {
-                states.insert(service.clone(), ServiceState::new(known));
-            }
-            let Some(state) = states.get_mut(service) else {
-                continue;
-            };
-            let classes = engine_classes_of(host, service);
-            loads.take_samples(service, state, now);
-            entry.speeds = state.speeds.update(&classes, now);
+            let planner = planners
+                .entry(service.clone())
+                .or_insert_with(|| engine_classes::Planner::new(entry.shares));
             let model = engine_model(engine);
-            let ready = classes.len() as u32;
-            let decision = state.planner.decide(&total.classes, ready, &model, now);
+            let ready = ready_engines(host, service);
+            let decision = planner.decide(&total.classes, ready, &model, now);
             host.metrics.record_pressure(service, &decision.pressure);
-            log_speeds(&entry, known, age);
             log_change(service, &decision, version, ready, hosts, age);
             entry.shares = decision.shares;
         }
@@ -240,33 +188,11 @@
     digest::Digest { version, services }
 }
 
-/// Returns the ready engines of a service and the index of the class that each is reserved for.
-fn engine_classes_of(host: &host::Host, service: &name::Service) -> Vec<(u32, usize)> {
+fn ready_engines(host: &host::Host, service: &name::Service) -> u32 {
     let fleet = host.fleet.borrow();
     let upstreams = fleet.of_service(service);
     let ready = upstreams.filter(|t| t.upstream.state == model::UpstreamState::Ready);
-    ready
-        .map(|t| (digest::engine_id(&t.upstream.name), t.stream_class as usize))
-        .collect()
-}
-
-/// Logs speeds that differ from those of the last digest.
-fn log_speeds(
-    entry: &digest::ServiceDigest,
-    known: Option<&digest::ServiceDigest>,
-    age: clock::Millis,
-) {
-    let speeds = known.map_or(&[][..], |d| &d.speeds[..]);
-    if entry.speeds == speeds {
-        return;
-    }
-    tracing::info!(
-        event = "engine_speeds",
-        service = %entry.service,
-        slow = entry.speeds.len(),
-        slowest_percent = entry.speeds.iter().map(|(_, s)| *s).min(),
-        oldest_ms = age.0,
-    );
+    ready.count() as u32
 }
 
 fn log_change(
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,12 +7,13 @@
 use std::collections;
 
 use base::{clock, name};
+use policy::engine_classes;
 
 mod dc_drains;
 
 use crate::{
-    announcements, location, model, offloading, ports, preference, prefix_cache, selection,
-    slowdown, stream_class, tracked, warm_up,
+    announcements, location, model, offloading, ports, prefix_cache, selection, slowdown,
+    stream_class, tracked, warm_up,
 };
 
 /// Time from sending a prompt to its first event, excluding prompt processing, in milliseconds.
@@ -32,13 +33,23 @@
 const LEAVING_USE_SHARE: f64 = 0.5;
 
 /// Upstreams of one service and their typical slowdown.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ServiceUpstreams {
     pub(crate) names: Vec<name::Upstream>,
     /// Typical slowdown of these upstreams for each stream class.
     pub(crate) typical: slowdown::TypicalSlowdown,
-    /// What the leader's digest says of them.
-    pub(crate) figures: preference::Figures,
+    /// Shares of the engines by class, by the leader's digest.
+    pub(crate) shares: engine_classes::Shares,
+}
+
+impl Default for ServiceUpstreams {
+    fn default() -> Self {
+        Self {
+            names: Vec::new(),
+            typical: slowdown::TypicalSlowdown::default(),
+            shares: engine_classes::DEFAULT_SHARES,
+        }
+    }
 }
 
 /// All known upstreams, with the state needed to select among them.
@@ -292,8 +303,7 @@
             ..details
         };
         let details = self.offloading.explain(details, criteria, tracked, now);
-        let base_latency_ms =
-            (FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS) / tracked.speed();
+        let base_latency_ms = FIRST_EVENT_BASE_MS + unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
         let likely_latency_ms = base_latency_ms
             * tracked
                 .slowdown
@@ -362,7 +372,7 @@
         let slowdown = tracked
             .slowdown
             .estimate(&service.typical, tracked.stream_class, now);
-        queue_cost * slowdown * tracked.reported_load.machine_slowdown(now) / tracked.speed()
+        queue_cost * slowdown * tracked.reported_load.machine_slowdown(now)
             + distance_cost
             + class_cost
             + tracked.failures.cost_ms(now)
--- a/crates/router/src/in_flight.rs
+++ b/crates/router/src/in_flight.rs
@@ -6,7 +6,7 @@
 use base::{clock, name};
 use tokio::time;
 
-use crate::{attempt, digest, host, http_client, offloading, ports, selection, stream_class};
+use crate::{attempt, host, http_client, offloading, ports, selection, stream_class};
 
 /// Accounting entry of a request at an upstream. Dropping it ends the request in the fleet's
 /// accounts.
@@ -21,8 +21,6 @@
     pub sent_at: clock::Millis,
     /// Whether the prompt still counts among the upstream's unread tokens.
     prompt_pending: cell::Cell<bool>,
-    engine: u32,
-    last_event: cell::Cell<Option<clock::Millis>>,
     /// Data centre of the upstream; `None` if the upstream was removed before the request was sent.
     dc: Option<name::Dc>,
     /// Bytes of the request's and the response's body so far.
@@ -47,8 +45,6 @@
             selection.unread_tokens,
         );
         let in_flight = Self {
-            engine: digest::engine_id(&selection.name),
-            last_event: cell::Cell::new(None),
             host: host.clone(),
             service: call.service.clone(),
             stream_class: call.stream_class,
@@ -79,15 +75,6 @@
         }
     }
 
-    /// Records that an event of a stream arrived.
-    pub fn record_event(&self) {
-        let now = self.host.now();
-        if let Some(last) = self.last_event.replace(Some(now)) {
-            let mut meter = self.host.load_meter.borrow_mut();
-            meter.record_gap(&self.service, self.engine, now.since(last));
-        }
-    }
-
     /// Records that response bytes arrived from the upstream.
     pub fn record_data(&self) {
         let now = self.host.now();
--- a/crates/router/src/load_meter.rs
+++ b/crates/router/src/load_meter.rs
@@ -3,43 +3,13 @@
 use std::collections;
 
 use base::{clock, name};
-use rand::Rng as _;
-use smallvec::SmallVec;
 
 use crate::{digest, fleet, stream_class};
 
-/// Number of gaps of an engine that are reported.
-const MAX_GAPS: usize = 4;
-/// Number of engines whose gaps are reported, the first ones of each period. Over all hosts, that gives
-/// each engine some tens of gaps a second.
-const MAX_ENGINES: usize = 32;
-
 /// Load of one service in the current period.
 #[derive(Debug, Default)]
 struct ServiceMeter {
     classes: [digest::ClassLoad; stream_class::StreamClass::ALL.len()],
-    gaps: collections::BTreeMap<u32, Draw<MAX_GAPS>>,
-}
-
-/// Random draw of some of the values of a period, each with the same probability.
-#[derive(Debug, Default)]
-struct Draw<const N: usize> {
-    values: SmallVec<[u16; N]>,
-    seen: u32,
-}
-
-impl<const N: usize> Draw<N> {
-    fn add(&mut self, value: u16) {
-        self.seen = self.seen.saturating_add(1);
-        if self.values.len() < N {
-            self.values.push(value);
-            return;
-        }
-        let index = rand::rng().random_range(0..self.seen) as usize;
-        if let Some(drawn) = self.values.get_mut(index) {
-            *drawn = value;
-        }
-    }
 }
 
 /// Counts requests at upstreams by service and class.
@@ -79,15 +49,6 @@
         load.running = load.running.saturating_sub(1);
     }
 
-    /// Records a gap between two events of a stream from an engine.
-    pub fn record_gap(&mut self, service: &name::Service, engine: u32, gap: clock::Millis) {
-        let gaps = &mut self.service(service).gaps;
-        if gaps.len() < MAX_ENGINES || gaps.contains_key(&engine) {
-            let gap_ms = u16::try_from(gap.0).unwrap_or(u16::MAX);
-            gaps.entry(engine).or_default().add(gap_ms);
-        }
-    }
-
     /// Ends the reported period and returns its length and the load of each service in it.
     pub fn report(
         &mut self,
@@ -98,16 +59,10 @@
         self.reported_at = now;
         let mut services = Vec::with_capacity(self.services.len());
         for (service, meter) in &mut self.services {
-            let gaps = std::mem::take(&mut meter.gaps).into_iter();
-            let gaps = gaps.map(|(engine, draw)| digest::EngineGaps {
-                engine,
-                gaps_ms: draw.values,
-            });
             services.push(digest::ServiceLoad {
                 service: service.clone(),
                 classes: meter.classes,
                 dcs: load_by_dc(fleet, service),
-                gaps: gaps.collect(),
             });
             for class in &mut meter.classes {
                 class.requests = 0;
--- a/crates/router/src/slowdown.rs
+++ b/crates/router/src/slowdown.rs
@@ -49,11 +49,6 @@
         typical + (self.ratio - typical) * (-age / HALF_LIFE_MS).exp2()
     }
 
-    /// Multiplies the ratio by `factor`, after the expected time was divided by it.
-    pub fn rescale(&mut self, factor: f64) {
-        self.ratio = (self.ratio * factor).clamp(MIN_RATIO, MAX_RATIO);
-    }
-
     /// Records a response that took `ratio` times as long as expected, also in `typical`.
     pub fn record(
         &mut self,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -78,7 +78,6 @@
     loop {
         match parser.next_event() {
             Ok(Some(event)) => {
-                in_flight.record_event();
                 return NextEvent::Event(event);
             }
             Ok(None) => {}
--- a/crates/router/src/stream_class.rs
+++ b/crates/router/src/stream_class.rs
@@ -9,7 +9,7 @@
 use base::name;
 use policy::engine_classes;
 
-use crate::{model, tracked};
+use crate::model;
 
 /// Number of engines below which none are reserved.
 const MIN_DIVIDED_ENGINES: usize = 3;
@@ -87,8 +87,6 @@
 /// An engine of a service, as [`assign_classes`] orders them.
 #[derive(Clone, Debug)]
 pub struct RankedEngine {
-    /// Speed in percent of the others'; less than 100 for slow engines.
-    pub speed_percent: u8,
     /// Hash of the name, which decides among the engines of a data centre.
     pub hash: u64,
     /// Data centre in which the engine runs.
@@ -97,15 +95,9 @@
     pub name: name::Upstream,
 }
 
-impl RankedEngine {
-    fn is_slow(&self) -> bool {
-        self.speed_percent < tracked::USUAL_SPEED_PERCENT
-    }
-}
-
 /// Assigns a class to each engine of a service. `ranked` is sorted by hash; the engines of each
 /// class are spread over the data centres. The classes follow each other in one order of the engines,
-/// so that a share that changes moves few engines. Slow engines are not for short-gap streams.
+/// so that a share that changes moves few engines.
 pub fn assign_classes(
     ranked: Vec<RankedEngine>,
     shares: &engine_classes::Shares,
@@ -130,30 +122,7 @@
         };
         (engine, class)
     };
-    let mut assigned: Vec<_> = engines.map(class).collect();
-    exchange_slow(&mut assigned);
-    assigned
-}
-
-/// Lets slow engines for short-gap streams change places with the last engines for others that are not
-/// slow. No other engine moves: an order by speed moved most engines to another class when speeds were
-/// learnt, and their cached prefixes were read again.
-fn exchange_slow(assigned: &mut [(RankedEngine, StreamClass)]) {
-    let mut end = assigned.len();
-    for i in 0..assigned.len() {
-        let (engine, class) = &assigned[i];
-        if *class != StreamClass::ShortGap || !engine.is_slow() {
-            continue;
-        }
-        let is_replacement =
-            |(engine, class): &(RankedEngine, _)| *class == StreamClass::Other && !engine.is_slow();
-        let Some(last) = assigned[..end].iter().rposition(is_replacement) else {
-            return;
-        };
-        assigned[i].1 = StreamClass::Other;
-        assigned[last].1 = StreamClass::ShortGap;
-        end = last;
-    }
+    engines.map(class).collect()
 }
 
 /// Numbers of engines for [`StreamClass::ShortGap`] and [`StreamClass::NotResumable`]. Other requests
