--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -145,7 +145,7 @@
     }
 
     /// Records the engines needed per engine of each class, as the leader sees them; at most
-    /// [`MAX_PRESSURE`], also for a class without engines.
+    /// 1,000, also for a class without engines.
     pub fn record_pressure(
         &self,
         service: &name::Service,
