--- a/crates/host/tests/misbehaving/main.rs
+++ b/crates/host/tests/misbehaving/main.rs
@@ -4,6 +4,7 @@
 
 #[path = "../../../../platform/tests/env/mod.rs"]
 mod env;
+#[path = "../../../../platform/tests/misbehaving/host.rs"]
 mod platform_host;
 #[path = "../env/mod.rs"]
 mod product_env;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod framing;
 pub mod freshness;
 pub mod headers;
-pub mod home_regions;
+pub mod homes;
 pub mod host;
 pub mod http_client;
 pub mod in_flight;
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    attempt, executions, home_regions, host, model, ports, prompt_evidence, quarantine, response,
+    attempt, executions, homes, host, model, ports, prompt_evidence, quarantine, response,
     selection, serve,
 };
 
@@ -83,7 +83,7 @@
     if is_withheld(host, call, history) {
         return Err(refusal::Reason::Withheld);
     }
-    let homes = home_regions::allowed(call);
+    let homes = homes::allowed(call);
     let criteria = selection::Criteria {
         service: &call.service,
         prompt_parts: &call.meta.prompt_parts,
@@ -253,7 +253,7 @@
 ) {
     let now = host.now();
     let total = now.since(call.received_at).0;
-    let homes = home_regions::allowed(call);
+    let homes = homes::allowed(call);
     tracing::info!(
         event = "request",
         id = call.meta.id,
@@ -268,7 +268,7 @@
         said_leaving = history.details.leaving,
         paused = history.details.paused,
         said_age_ms = history.details.said_age.map(|a| a.0),
-        homes = homes.as_deref().map(|h| home_regions::List(h).to_string()),
+        homes = homes.as_deref().map(|h| homes::List(h).to_string()),
         away = history.details.outside_homes,
         drained = history.details.drained,
         cold_held = history.details.cold_held,
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -9,7 +9,7 @@
 use tokio::{task, time};
 
 use crate::freshness::WatchTarget;
-use crate::{backoff, dc_drain, home_regions, host, model, ports};
+use crate::{backoff, dc_drain, homes, host, model, ports};
 
 /// Time between checks whether to follow another host, when no change triggers a check earlier.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(2_000);
@@ -250,7 +250,7 @@
         old,
         bytes = bytes.len(),
     );
-    home_regions::log_unknown(host, &config);
+    homes::log_unknown(host, &config);
     let services = config.services.values().map(AsRef::as_ref);
     host.fleet.borrow_mut().warm_up.set_limits(services);
     *host.config.borrow_mut() = Some(rc::Rc::new(config));
--- a/crates/router/tests/homes.rs
+++ b/crates/router/tests/homes.rs
@@ -6,9 +6,7 @@
 use std::rc;
 
 use base::{clock, name, refusal};
-use router::{
-    attempt, fleet, home_regions, location, model, ports, retry, selection, stream_class,
-};
+use router::{attempt, fleet, homes, location, model, ports, retry, selection, stream_class};
 use smallvec::smallvec;
 
 const NOW: clock::Millis = clock::Millis(100_000);
@@ -156,7 +154,7 @@
             idle_timeout: clock::Millis(1),
         };
         let config = model::Config::new(1, vec![route], Vec::new(), limits, Some(keys.into()));
-        let unknown = home_regions::unknown(&node.host, &config);
+        let unknown = homes::unknown(&node.host, &config);
         let expected = [
             ("route", "r", vec!["mars".into()]),
             ("team", "t", vec!["venus".into()]),
