--- a/crates/router/src/dc_drain.rs
+++ b/crates/router/src/dc_drain.rs
@@ -7,8 +7,6 @@
 
 use crate::{host, ports};
 
-/// Number of faulty keys that are remembered so that each is logged once. Further ones are not logged.
-const MAX_FAULTY_KEYS: usize = 64;
 /// Data centres that are being drained at a revision of the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct DrainedDcs {
@@ -104,8 +102,6 @@
 }
 
 fn log_fault(host: &host::Host, item: &ports::Item, fault: &str) {
-    if host.store_cache.record_fault(&item.key, MAX_FAULTY_KEYS) {
-        let key = item.key.escape_debug();
-        tracing::warn!(event = "dc_drain_faulty", %key, revision = item.revision, fault);
-    }
+    let faulty_keys = &host.store_cache.faulty_keys;
+    faulty_keys.log("dc_drain_faulty", &item.key, item.revision, fault);
 }
--- a/crates/router/src/store_cache.rs
+++ b/crates/router/src/store_cache.rs
@@ -7,7 +7,7 @@
 use base::name;
 use tokio::sync::watch;
 
-use crate::dc_drain;
+use crate::{dc_drain, faulty_keys};
 
 /// Number of keys of removed entries that are remembered, so that delayed messages do not restore
 /// these entries.
@@ -23,7 +23,8 @@
     removed: cell::RefCell<collections::HashMap<String, u64>>,
     revision: cell::Cell<u64>,
     drained_dcs: cell::RefCell<Option<dc_drain::DrainedDcs>>,
-    faulty_keys: cell::RefCell<collections::HashSet<String>>,
+    /// Entries that were logged as unusable.
+    pub faulty_keys: faulty_keys::FaultyKeys,
     changes: watch::Sender<u64>,
 }
 
@@ -35,7 +36,7 @@
             removed: cell::RefCell::default(),
             revision: cell::Cell::new(0),
             drained_dcs: cell::RefCell::default(),
-            faulty_keys: cell::RefCell::default(),
+            faulty_keys: faulty_keys::FaultyKeys::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -129,13 +130,6 @@
         self.drained_dcs.borrow().clone()
     }
 
-    /// Records that the entry of `key` is faulty. Returns whether that was unknown; false if `max` keys
-    /// are recorded already.
-    pub fn record_fault(&self, key: &str, max: usize) -> bool {
-        let mut faulty = self.faulty_keys.borrow_mut();
-        faulty.len() < max && faulty.insert(key.to_owned())
-    }
-
     /// Subscribes to changes of the contents.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -27,9 +27,6 @@
 /// Time after an outage of the store within which an upstream's entry that expired may reappear.
 const REAPPEAR_PERIOD: clock::Millis = clock::Millis(2_200);
 
-/// Length up to which a log line describes what is wrong with an entry.
-const MAX_FAULT_BYTES: usize = 200;
-
 /// Whether the store responds to this host, and whether the host follows another host instead.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -375,19 +372,18 @@
         .map(name::Upstream::from)
 }
 
+fn log_unreadable(host: &host::Host, key: &str, revision: u64, fault: &str) {
+    let faulty_keys = &host.store_cache.faulty_keys;
+    faulty_keys.log("upstream_unreadable", key, revision, fault);
+}
+
 /// Adds or updates an upstream from its entry in the store, unless a newer entry or removal is
 /// known. An entry that can't be read changes nothing: the upstream whose entry another program has
 /// overwritten writes it again with its next heartbeat, or the entry expires.
 pub fn apply_entry(host: &host::Host, key: &str, revision: u64, value: &[u8]) {
     let upstream = match host.protocol.parse_upstream(key, value) {
         Ok(upstream) => upstream,
-        Err(mut fault) => {
-            // The parser quotes the entry, which may be long.
-            let end = fault.floor_char_boundary(MAX_FAULT_BYTES);
-            fault.truncate(end);
-            tracing::warn!(event = "upstream_unreadable", key, revision, fault);
-            return;
-        }
+        Err(fault) => return log_unreadable(host, key, revision, &fault),
     };
     let is_written = !host.store_cache.is_newer(key, revision.saturating_sub(1));
     if !host.store_cache.put(key, revision, value) {
