An item of the store that can't be read costs itself alone

Callers: with one item among the workers' whose revision was missing, whose value was a number or null, or that was no object, hosts that started knew no upstream and answered 503 as long as the item stood.

Cause: a page or the events of a watch were parsed as one JSON value of fixed types, so one field of another type failed the whole page, and the list with it. A value that is not base64 was read as empty and logged with each read.

In a watch the events that came with such an item were lost and the list was read again, which brought the sound ones: held, but the log did not name the item. An upstream whose own entry is overwritten by such an item stayed in use before too: held, and keeps its test.

--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -24,6 +24,8 @@
     pub revision: u64,
     /// Store revision at which the key was created.
     pub created: u64,
+    /// Why the item can't be read; the value is empty then. `None` for an item that can be read.
+    pub fault: Option<&'static str>,
 }
 
 /// A change that a watch of the store reports.
@@ -95,8 +97,9 @@
 pub trait Store {
     /// Returns the item at `key`, or `None` if it does not exist, and the store's revision.
     fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<(Option<Item>, u64), StoreError>>;
-    /// Returns all items whose keys start with `prefix`, and the store's revision at the first
-    /// page. With `stale`, the call is cheaper but the result may be seconds old.
+    /// Returns all items whose keys start with `prefix`, in the order of the keys' bytes, and the store's
+    /// revision at the first page. An item that another program wrote may have a [`Item::fault`], or is
+    /// left out if its key can't be read. With `stale`, the call is cheaper but the result may be seconds old.
     fn list<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -304,7 +304,7 @@
 
 fn apply_list(host: &rc::Rc<host::Host>, items: &[ports::Item], at: u64) {
     for item in items {
-        apply_entry(host, &item.key, item.revision, &item.value);
+        apply_item(host, item);
     }
     let prefix = host.protocol.upstream_prefix();
     let listed: collections::HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
@@ -321,7 +321,7 @@
 
 fn apply_event(host: &rc::Rc<host::Host>, event: &ports::WatchEvent) {
     match event {
-        ports::WatchEvent::Put(item) => apply_entry(host, &item.key, item.revision, &item.value),
+        ports::WatchEvent::Put(item) => apply_item(host, item),
         ports::WatchEvent::Removed(key, at) => handle_missing(host, key, *at),
     }
 }
@@ -372,6 +372,13 @@
         .map(name::Upstream::from)
 }
 
+fn apply_item(host: &host::Host, item: &ports::Item) {
+    match item.fault {
+        Some(fault) => log_unreadable(host, &item.key, item.revision, fault),
+        None => apply_entry(host, &item.key, item.revision, &item.value),
+    }
+}
+
 fn log_unreadable(host: &host::Host, key: &str, revision: u64, fault: &str) {
     let faulty_keys = &host.store_cache.faulty_keys;
     faulty_keys.log("upstream_unreadable", key, revision, fault);
--- a/crates/router/tests/cold_return.rs
+++ b/crates/router/tests/cold_return.rs
@@ -64,6 +64,7 @@
         .into(),
         revision: 1,
         created: 1,
+        fault: None,
     };
     let items: Vec<_> = (0..HOSTS)
         .filter(|n| Some(*n) != without)
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -81,6 +81,7 @@
             value: value.to_vec(),
             revision,
             created,
+            fault: None,
         };
         items.insert(key.to_owned(), (item.clone(), lease));
         let event = ports::WatchEvent::Put(item);
