Entries among the hosts' own are checked against their keys and logged once

Operators: entries of another program among the hosts' registrations were logged with each read, every 4 s by every host, and those among the counts several times a second by the leader.

Cause: the lists were parsed without a memory of what was logged, and a value counted as the registration or the report of the host it names, whatever its key.

Change: an entry whose key is not that of the host in its value is not used, and each faulty key is logged once. Items tell their lease; `Item::parse` states why a value can't be read.

--- a/crates/router/src/dc_drain.rs
+++ b/crates/router/src/dc_drain.rs
@@ -95,10 +95,8 @@
         log_fault(host, item, "unknown data centre");
         return None;
     };
-    if let Some(fault) = item.fault {
-        log_fault(host, item, fault);
-    } else if serde_json::from_slice::<serde_json::Map<_, _>>(&item.value).is_err() {
-        log_fault(host, item, "value is not a JSON object");
+    if let Err(fault) = item.parse::<serde_json::Map<_, _>>() {
+        log_fault(host, item, &fault);
     }
     Some(dc.clone())
 }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{backoff, host, ports, windows};
+use crate::{backoff, faulty_keys, host, ports, windows};
 
 /// Prefix of the store keys under which hosts register.
 const HOSTS_PREFIX: &str = "jacinthslip/hosts/";
@@ -46,6 +46,9 @@
 /// The newest interval has a weight of one part in this many in the moving averages of the demand.
 const SMOOTHING_DIVISOR: f64 = 3.0;
 
+/// Fault of an entry whose key is not the one that the host in its value writes.
+const FOREIGN_KEY: &str = "its key is not that of its host";
+
 /// Demand for one service, as smoothed rates.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
@@ -139,6 +142,8 @@
     registered: Vec<(Registration, bool)>,
     host_counts: collections::VecDeque<(clock::Millis, u32)>,
     reports: collections::HashMap<(name::Host, u64), (HostReport, clock::Millis)>,
+    /// Entries that were logged as unusable.
+    faulty_keys: faulty_keys::FaultyKeys,
 }
 
 impl Membership {
@@ -146,11 +151,13 @@
     pub fn update_hosts(&mut self, items: &[ports::Item], now: clock::Millis) {
         let mut registered: Vec<Registration> = Vec::with_capacity(items.len());
         for item in items {
-            match serde_json::from_slice(&item.value) {
+            let registration = item.parse().and_then(|r: Registration| {
+                let is_own = item.is_named(r.host.as_str());
+                is_own.then_some(r).ok_or(FOREIGN_KEY.to_owned())
+            });
+            match registration {
                 Ok(registration) => registered.push(registration),
-                Err(e) => {
-                    tracing::warn!(event = "host_unreadable", key = item.key, error = %e)
-                }
+                Err(fault) => self.log_fault("host_unreadable", item, &fault),
             }
         }
         registered.sort_by(|a, b| a.host.cmp(&b.host));
@@ -246,16 +253,22 @@
     /// Records the reports that hosts wrote into the store.
     pub fn record_stored(&mut self, items: &[ports::Item]) {
         for item in items {
-            match serde_json::from_slice::<HostReport>(&item.value) {
+            let report = item.parse().and_then(|r: HostReport| {
+                let is_own = item.is_named(&report_name(&r.host, r.boot_id));
+                is_own.then_some(r).ok_or(FOREIGN_KEY.to_owned())
+            });
+            match report {
                 // A stored report may be old, so its demand does not count.
                 Ok(report) => self.record_report(report, clock::Millis::ZERO),
-                Err(e) => {
-                    tracing::warn!(event = "counts_unreadable", key = item.key, error = %e)
-                }
+                Err(fault) => self.log_fault("counts_unreadable", item, &fault),
             }
         }
     }
 
+    fn log_fault(&self, event: &'static str, item: &ports::Item, fault: &str) {
+        self.faulty_keys.log(event, &item.key, item.revision, fault);
+    }
+
     /// Sum of the counts of all processes in a window, by team.
     pub fn window_counts(&self, window: u64) -> ports::RequestCounts {
         let mut sum = ports::RequestCounts::new();
@@ -308,6 +321,11 @@
     }
 }
 
+/// Name of the entry with the report of a process, which follows [`COUNTS_PREFIX`].
+fn report_name(host: &name::Host, boot_id: u64) -> String {
+    format!("{host}/{boot_id:016x}")
+}
+
 /// Builds the reports of this process and writes them into the store.
 pub struct ReportWriter {
     key: String,
@@ -320,8 +338,8 @@
     pub fn new(host: &host::Host) -> Self {
         Self {
             key: format!(
-                "{COUNTS_PREFIX}{}/{:016x}",
-                host.settings.host, host.boot_id
+                "{COUNTS_PREFIX}{}",
+                report_name(&host.settings.host, host.boot_id)
             ),
             revision: cell::Cell::new(Some(0)),
             last_report: cell::Cell::new(host.now()),
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -24,10 +24,32 @@
     pub revision: u64,
     /// Store revision at which the key was created.
     pub created: u64,
+    /// Lease with which the key expires, 0 for none; `None` if the store does not say.
+    pub lease: Option<u64>,
     /// Why the item can't be read; the value is empty then. `None` for an item that can be read.
     pub fault: Option<&'static str>,
 }
 
+impl Item {
+    /// Parses the value as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Why the item can't be read or is not of this form, in words for a log line.
+    pub fn parse<T: serde::de::DeserializeOwned>(&self) -> Result<T, String> {
+        match self.fault {
+            Some(fault) => Err(fault.to_owned()),
+            None => serde_json::from_slice(&self.value).map_err(|e| e.to_string()),
+        }
+    }
+
+    /// Whether the last part of the key, after a slash, is `name`.
+    pub fn is_named(&self, name: &str) -> bool {
+        let parent = self.key.strip_suffix(name);
+        parent.is_some_and(|parent| parent.ends_with('/'))
+    }
+}
+
 /// A change that a watch of the store reports.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum WatchEvent {
--- a/crates/router/tests/cold_return.rs
+++ b/crates/router/tests/cold_return.rs
@@ -64,6 +64,7 @@
         .into(),
         revision: 1,
         created: 1,
+        lease: Some(0),
         fault: None,
     };
     let items: Vec<_> = (0..HOSTS)
--- a/crates/router/tests/cold_select.rs
+++ b/crates/router/tests/cold_select.rs
@@ -29,6 +29,7 @@
         value,
         revision: 1,
         created: 1,
+        lease: Some(0),
         fault: None,
     };
     membership.update_hosts(&[item], now);
--- a/crates/router/tests/dc_drain.rs
+++ b/crates/router/tests/dc_drain.rs
@@ -309,6 +309,7 @@
                 value: b"{}".to_vec(),
                 revision,
                 created: revision,
+                lease: Some(0),
                 fault: None,
             })
         };
--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -154,6 +154,7 @@
         .expect("json"),
         revision: 1,
         created: 1,
+        lease: Some(0),
         fault: None,
     };
     let report = |host: &str| membership::HostReport {
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -69,6 +69,7 @@
         value: serde_json::to_vec(&registration).expect("serialize"),
         revision: 1,
         created: 1,
+        lease: Some(0),
         fault: None,
     }
 }
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -81,6 +81,7 @@
             value: value.to_vec(),
             revision,
             created,
+            lease: Some(lease),
             fault: None,
         };
         items.insert(key.to_owned(), (item.clone(), lease));
