A record of the hosts that another program has written is replaced

Callers and operators: while another program's value stood under the key of the sealed windows, no usage was reported; under the leader's key, no host took the leadership, so there were no reports and no orders.

Cause: the leader read the record of sealed windows again and again until it could be parsed. Hosts waited for the leader's key to go away, which a key without a lease never does, and the leader did not look at its key.

Change: a record of sealed windows that can't be read, or whose next window is far from the current one, is replaced: by the leader's own, or by one that begins at the current window, since a leader may have sealed earlier ones. The leader watches its key and writes it again with its lease. A key that is not bound to the lease that it names is replaced after 12 s, longer than a leader needs to write it again or to lose its lease. The token of a claim is the revision of its write, which for a new key is the revision of its creation. After a failed watch the leader's key is not read again without a pause.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -1,8 +1,11 @@
 //! Leader election through a lease in the store, and the work that only the leader does.
 //!
-//! The fencing token is the store's revision at which the leader key was created. The leader
+//! The fencing token is the store's revision at which the leader has written its key. The leader
 //! measures its lease from before it sent the renewal and sends no orders or reports after the
 //! lease ends. The next leader waits until the key is gone and calls in flight have ended.
+//!
+//! Another program may overwrite the key. The leader watches it and writes it again; without a leader that
+//! does so, another host replaces the key after some time.
 
 use std::cell;
 use std::net;
@@ -26,6 +29,9 @@
 const RENEW_INTERVAL: clock::Millis = clock::Millis(600);
 /// Longest time that one watch call waits for the leader key to be removed.
 const WATCH_TIMEOUT: clock::Millis = clock::Millis(8_000);
+/// Time for which a key that no leader has written must stay as it is before it is replaced: a leader would
+/// have written its own again by then, or lost its lease.
+const FOREIGN_KEY_TIMEOUT: clock::Millis = clock::Millis(12_000);
 /// Longest random wait before a claim, so that of many hosts one claims and the others see its key.
 const MAX_CLAIM_DELAY: clock::Millis = clock::Millis(400);
 /// Delay after a failed call to the store, or a failed claim, before the next attempt.
@@ -34,7 +40,7 @@
 const LEASE_MARGIN: clock::Millis = clock::Millis(100);
 
 /// Value of the leader key, as JSON.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct LeaderRecord {
     host: name::Host,
     #[serde(rename = "boot")]
@@ -52,6 +58,8 @@
     pub token: u64,
     lease: u64,
     deadline: cell::Cell<clock::Millis>,
+    /// Value of the leader key.
+    value: Vec<u8>,
 }
 
 impl Leadership {
@@ -90,6 +98,7 @@
         host.leader.set(Some(host.settings.peer_address));
         let why = tokio::select! {
             why = renew_lease(&host, &leadership) => why,
+            why = keep_key(&host, &leadership) => why,
             () = usage::run(&host, &leadership) => "usage_ended",
             () = scale::run(&host, &leadership) => "scaling_ended",
             () = digest_leader::run(&host, &leadership) => "digests_ended",
@@ -133,6 +142,55 @@
     }
 }
 
+/// Watches the leader key and writes it again when another program has overwritten it. Returns the reason
+/// when the key is gone or belongs to another leader.
+async fn keep_key(host: &host::Host, leadership: &Leadership) -> &'static str {
+    let mut backoff = backoff::Backoff::default();
+    let mut at = leadership.token;
+    loop {
+        let is_own = |event: &ports::WatchEvent| match event {
+            ports::WatchEvent::Put(item) => item.key != STORE_KEY || item.value == leadership.value,
+            ports::WatchEvent::Removed(key, _) => key != STORE_KEY,
+        };
+        match host.store.watch(STORE_KEY, at, WATCH_TIMEOUT).await {
+            Ok((events, revision)) if events.iter().all(is_own) => {
+                backoff.reset();
+                at = revision;
+                if !events.is_empty() {
+                    time::sleep(RETRY_DELAY.duration()).await;
+                }
+                continue;
+            }
+            Ok(_) | Err(ports::StoreError::Compacted) => {}
+            Err(_) => {
+                backoff.wait(host).await;
+                continue;
+            }
+        }
+        match host.store.get(STORE_KEY).await {
+            Ok((None, _)) => return "key_removed",
+            Ok((Some(item), revision)) if item.value == leadership.value => at = revision,
+            Ok((Some(item), _)) => {
+                let Err(fault) = parse_record(&item) else {
+                    return "key_replaced";
+                };
+                log_foreign_key(host, &item, &fault);
+                let written = write_key(host, item.revision, &leadership.value, leadership.lease);
+                match written.await {
+                    Ok(revision) => {
+                        tracing::warn!(event = "holder_restored", token = leadership.token);
+                        at = revision;
+                    }
+                    Err(ports::StoreError::NoLease) => return "lease_gone",
+                    Err(_) => {}
+                }
+            }
+            Err(_) => {}
+        }
+        backoff.wait(host).await;
+    }
+}
+
 /// Waits until no host is leader, then claims the leadership. It does not claim within the
 /// platform's lease time since this host last acted as leader, because another leader may have come
 /// and gone in that time.
@@ -142,20 +200,46 @@
     first_start: bool,
 ) -> Leadership {
     let mut backoff = backoff::Backoff::default();
+    let earliest_claim = last_acted.map_or(clock::Millis::ZERO, |a| {
+        a + host.settings.timing.platform_lease
+    });
+    // Revision of a key that no leader has written, and since when it has been there.
+    let mut foreign: Option<(u64, clock::Millis)> = None;
     loop {
         store_watch::wait_for_store(host).await;
         match host.store.get(STORE_KEY).await {
             Ok((Some(item), at)) => {
-                backoff.reset();
-                record_leader(host, &item.value);
-                // After an error the loop reads the key again.
-                let _ = host.store.watch(STORE_KEY, at, WATCH_TIMEOUT).await;
+                let mut wait = WATCH_TIMEOUT;
+                match parse_record(&item) {
+                    Ok(record) => {
+                        foreign = None;
+                        host.leader.set(Some(record.peer_address));
+                    }
+                    Err(fault) => {
+                        log_foreign_key(host, &item, &fault);
+                        let now = host.now();
+                        let known = foreign.filter(|(revision, _)| *revision == item.revision);
+                        let (_, since) = *foreign.insert(known.unwrap_or((item.revision, now)));
+                        let replaced_at = (since + FOREIGN_KEY_TIMEOUT).max(earliest_claim);
+                        wait = replaced_at.since(now);
+                        if wait == clock::Millis::ZERO {
+                            if let Some(leadership) = claim(host, item.revision).await {
+                                return leadership;
+                            }
+                            foreign = None;
+                            wait = RETRY_DELAY;
+                        }
+                    }
+                }
+                match host.store.watch(STORE_KEY, at, wait).await {
+                    Ok(_) => backoff.reset(),
+                    Err(ports::StoreError::Compacted) => time::sleep(RETRY_DELAY.duration()).await,
+                    Err(_) => backoff.wait(host).await,
+                }
             }
             Ok((None, at)) => {
+                foreign = None;
                 host.leader.set(None);
-                let earliest_claim = last_acted.map_or(clock::Millis::ZERO, |a| {
-                    a + host.settings.timing.platform_lease
-                });
                 // The key of a leader that was lost since this first start of the system would still
                 // be there, and one that stopped has waited for its calls.
                 let drain_delay = if first_start && host.is_new() {
@@ -168,7 +252,7 @@
                 if has_key_within(host, at, random_delay(MAX_CLAIM_DELAY)).await {
                     continue;
                 }
-                if let Some(leadership) = claim(host).await {
+                if let Some(leadership) = claim(host, 0).await {
                     return leadership;
                 }
                 time::sleep(RETRY_DELAY.duration()).await;
@@ -191,14 +275,41 @@
     })
 }
 
-fn record_leader(host: &host::Host, value: &[u8]) {
-    match serde_json::from_slice::<LeaderRecord>(value) {
-        Ok(record) => host.leader.set(Some(record.peer_address)),
-        Err(e) => tracing::warn!(event = "holder_unreadable", error = %e),
+/// Parses the leader key, or returns why no leader has written it.
+fn parse_record(item: &ports::Item) -> Result<LeaderRecord, String> {
+    let record: LeaderRecord = item.parse()?;
+    if record.lease == 0 || item.lease.is_some_and(|lease| lease != record.lease) {
+        return Err("it does not expire with the lease that it names".to_owned());
     }
+    Ok(record)
 }
 
-async fn claim(host: &host::Host) -> Option<Leadership> {
+fn log_foreign_key(host: &host::Host, item: &ports::Item, fault: &str) {
+    let faulty_keys = &host.store_cache.faulty_keys;
+    faulty_keys.log("holder_unreadable", STORE_KEY, item.revision, fault);
+}
+
+/// Writes the leader key, which must be at this revision, and returns the revision of the write.
+async fn write_key(
+    host: &host::Host,
+    expected: u64,
+    value: &[u8],
+    lease: u64,
+) -> Result<u64, ports::StoreError> {
+    let transaction = ports::Transaction {
+        expected: vec![(STORE_KEY.to_owned(), expected)],
+        writes: vec![ports::Write {
+            key: STORE_KEY.to_owned(),
+            value: value.to_vec(),
+            lease,
+        }],
+        removes: Vec::new(),
+    };
+    host.store.commit(&transaction).await
+}
+
+/// Claims the leadership if the key is at the revision `expected`, 0 if it must not exist.
+async fn claim(host: &host::Host, expected: u64) -> Option<Leadership> {
     let sent = host.now();
     let lease = host.store.grant_lease(LEASE_TTL).await.ok()?;
     let record = LeaderRecord {
@@ -208,16 +319,7 @@
         peer_address: host.settings.peer_address,
     };
     let value = serde_json::to_vec(&record).ok()?;
-    let transaction = ports::Transaction {
-        expected: vec![(STORE_KEY.to_owned(), 0)],
-        writes: vec![ports::Write {
-            key: STORE_KEY.to_owned(),
-            value: value.clone(),
-            lease,
-        }],
-        removes: Vec::new(),
-    };
-    let token = match host.store.commit(&transaction).await {
+    let token = match write_key(host, expected, &value, lease).await {
         Ok(revision) => Some(revision),
         Err(ports::StoreError::Unknown) => read_back(host, &value).await,
         Err(_) => None,
@@ -234,10 +336,11 @@
         token,
         lease,
         deadline: cell::Cell::new(lease_deadline(sent)),
+        value,
     })
 }
 
 async fn read_back(host: &host::Host, value: &[u8]) -> Option<u64> {
     let (item, _) = host.store.get(STORE_KEY).await.ok()?;
-    item.filter(|i| i.value == value).map(|i| i.created)
+    item.filter(|i| i.value == value).map(|i| i.revision)
 }
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -32,6 +32,10 @@
 /// Largest number of expired keys removed in the transaction of one seal, to stay within the
 /// store's limit on the size of a transaction.
 const MAX_REMOVED_KEYS: usize = 16;
+/// Number of windows by which the next window of a record may be ahead of this host's clock, for clocks
+/// that differ, or behind it, after an outage. A record outside was not written by a leader.
+const MAX_WINDOWS_AHEAD: u64 = 120;
+const MAX_WINDOWS_BEHIND: u64 = 10_000;
 /// Delay after a failed call to the store before the record is loaded again.
 const RETRY_DELAY: clock::Millis = clock::Millis(300);
 
@@ -77,8 +81,9 @@
 
 /// Seals and reports windows for as long as this host is leader.
 pub async fn run(host: &host::Host, leadership: &leader::Leadership) {
+    let mut own = None;
     loop {
-        let Some((mut record, mut revision)) = load(host).await else {
+        let Some((mut record, mut revision)) = load(host, own.as_ref()).await else {
             time::sleep(RETRY_DELAY.duration()).await;
             continue;
         };
@@ -103,6 +108,7 @@
             report_sealed(host, leadership, &mut record).await;
             time::sleep(CHECK_INTERVAL.duration()).await;
         }
+        own = Some(record);
         time::sleep(RETRY_DELAY.duration()).await;
     }
 }
@@ -110,24 +116,35 @@
 /// Loads the sealed windows and their store revision. Without a stored record, a new one begins at
 /// the oldest window that may still be reported: requests may have begun before any host was
 /// leader.
-async fn load(host: &host::Host) -> Option<(SealedWindows, u64)> {
+///
+/// A record that another program has written is replaced: by `own`, the record that this leader has stored
+/// last, or by one that begins at the current window, which no leader can have sealed.
+async fn load(host: &host::Host, own: Option<&SealedWindows>) -> Option<(SealedWindows, u64)> {
     let (item, _) = host.store.get(STORE_KEY).await.ok()?;
+    let timing = &host.settings.timing;
+    let wall = host.wall_time();
+    let begin_at = |wall: clock::Millis| SealedWindows {
+        next_window: wall.0 / timing.usage_window.0,
+        ..SealedWindows::default()
+    };
     let Some(item) = item else {
-        let timing = &host.settings.timing;
-        let next_window = host.wall_time().since(timing.report_deadline).0 / timing.usage_window.0;
-        let record = SealedWindows {
-            next_window,
-            ..SealedWindows::default()
-        };
-        return Some((record, 0));
+        return Some((begin_at(wall.since(timing.report_deadline)), 0));
     };
-    match serde_json::from_slice(&item.value) {
-        Ok(record) => Some((record, item.revision)),
-        Err(e) => {
-            tracing::error!(event = "usage_unreadable", error = %e);
-            None
-        }
-    }
+    let current = begin_at(wall);
+    let parsed = item.parse().and_then(|record: SealedWindows| {
+        let earliest = current.next_window.saturating_sub(MAX_WINDOWS_BEHIND);
+        let latest = current.next_window + MAX_WINDOWS_AHEAD;
+        let is_possible = (earliest..=latest).contains(&record.next_window);
+        is_possible
+            .then_some(record)
+            .ok_or("its next window is far from the current one".to_owned())
+    });
+    let record = parsed.unwrap_or_else(|fault| {
+        let faulty_keys = &host.store_cache.faulty_keys;
+        faulty_keys.log("usage_unreadable", STORE_KEY, item.revision, &fault);
+        own.cloned().unwrap_or(current)
+    });
+    Some((record, item.revision))
 }
 
 /// Seals the next window in the store and returns the new revision, or `None` if the write is not
@@ -188,7 +205,7 @@
 }
 
 fn is_expired(item: &ports::Item, unix: clock::Millis) -> bool {
-    let entry = serde_json::from_slice::<membership::HostReport>(&item.value);
+    let entry = item.parse::<membership::HostReport>();
     entry.is_ok_and(|e| unix.since(clock::Millis(e.counted_until)) > STORED_COUNTS_TTL)
 }
 
