A list that can't be watched is not read again without a pause

The platform: while the store had no history for a watch, a host called list and watch in turn as fast as it got answers: 1,089 reads of lists in 1.5 s.

Cause: a watch that failed with 410 led to the list at once, also when the list before it had just been read.

Change: the first such failure after a watch that worked leads to the list at once, as before; the following ones wait as after other failed calls.

--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -177,6 +177,7 @@
     let key = host.protocol.config_key().to_owned();
     let prefix = dc_drain::watched_prefix(&host).to_owned();
     let mut backoff = backoff::Backoff::default();
+    let mut watch_backoff = backoff::Backoff::default();
     loop {
         wait_while_relying_on_peer(&host).await;
         let began = host.now();
@@ -194,6 +195,7 @@
             apply_config(&host, &item.value, "store");
         }
         host.freshness.record_read(WatchTarget::Config, began);
+        let mut is_watched = false;
         while !host.relies_on_peer() {
             let began = host.now();
             let wait = host.freshness.watch_timeout(WatchTarget::Config, began);
@@ -203,6 +205,7 @@
             match changes {
                 Ok((events, revision)) => {
                     at = revision;
+                    is_watched = true;
                     let is_quiet = events.is_empty();
                     dc_drain::apply_events(&host, &events, at);
                     for event in events {
@@ -216,7 +219,15 @@
                     host.freshness
                         .record_watch(target, began, wait, now, is_quiet);
                 }
-                Err(ports::StoreError::Compacted) => break,
+                Err(ports::StoreError::Compacted) => {
+                    // A list that is too old to be watched at once is not read again at once.
+                    if is_watched {
+                        watch_backoff.reset();
+                    } else {
+                        watch_backoff.wait(&host).await;
+                    }
+                    break;
+                }
                 Err(_) => {
                     backoff.wait(&host).await;
                     break;
@@ -258,6 +269,7 @@
 pub async fn watch_upstreams(host: rc::Rc<host::Host>) {
     let prefix = host.protocol.upstream_prefix().to_owned();
     let mut backoff = backoff::Backoff::probe();
+    let mut watch_backoff = backoff::Backoff::probe();
     loop {
         wait_while_relying_on_peer(&host).await;
         let began = host.now();
@@ -271,6 +283,7 @@
         backoff.reset();
         apply_list(&host, &items, at);
         host.freshness.record_read(WatchTarget::Upstreams, began);
+        let mut is_watched = false;
         while !host.relies_on_peer() {
             let began = host.now();
             let wait = host.freshness.watch_timeout(WatchTarget::Upstreams, began);
@@ -280,6 +293,7 @@
             match changes {
                 Ok((events, revision)) => {
                     at = revision;
+                    is_watched = true;
                     let is_quiet = events.is_empty();
                     for event in events {
                         apply_event(&host, &event);
@@ -292,7 +306,15 @@
                         time::sleep(batch_delay(&host).duration()).await;
                     }
                 }
-                Err(ports::StoreError::Compacted) => break,
+                Err(ports::StoreError::Compacted) => {
+                    // A list that is too old to be watched at once is not read again at once.
+                    if is_watched {
+                        watch_backoff.reset();
+                    } else {
+                        watch_backoff.wait(&host).await;
+                    }
+                    break;
+                }
                 Err(_) => {
                     backoff.wait(&host).await;
                     break;
