Responses with a doubtful framing or a status above 599 are not passed on

Callers: an upstream in trouble whose answer had a length beside a transfer coding, or a coding such as `gzip, chunked` or `identity`, was answered for: clients got a 200 whose body the host had cut by one of two readings, or in a coding that they were not told. A status such as 600 or 999 reached them too.

Cause: the HTTP library drops a length beside a transfer coding, reads any coding but a last `chunked` to the end of the connection, and takes codes up to 999.

Change: the socket of a connection to an upstream or the platform checks the head of each response, parsed by httparse, and fails the read.

--- a/crates/router/src/http_client.rs
+++ b/crates/router/src/http_client.rs
@@ -4,6 +4,7 @@
 use std::cell;
 use std::collections;
 use std::net;
+use std::rc;
 
 use base::clock;
 use bytes::Bytes;
@@ -13,6 +14,8 @@
 use hyper_util::rt;
 use tokio::{net as tokio_net, task, time};
 
+use crate::response_head;
+
 /// Time for which sent bytes may stay unacknowledged before the kernel resets the connection.
 const TCP_USER_TIMEOUT: clock::Millis = clock::Millis(1_000);
 /// Time without bytes after which the kernel probes a connection, and time between two probes.
@@ -32,6 +35,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: task::AbortHandle,
+    head: rc::Rc<response_head::AwaitedHead>,
     last_used: clock::Millis,
     expires_at: clock::Millis,
     /// Whether this connection has served a request before.
@@ -71,7 +75,8 @@
         if let Err(e) = set_socket_options(&stream) {
             tracing::warn!(event = "socket_option", %address, error = %e);
         }
-        let io = rt::TokioIo::new(stream);
+        let head = rc::Rc::new(response_head::AwaitedHead::default());
+        let io = response_head::CheckedSocket::new(rt::TokioIo::new(stream), head.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(io)
@@ -86,6 +91,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            head,
             last_used: clock::Millis::ZERO,
             expires_at: clock::Millis::ZERO,
             reused: false,
@@ -100,11 +106,17 @@
                 return SendOutcome::Unsent(request);
             }
         }
+        self.head.await_next();
         match self.sender.try_send_request(request).await {
             Ok(response) => SendOutcome::Response(response, self),
             Err(mut e) => match e.take_message() {
                 Some(request) => SendOutcome::Unsent(request),
-                None => SendOutcome::Lost,
+                None => {
+                    if e.error().is_parse() {
+                        tracing::info!(event = "response_invalid", fault = %e.error());
+                    }
+                    SendOutcome::Lost
+                }
             },
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod reported_load;
 pub mod reports;
 pub mod response;
+pub mod response_head;
 pub mod retry;
 pub mod scale;
 pub mod selection;
