Product interface: odd entries of the store and the platform cost themselves

One faulty entry of the platform's list hid the whole list, so an upstream that was leaving went on getting requests.

Cause: as on the platform: keys went into queries and paths as they are, and a list was parsed as one value.

Evidence: the stand-in now decodes its queries and paths, and sends any JSON in place of an entry.

Entries are parsed one by one. A page that brings no later key fails the list.

--- a/crates/host/src/ledger.rs
+++ b/crates/host/src/ledger.rs
@@ -277,9 +277,11 @@
     let now = clock::Clock::System.unix_time().0;
     let mut expected_revision = None;
     if let Some(found) = store.get(&key).ok()? {
-        let stored = parse_journal(&found)?;
-        ledger.set_journal(stored.journal);
-        expected_revision = Some(stored.revision);
+        expected_revision = Some(found.revision);
+        // Another program's value is replaced.
+        if let Some(stored) = parse_journal(&found) {
+            ledger.set_journal(stored.journal);
+        }
     }
     for _ in 0..MAX_WRITE_ATTEMPTS {
         let Some(journal) = ledger.with_pending(now) else {
@@ -301,7 +303,7 @@
 ) -> Option<StoredJournal> {
     let key = journal_key(&journal.incarnation);
     let bytes = serde_json::to_vec(journal).ok()?;
-    let written = match expected_revision {
+    let mut written = match expected_revision {
         Some(revision) => store::replace(store, &key, &bytes, revision),
         None => match store::create(store, &key, &bytes) {
             Ok(store::CreateOutcome::Own(revision)) => Ok(revision),
@@ -309,6 +311,12 @@
             Err(e) => Err(e),
         },
     };
+    if let Err(store::Error::Conflict(Some(found))) = &written
+        && parse_journal(found).is_none()
+    {
+        tracing::warn!(event = "journal_replaced", key, revision = found.revision);
+        written = store::replace(store, &key, &bytes, found.revision);
+    }
     match written {
         Ok(revision) => Some(StoredJournal {
             journal: journal.clone(),
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -7,7 +7,7 @@
 
 use std::time;
 
-use base::clock;
+use base::{clock, faulty_keys};
 use policy::usage;
 use ports::{orders, reports, store};
 use serde::{Deserialize, Serialize};
@@ -51,6 +51,9 @@
     format!("{}{seal_id:016x}/{part:04}", part_prefix(number))
 }
 
+/// Entries of journals and windows that were logged as unusable.
+static FAULTY_KEYS: faulty_keys::FaultyKeys = faulty_keys::FaultyKeys::new();
+
 /// Header of a sealed window in the store.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 struct WindowHeader {
@@ -174,7 +177,19 @@
     reported: u64,
 ) -> Result<Vec<WindowHeader>, store::Error> {
     let headers = store.list(WINDOW_PREFIX, &window_key(reported), PAGE_ENTRIES)?;
-    headers.iter().map(read_header).collect()
+    Ok(headers.iter().filter_map(read_listed).collect())
+}
+
+/// Reads a listed header; `None` for an entry that no host has written.
+fn read_listed(e: &store::Entry) -> Option<WindowHeader> {
+    let header = read_header(e)
+        .ok()
+        .filter(|h| window_key(h.number) == e.key);
+    if header.is_none() {
+        let fault = "it is not the header of its window";
+        FAULTY_KEYS.log("window_unreadable", &e.key, e.revision, fault);
+    }
+    header
 }
 
 /// Sends the parts of a window to the platform; returns whether all were accepted.
@@ -221,16 +236,20 @@
     previous: &WindowHeader,
     now: clock::Millis,
 ) -> Result<Option<WindowHeader>, store::Error> {
-    let journals: Vec<_> = list_journals(store)?
-        .into_iter()
-        .map(|(journal, _)| journal)
-        .collect();
+    let (journals, unreadable) = list_journals(store)?;
+    let journals: Vec<_> = journals.into_iter().map(|(journal, _)| journal).collect();
     let previous = usage::Window {
         number: previous.number,
         last_entries: previous.last_entries.clone(),
         ..usage::Window::default()
     };
-    let window = usage::seal(&previous, &journals, now.0);
+    let mut window = usage::seal(&previous, &journals, now.0);
+    // A journal that is overwritten may be written again, with entries that are sealed already.
+    for incarnation in unreadable {
+        if let Some(last) = previous.last_entries.get(&incarnation) {
+            window.last_entries.insert(incarnation, *last);
+        }
+    }
     if window.lines.is_empty() {
         return Ok(None);
     }
@@ -265,44 +284,65 @@
     let bytes = serde_json::to_vec(&header).map_err(unreadable)?;
     match store::create(store, &window_key(header.number), &bytes)? {
         store::CreateOutcome::Own(_) => Ok(header),
-        store::CreateOutcome::Other(entry) => read_header(&entry),
+        store::CreateOutcome::Other(entry) => match read_listed(&entry) {
+            Some(other) => Ok(other),
+            None => {
+                store::replace(store, &entry.key, &bytes, entry.revision)?;
+                Ok(header)
+            }
+        },
     }
 }
 
-/// Lists all usage journals, each with its revision in the store.
-fn list_journals(store: &dyn store::Store) -> Result<Vec<(usage::Journal, u64)>, store::Error> {
-    let mut out = Vec::new();
+/// Usage journals with their revisions in the store, and the hosts of those that can't be read.
+type Journals = (Vec<(usage::Journal, u64)>, Vec<usage::Incarnation>);
+
+/// Lists all usage journals.
+fn list_journals(store: &dyn store::Store) -> Result<Journals, store::Error> {
+    let (mut out, mut unreadable) = (Vec::new(), Vec::new());
     let mut after = String::new();
     loop {
         let page = store.list(ledger::JOURNAL_PREFIX, &after, PAGE_ENTRIES)?;
         let Some(last) = page.last() else {
-            return Ok(out);
+            return Ok((out, unreadable));
         };
         after = last.key.clone();
         for entry in &page {
-            let Ok(journal) = serde_json::from_slice(entry.bytes()) else {
-                // Skipping a journal would count all its entries again in a later window.
-                tracing::error!(event = "journal_unreadable", key = %entry.key);
-                return Err(store::Error::Unknown);
-            };
-            out.push((journal, entry.revision));
+            let journal = serde_json::from_slice::<usage::Journal>(entry.bytes()).ok();
+            match journal.filter(|j| ledger::journal_key(&j.incarnation) == entry.key) {
+                Some(journal) => out.push((journal, entry.revision)),
+                None => {
+                    let fault = "it is not the journal of its host";
+                    FAULTY_KEYS.log("journal_unreadable", &entry.key, entry.revision, fault);
+                    let host = entry.key.strip_prefix(ledger::JOURNAL_PREFIX);
+                    unreadable.extend(host.map(|h| usage::Incarnation(h.to_owned())));
+                }
+            }
         }
     }
 }
 
 /// Removes windows that were reported `KEPT_WINDOWS` windows or more before `reported`.
 fn remove_old_windows(store: &dyn store::Store, reported: u64) -> Result<(), store::Error> {
-    for header in store.list(WINDOW_PREFIX, "", MAX_REMOVED_WINDOWS)? {
-        let number = read_header(&header)?.number;
-        if number + KEPT_WINDOWS > reported {
-            break;
-        }
-        for part in store.list(&part_prefix(number), "", PAGE_ENTRIES)? {
-            store.delete(&part.key, store::Expect::Any)?;
+    let mut removed = 0;
+    let mut after = String::new();
+    loop {
+        let page = store.list(WINDOW_PREFIX, &after, PAGE_ENTRIES)?;
+        let Some(last) = page.last() else {
+            return Ok(());
+        };
+        after = last.key.clone();
+        for header in page.iter().filter_map(read_listed) {
+            if header.number + KEPT_WINDOWS > reported || removed >= MAX_REMOVED_WINDOWS {
+                return Ok(());
+            }
+            for part in store.list(&part_prefix(header.number), "", PAGE_ENTRIES)? {
+                store.delete(&part.key, store::Expect::Any)?;
+            }
+            store.delete(&window_key(header.number), store::Expect::Any)?;
+            removed += 1;
         }
-        store.delete(&header.key, store::Expect::Any)?;
     }
-    Ok(())
 }
 
 /// Removes the entries of a sealed window from the journals, and removes expired journals.
@@ -311,7 +351,8 @@
     sealed: &WindowHeader,
     now: clock::Millis,
 ) -> Result<(), store::Error> {
-    for (journal, revision) in list_journals(store)? {
+    let (journals, _) = list_journals(store)?;
+    for (journal, revision) in journals {
         let key = ledger::journal_key(&journal.incarnation);
         let expected = store::Expect::Revision(revision);
         let last_entry = sealed
--- /dev/null
+++ b/crates/host/tests/odd_store.rs
@@ -0,0 +1,169 @@
+//! Hosts with the product's own interface whose store holds entries of other writers: odd names, values and
+//! fields, at the start, after a restart and later.
+
+mod env;
+
+use base::query;
+
+/// Names after a prefix, with a meaning in a query or a path or changed by decoding.
+const ODD_NAMES: [&str; 11] = [
+    "&x",
+    "&after=z",
+    "+x",
+    "#x",
+    "?x",
+    "%41",
+    "%zz",
+    " x",
+    "\n",
+    "é",
+    "a&b+c#d%e f",
+];
+/// Entries as the store sends them; `KEY` stands for the key.
+const ODD_ENTRIES: [&str; 7] = [
+    "7",
+    "{}",
+    r#"{"key":7,"value":"e30=","revision":1}"#,
+    r#"{"key":"KEY","value":7,"revision":1}"#,
+    r#"{"key":"KEY","value":"***","revision":1}"#,
+    r#"{"key":"KEY","value":"e30="}"#,
+    r#"{"key":"KEY","value":"e30=","revision":"1"}"#,
+];
+/// Time in which calls to the store are counted, and the most of them by one host.
+const QUIET_PERIOD: std::time::Duration = std::time::Duration::from_millis(2_000);
+const MAX_QUIET_CALLS: u64 = 400;
+
+fn put(site: &env::Site, path: &str, key: &str, body: &str) {
+    let url = site.store.url(&format!("/{path}/{}", query::encode(key)));
+    let response = env::call("PUT", &url, &[], body).expect("a response");
+    assert_eq!(response.status, 200, "{key:?}");
+}
+
+fn put_odd(site: &env::Site, prefix: &str) {
+    for name in ODD_NAMES {
+        put(site, "kv", &format!("{prefix}{name}"), "not json");
+        put(site, "kv", &format!("{prefix}{name}~"), "{}");
+    }
+    for (n, text) in ODD_ENTRIES.iter().enumerate() {
+        // In the middle of the hosts' own keys, and each after one that can be read.
+        let key = format!("{prefix}00{n}-odd");
+        put(site, "odd", &key, &text.replace("KEY", &key));
+        put(site, "kv", &format!("{key}~"), "null");
+    }
+}
+
+/// Requests in the usage reports so far.
+fn reported(site: &env::Site) -> u64 {
+    let stats = site.platform.stats();
+    let reports = stats["reports"].as_array().expect("reports");
+    let mut parts = std::collections::BTreeMap::new();
+    for report in reports {
+        let part = (report["window"].as_u64(), report["part"].as_u64());
+        let body = report["body"].as_str().expect("a body").to_owned();
+        if let Some(first) = parts.insert(part, body.clone()) {
+            assert_eq!(first, body, "{part:?}");
+        }
+    }
+    let mut requests = 0;
+    for body in parts.values() {
+        let window: serde_json::Value = serde_json::from_str(body).expect("a window");
+        let lines = window["lines"].as_array().expect("lines");
+        let amounts = lines
+            .iter()
+            .filter_map(|l| l["amount"]["requests"].as_u64());
+        requests += amounts.sum::<u64>();
+    }
+    requests
+}
+
+/// Checks that requests are served, and waits until exactly these are reported.
+fn check_usage(site: &env::Site, key: &str, context: &str) {
+    const COUNT: u64 = 3;
+    let before = reported(site);
+    let bearer = format!("Bearer {key}");
+    for _ in 0..COUNT {
+        let url = site.url(0, "/s/ledger/deposits");
+        let headers = [("Authorization", bearer.as_str())];
+        let response = env::call("POST", &url, &headers, "deposit").expect("a response");
+        assert_eq!(response.status, 200, "{context}: {response:?}");
+    }
+    env::wait_until(&format!("{context}: usage reports"), || {
+        reported(site) >= before + COUNT
+    });
+    assert_eq!(reported(site), before + COUNT, "{context}");
+}
+
+fn site() -> (env::Site, String) {
+    let mut site = env::Site::new(&["lalitpur"], 0);
+    site.times_yaml =
+        "linger_ms: 50\n  flush_ms: 300\n  lease_ms: 900\n  window_ms: 1000".to_owned();
+    site.apply(&site.document());
+    let key = site.issue_key("quotes");
+    (site, key)
+}
+
+/// Calls that the store has got so far.
+fn call_count(site: &env::Site) -> u64 {
+    let count = env::get_json(&site.store.url("/count"));
+    let counts = count.as_object().expect("counts");
+    counts.values().filter_map(serde_json::Value::as_u64).sum()
+}
+
+/// Guards against a name that has a meaning in a query, and against a value or a field that can't be read:
+/// the list began again before it or failed, so no usage was reported, or lists followed each other without a
+/// pause.
+#[test]
+fn odd_entries_among_those_of_usage_cost_themselves_alone() {
+    for prefix in ["usage/journal/", "usage/window/", "once/"] {
+        let (mut site, key) = site();
+        put_odd(&site, prefix);
+        site.start_all();
+        check_usage(&site, &key, &format!("{prefix} at the start"));
+        put_odd(&site, prefix);
+        check_usage(&site, &key, &format!("{prefix} later"));
+        site.host_mut(0).kill();
+        site.start(0);
+        check_usage(&site, &key, &format!("{prefix} after a restart"));
+        let before = call_count(&site);
+        std::thread::sleep(QUIET_PERIOD);
+        let calls = call_count(&site) - before;
+        assert!(calls <= MAX_QUIET_CALLS, "{prefix}: {calls} calls");
+        let log = site.log(0);
+        for event in [
+            "journal_unreadable",
+            "window_unreadable",
+            "store_entry_unreadable",
+        ] {
+            let lines = log.lines().filter(|l| l.contains(event));
+            let keys: std::collections::BTreeSet<_> = lines
+                .clone()
+                .filter_map(|l| l.split(" key=").nth(1))
+                .collect();
+            assert_eq!(
+                lines.count(),
+                keys.len(),
+                "{prefix}: {event} names a key twice"
+            );
+        }
+    }
+}
+
+/// Guards against one entry of the platform's list that can't be read: hosts and upstreams beside it were not
+/// known, or stayed after they had left.
+#[test]
+fn odd_entry_in_the_platforms_list_costs_itself_alone() {
+    let (mut site, key) = site();
+    site.start_all();
+    let odd = r#"{"hosts":[7,{"name":"h9"},{"name":"h8","dc":"x","address":"nowhere","state":"live"}],
+        "upstreams":[null,{"name":7,"state":"live"},{"name":"p-lalitpur","state":"leaving"},
+            {"name":"x","state":"asleep"}]}"#;
+    let response = env::call("PUT", &site.platform.url("/odd-list"), &[], odd).expect("a response");
+    assert_eq!(response.status, 200);
+    let bearer = format!("Bearer {key}");
+    env::wait_until("the leaving upstream is known to leave", || {
+        let url = site.url(0, "/s/ledger/deposits");
+        let headers = [("Authorization", bearer.as_str())];
+        let response = env::call("POST", &url, &headers, "deposit").expect("a response");
+        response.status != 200
+    });
+}
--- a/crates/ports/src/hosts.rs
+++ b/crates/ports/src/hosts.rs
@@ -2,8 +2,9 @@
 
 use std::net;
 
-use base::{clock, name};
+use base::{clock, faulty_keys, name};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::http;
 
@@ -65,11 +66,22 @@
 /// Timeout of one request for the host list.
 const CALL_TIMEOUT: clock::Millis = clock::Millis(2_000);
 
+/// List whose entries are parsed one by one, so that an unreadable one does not hide the others.
+#[derive(Deserialize)]
+struct RawList<'a> {
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
+    #[serde(borrow)]
+    upstreams: Vec<&'a RawValue>,
+}
+
 /// HTTP client that fetches the host list with `GET /hosts`.
 #[derive(Debug)]
 pub struct Http {
     url: String,
     agent: ureq::Agent,
+    /// Entries that were logged as unreadable, by their text.
+    faulty_entries: faulty_keys::FaultyKeys,
 }
 
 impl Http {
@@ -78,7 +90,23 @@
         Self {
             url: format!("http://{address}/hosts"),
             agent: http::agent(CALL_TIMEOUT),
+            faulty_entries: faulty_keys::FaultyKeys::new(),
+        }
+    }
+
+    fn parse_each<'a, T: Deserialize<'a>>(&self, entries: &[&'a RawValue]) -> Vec<T> {
+        let mut out = Vec::with_capacity(entries.len());
+        for text in entries {
+            match serde_json::from_str(text.get()) {
+                Ok(entry) => out.push(entry),
+                Err(e) => {
+                    let fault = e.to_string();
+                    self.faulty_entries
+                        .log("listed_host_unreadable", text.get(), 0, &fault);
+                }
+            }
         }
+        out
     }
 }
 
@@ -89,6 +117,10 @@
             return Err(Unreadable);
         }
         let bytes = response.body_mut().read_to_vec().map_err(|_| Unreadable)?;
-        serde_json::from_slice(&bytes).map_err(|_| Unreadable)
+        let raw: RawList<'_> = serde_json::from_slice(&bytes).map_err(|_| Unreadable)?;
+        Ok(HostList {
+            hosts: self.parse_each(&raw.hosts),
+            upstreams: self.parse_each(&raw.upstreams),
+        })
     }
 }
--- a/crates/ports/src/store_http.rs
+++ b/crates/ports/src/store_http.rs
@@ -8,7 +8,9 @@
 
 use std::net;
 
-use base::clock;
+use base::{clock, faulty_keys, query};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::{http, store};
 
@@ -20,6 +22,8 @@
 pub struct Http {
     base_url: String,
     agent: ureq::Agent,
+    /// Entries that were logged as unreadable.
+    faulty_keys: faulty_keys::FaultyKeys,
 }
 
 impl Http {
@@ -28,19 +32,65 @@
         Self {
             base_url: format!("http://{address}"),
             agent: http::agent(CALL_TIMEOUT),
+            faulty_keys: faulty_keys::FaultyKeys::new(),
         }
     }
 
+    /// Reads each entry on its own. An entry whose value or revision can't be read has an empty value, as no
+    /// host writes; one without a key is left out.
+    fn read_entries(&self, entries: &[&RawValue]) -> Vec<store::Entry> {
+        let mut out = Vec::with_capacity(entries.len());
+        for text in entries {
+            let text = text.get();
+            if let Ok(entry) = serde_json::from_str(text) {
+                out.push(entry);
+                continue;
+            }
+            let Ok(raw) = serde_json::from_str::<RawKey>(text) else {
+                self.faulty_keys
+                    .log("store_entry_unreadable", text, 0, "it tells no key");
+                continue;
+            };
+            let fault = "its value or revision can't be read";
+            self.faulty_keys
+                .log("store_entry_unreadable", &raw.key, 0, fault);
+            out.push(store::Entry {
+                key: raw.key,
+                value: Some(Vec::new()),
+                revision: 0,
+            });
+        }
+        out
+    }
+
     fn key_url(&self, key: &str, expect: store::Expect) -> String {
         let expect = match expect {
             store::Expect::Any => "any".to_owned(),
             store::Expect::Absent => "absent".to_owned(),
             store::Expect::Revision(r) => r.to_string(),
         };
-        format!("{}/kv/{key}?expect={expect}", self.base_url)
+        format!("{}?expect={expect}", self.url(key))
+    }
+
+    fn url(&self, key: &str) -> String {
+        format!("{}/kv/{}", self.base_url, query::encode(key))
     }
 }
 
+/// Key of an entry whose other fields can't be read.
+#[derive(Deserialize)]
+struct RawKey {
+    key: String,
+}
+
+/// Response to a watch.
+#[derive(Deserialize)]
+struct RawChanges<'a> {
+    revision: u64,
+    #[serde(borrow)]
+    entries: Vec<&'a RawValue>,
+}
+
 /// Result of one HTTP request.
 type ResponseResult = Result<ureq::http::Response<ureq::Body>, ureq::Error>;
 
@@ -54,11 +104,19 @@
 
 /// Decodes the JSON body of a successful response, or maps its status code to an error.
 fn decode<T: serde::de::DeserializeOwned>(response: ResponseResult) -> Result<T, store::Error> {
+    parse(&read_success(response)?)
+}
+
+/// Reads the body of a successful response, or maps its status code to an error.
+fn read_success(response: ResponseResult) -> Result<Vec<u8>, store::Error> {
     let mut response = response.map_err(|e| to_store_error(&e))?;
     let status = response.status().as_u16();
     match status {
-        200 => decode_body(&mut response),
-        409 => Err(store::Error::Conflict(decode_body(&mut response)?)),
+        200 => read_body(&mut response),
+        409 => {
+            let found = read_body(&mut response)?;
+            Err(store::Error::Conflict(parse(&found)?))
+        }
         413 => Err(store::Error::TooLarge),
         429 => Err(store::Error::Limited),
         503 => Err(store::Error::Down),
@@ -66,24 +124,31 @@
     }
 }
 
-fn decode_body<T: serde::de::DeserializeOwned>(
-    response: &mut ureq::http::Response<ureq::Body>,
-) -> Result<T, store::Error> {
+fn read_body(response: &mut ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, store::Error> {
     let limit = 16 * store::MAX_VALUE_BYTES as u64;
     let bytes = response.body_mut().with_config().limit(limit).read_to_vec();
-    let bytes = bytes.map_err(|_| store::Error::Unknown)?;
-    serde_json::from_slice(&bytes).map_err(|_| store::Error::Unknown)
+    bytes.map_err(|_| store::Error::Unknown)
+}
+
+fn parse<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, store::Error> {
+    serde_json::from_slice(bytes).map_err(|e| {
+        tracing::warn!(event = "store_answer_unreadable", error = %e);
+        store::Error::Unknown
+    })
 }
 
 impl store::Store for Http {
     fn get(&self, key: &str) -> Result<Option<store::Entry>, store::Error> {
-        let response = self.agent.get(format!("{}/kv/{key}", self.base_url)).call();
+        let response = self.agent.get(self.url(key)).call();
         if let Ok(r) = &response
             && r.status().as_u16() == 404
         {
             return Ok(None);
         }
-        decode(response).map(Some)
+        let body = read_success(response)?;
+        let entries = [parse(&body)?];
+        let entry = self.read_entries(&entries).pop();
+        entry.map(Some).ok_or(store::Error::Unknown)
     }
 
     fn put(&self, key: &str, value: &[u8], expect: store::Expect) -> Result<u64, store::Error> {
@@ -101,10 +166,21 @@
         limit: usize,
     ) -> Result<Vec<store::Entry>, store::Error> {
         let url = format!(
-            "{}/list?prefix={prefix}&after={after}&limit={limit}",
-            self.base_url
+            "{}/list?prefix={}&after={}&limit={limit}",
+            self.base_url,
+            query::encode(prefix),
+            query::encode(after)
         );
-        decode(self.agent.get(url).call())
+        let body = read_success(self.agent.get(url).call())?;
+        let raw: Vec<&RawValue> = parse(&body)?;
+        let entries = self.read_entries(&raw);
+        // The caller goes on after the last key, and takes a page without entries for the end.
+        let is_advanced = entries.last().is_some_and(|last| last.key.as_str() > after);
+        if !raw.is_empty() && !is_advanced {
+            tracing::warn!(event = "store_list_stuck", prefix, after);
+            return Err(store::Error::Unknown);
+        }
+        Ok(entries)
     }
 
     fn watch(
@@ -114,15 +190,18 @@
         wait: clock::Millis,
     ) -> Result<store::Changes, store::Error> {
         let url = format!(
-            "{}/watch?prefix={prefix}&after={after}&wait_ms={}",
-            self.base_url, wait.0
+            "{}/watch?prefix={}&after={after}&wait_ms={}",
+            self.base_url,
+            query::encode(prefix),
+            wait.0
         );
         let request = self.agent.get(url).config();
-        decode(
-            request
-                .timeout_global(Some((wait + CALL_TIMEOUT).duration()))
-                .build()
-                .call(),
-        )
+        let timeout = (wait + CALL_TIMEOUT).duration();
+        let body = read_success(request.timeout_global(Some(timeout)).build().call())?;
+        let raw: RawChanges<'_> = parse(&body)?;
+        Ok(store::Changes {
+            revision: raw.revision,
+            entries: self.read_entries(&raw.entries),
+        })
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod digest_leader;
 pub mod executions;
 pub mod failures;
-pub mod faulty_keys;
 pub mod fleet;
 pub mod follower;
 pub mod framing;
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -9,11 +9,11 @@
 use std::net;
 use std::rc;
 
-use base::{clock, name};
+use base::{clock, faulty_keys, name};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{backoff, faulty_keys, host, ports, windows};
+use crate::{backoff, host, ports, windows};
 
 /// Prefix of the store keys under which hosts register.
 const HOSTS_PREFIX: &str = "jacinthslip/hosts/";
--- a/crates/router/src/store_cache.rs
+++ b/crates/router/src/store_cache.rs
@@ -4,10 +4,10 @@
 use std::collections;
 use std::rc;
 
-use base::name;
+use base::{faulty_keys, name};
 use tokio::sync::watch;
 
-use crate::{dc_drain, faulty_keys};
+use crate::dc_drain;
 
 /// Number of keys of removed entries that are remembered, so that delayed messages do not restore
 /// these entries.
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -87,17 +87,19 @@
     header.map(|h| h.value.as_str())
 }
 
-/// Value of the first query parameter with this name, without percent-decoding.
-pub fn query_value<'a>(url: &'a str, name: &str) -> Option<&'a str> {
+/// Value of the first query parameter with this name. The query is decoded as
+/// `application/x-www-form-urlencoded`.
+pub fn query_value(url: &str, name: &str) -> Option<String> {
     let (_, query) = url.split_once('?')?;
-    for pair in query.split('&') {
-        if let Some((key, value)) = pair.split_once('=')
-            && key == name
-        {
-            return Some(value);
-        }
-    }
-    None
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    let (_, value) = pairs.find(|(n, _)| n == name)?;
+    Some(value.into_owned())
+}
+
+/// Decodes a path, or a part of one.
+pub fn decode_path(path: &str) -> String {
+    let decoded = percent_encoding::percent_decode_str(path);
+    decoded.decode_utf8_lossy().into_owned()
 }
 
 /// Path of a URL, without its query.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -18,6 +18,8 @@
 
 struct Inner {
     memory: memory::Platform,
+    /// JSON that is sent in place of the list of hosts and upstreams: `/odd-list` sets it.
+    odd_list: sync::Mutex<Option<serde_json::Value>>,
     faults: sync::Arc<faults::FaultInjector>,
 }
 
@@ -33,6 +35,7 @@
         let memory = memory::Platform::new(check_fencing);
         let inner = Inner {
             memory,
+            odd_list: sync::Mutex::default(),
             faults: faults.clone(),
         };
         let inner = sync::Arc::new(inner);
@@ -87,6 +90,10 @@
                     .set_host_list(serde_json::from_slice(&body).unwrap_or_default());
                 return http::respond_empty(request, 200);
             }
+            "/odd-list" => {
+                *self.lock_odd_list() = serde_json::from_slice(&body).ok();
+                return http::respond_empty(request, 200);
+            }
             _ => {}
         }
         let kind = match request.method() {
@@ -104,10 +111,18 @@
         }
     }
 
+    fn lock_odd_list(&self) -> sync::MutexGuard<'_, Option<serde_json::Value>> {
+        self.odd_list
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn respond(&self, request: tiny_http::Request, url: &str, body: &[u8]) {
         if http::path(url) == "/hosts" {
-            let list = self.memory.host_list();
-            return http::respond_json(request, 200, &list);
+            return match &*self.lock_odd_list() {
+                Some(odd) => http::respond_json(request, 200, odd),
+                None => http::respond_json(request, 200, &self.memory.host_list()),
+            };
         }
         let status = self.execute(url, body);
         http::respond_empty(request, status);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,5 +1,6 @@
 //! Test double of the key-value store, backed by memory.
 
+use std::collections;
 use std::io;
 use std::net;
 use std::sync;
@@ -30,6 +31,7 @@
         let faults = sync::Arc::new(faults::FaultInjector::default());
         let inner = Inner {
             memory: memory.clone(),
+            odd: sync::Mutex::default(),
             faults: faults.clone(),
         };
         let server = http::Server::start(address, sync::Arc::new(move |r| inner.handle(r)))?;
@@ -48,10 +50,27 @@
 
 struct Inner {
     memory: sync::Arc<memory::MemoryStore>,
+    /// JSON that is sent in place of the entries of these keys: `PUT /odd/KEY` sets it.
+    odd: sync::Mutex<collections::BTreeMap<String, serde_json::Value>>,
     faults: sync::Arc<faults::FaultInjector>,
 }
 
 impl Inner {
+    fn lock_odd(&self) -> sync::MutexGuard<'_, collections::BTreeMap<String, serde_json::Value>> {
+        self.odd
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn to_json_entry(&self, entry: &store::Entry) -> serde_json::Value {
+        let odd = self.lock_odd().get(&entry.key).cloned();
+        odd.unwrap_or_else(|| to_json(entry))
+    }
+
+    fn to_json_entries(&self, entries: &[store::Entry]) -> serde_json::Value {
+        entries.iter().map(|e| self.to_json_entry(e)).collect()
+    }
+
     fn handle(&self, mut request: tiny_http::Request) {
         let url = request.url().to_owned();
         let path = http::path(&url);
@@ -102,21 +121,28 @@
         let after = http::query_value(url, "after").unwrap_or_default();
         if path == "/list" {
             let limit = query_number(url, "limit") as usize;
-            return Ok(to_json(&memory.list(prefix, after, limit)?));
+            let entries = memory.list(&prefix, &after, limit)?;
+            return Ok(self.to_json_entries(&entries));
         }
         if path == "/watch" {
             thread::sleep(self.faults.watch_delay());
             let wait = clock::Millis(query_number(url, "wait_ms"));
-            return Ok(to_json(&memory.watch(
-                prefix,
-                query_number(url, "after"),
-                wait,
-            )?));
+            let changes = memory.watch(&prefix, query_number(url, "after"), wait)?;
+            let entries = self.to_json_entries(&changes.entries);
+            return Ok(serde_json::json!({"revision": changes.revision, "entries": entries}));
+        }
+        if let Some(key) = path.strip_prefix("/odd/") {
+            let key = http::decode_path(key);
+            let revision = memory.put(&key, b"odd", store::Expect::Any)?;
+            let entry = serde_json::from_slice(body).map_err(|_| store::Error::Down)?;
+            self.lock_odd().insert(key, entry);
+            return Ok(to_json(&revision));
         }
         let key = path.strip_prefix("/kv/").ok_or(store::Error::Down)?;
+        let key = &http::decode_path(key);
         match method {
             tiny_http::Method::Get => match memory.get(key)? {
-                Some(entry) => Ok(to_json(&entry)),
+                Some(entry) => Ok(self.to_json_entry(&entry)),
                 None => Err(store::Error::Down),
             },
             tiny_http::Method::Delete => {
@@ -139,7 +165,7 @@
 }
 
 fn expected_revision(url: &str) -> store::Expect {
-    match http::query_value(url, "expect") {
+    match http::query_value(url, "expect").as_deref() {
         Some("absent") => store::Expect::Absent,
         Some(r) => r
             .parse()
