Product interface: an odd entry in the configuration's log stops no host

Callers: while another program's value stood under the next key of the configuration's log, hosts that were started did not become ready.

Cause: a host read the log to its end before it became ready, and took the unreadable entry for a failure of the store.

`jacinthctl` names the key instead of a conflict with another operator.

--- a/crates/config/src/log_store.rs
+++ b/crates/config/src/log_store.rs
@@ -167,7 +167,10 @@
     let bytes = serde_json::to_vec(&entry).map_err(|_| Error::Unreadable(key.clone()))?;
     match store::create(store, &key, &bytes) {
         Ok(store::CreateOutcome::Own(_)) => {}
-        Ok(store::CreateOutcome::Other(_)) => return Err(Error::Conflict(entry.revision)),
+        Ok(store::CreateOutcome::Other(found)) => {
+            let other = serde_json::from_slice::<log::Entry>(found.bytes());
+            return Err(other.map_or(Error::Unreadable(key), |e| Error::Conflict(e.revision)));
+        }
         Err(store::Error::Unknown) => return Err(Error::Unknown),
         Err(e) => return Err(Error::Store(e)),
     }
--- a/crates/host/src/config_sync.rs
+++ b/crates/host/src/config_sync.rs
@@ -5,7 +5,7 @@
 
 use std::sync;
 
-use base::clock;
+use base::{clock, faulty_keys};
 use config::{item, log, log_store, view};
 use peer::message;
 
@@ -22,6 +22,9 @@
 /// Maximum number of recent log entries that are kept for peers.
 const MAX_RECENT_ENTRIES: usize = 1024;
 
+/// Values that were logged as unreadable.
+static FAULTY_KEYS: faulty_keys::FaultyKeys = faulty_keys::FaultyKeys::new();
+
 #[derive(Default)]
 struct State {
     recent: std::collections::VecDeque<log::Entry>,
@@ -231,17 +234,33 @@
     fn catch_up(&self, context: &context::Context) -> Result<(), log_store::Error> {
         let env = &context.settings.environment;
         let store = &*context.store;
-        if log_store::snapshot_revision(store, env)? > context.view().revision
-            && let Some(new_state) = log_store::read_snapshot(store, env)?
-        {
+        let read_newer = || {
+            if log_store::snapshot_revision(store, env)? <= context.view().revision {
+                return Ok(None);
+            }
+            log_store::read_snapshot(store, env)
+        };
+        if let Some(new_state) = readable(read_newer())? {
             self.replace(context, &new_state);
         }
         loop {
             let next = context.view().revision + 1;
-            let Some(entry) = log_store::read_entry(store, env, next)? else {
+            let Some(entry) = readable(log_store::read_entry(store, env, next))? else {
                 return Ok(());
             };
             self.advance(context, entry);
         }
     }
 }
+
+/// Takes a value that another program has written for one that is not there: this host goes on with what it
+/// could read.
+fn readable<T>(read: Result<Option<T>, log_store::Error>) -> Result<Option<T>, log_store::Error> {
+    match read {
+        Err(log_store::Error::Unreadable(key)) => {
+            FAULTY_KEYS.log("config_unreadable", &key, 0, "it can't be decoded");
+            Ok(None)
+        }
+        read => read,
+    }
+}
--- a/crates/host/tests/odd_store.rs
+++ b/crates/host/tests/odd_store.rs
@@ -4,6 +4,7 @@
 mod env;
 
 use base::query;
+use config::log;
 
 /// Names after a prefix, with a meaning in a query or a path or changed by decoding.
 const ODD_NAMES: [&str; 11] = [
@@ -29,6 +30,8 @@
     r#"{"key":"KEY","value":"e30="}"#,
     r#"{"key":"KEY","value":"e30=","revision":"1"}"#,
 ];
+/// Environment of a host whose settings name none.
+const ENVIRONMENT: &str = "production";
 /// Time in which calls to the store are counted, and the most of them by one host.
 const QUIET_PERIOD: std::time::Duration = std::time::Duration::from_millis(2_000);
 const MAX_QUIET_CALLS: u64 = 400;
@@ -148,6 +151,38 @@
     }
 }
 
+/// Guards against an entry of another program in the configuration's log: hosts that started did not become
+/// ready while it stood.
+#[test]
+fn odd_entry_in_the_log_of_the_configuration_does_not_stop_a_host() {
+    let (mut site, key) = site();
+    site.start_all();
+    check_usage(&site, &key, "before");
+    let exists = |revision| {
+        let key = log::entry_key(ENVIRONMENT, revision);
+        let found = env::client()
+            .get(site.store.url(&format!("/kv/{key}")))
+            .call();
+        found.expect("a response").status().as_u16() == 200
+    };
+    let next = (1..100)
+        .find(|revision| !exists(*revision))
+        .expect("an end");
+    assert!(next > 1, "the configuration has no entry");
+    put(&site, "kv", &log::entry_key(ENVIRONMENT, next), "not json");
+    for name in ODD_NAMES {
+        let key = format!("{}{name}", log::log_prefix(ENVIRONMENT));
+        put(&site, "kv", &key, "{}");
+    }
+    check_usage(&site, &key, "later");
+    site.host_mut(0).kill();
+    site.start(0);
+    check_usage(&site, &key, "after a restart");
+    let log = site.log(0);
+    let lines = log.lines().filter(|l| l.contains("config_unreadable"));
+    assert_eq!(lines.count(), 1, "{log}");
+}
+
 /// Guards against one entry of the platform's list that can't be read: hosts and upstreams beside it were not
 /// known, or stayed after they had left.
 #[test]
