Product interface: a lease that another program has overwritten is taken over

Operators: while another program's value stood under the key of a lease, no host took the lease, so usage was not reported.

Cause: a record that could not be parsed counted as absent, and the claim of an absent record never succeeds while the key exists.

Change: such a record counts as that of a holder who does not renew it. Its epoch is the revision of the entry: each epoch took a write of the key, so fencing tokens go on rising.

--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use base::{clock, name};
+use base::{clock, faulty_keys, name};
 use policy::lease;
 use ports::{orders, store};
 
@@ -21,6 +21,9 @@
     Holding(lease::Holder),
 }
 
+/// Leases that were logged as unreadable.
+static FAULTY_KEYS: faulty_keys::FaultyKeys = faulty_keys::FaultyKeys::new();
+
 /// Safety margin for a lease of length `ttl`: a tenth of it, at least `MIN_MARGIN_MS`.
 fn margin(ttl: clock::Millis) -> clock::Millis {
     const MIN_MARGIN_MS: u64 = 200;
@@ -99,14 +102,27 @@
         matches!(self.state, State::Holding(_))
     }
 
+    /// Reads the lease record. One that another program has written counts as that of a holder who does not
+    /// renew it. Each epoch took a write, so the revision is at least as high as all epochs so far.
+    fn read_record(&self, entry: &store::Entry) -> lease::Record {
+        serde_json::from_slice(entry.bytes()).unwrap_or_else(|e| {
+            let fault = e.to_string();
+            FAULTY_KEYS.log("lease_unreadable", &entry.key, entry.revision, &fault);
+            lease::Record {
+                holder: name::Host::from(""),
+                incarnation: 0,
+                epoch: entry.revision,
+                renewals: 0,
+                released: false,
+            }
+        })
+    }
+
     fn step_follower(&self, mut follower: lease::Follower) -> State {
         let Ok(found) = self.store.get(&self.key) else {
             return State::Following(follower);
         };
-        let record = found.and_then(|e| {
-            let record = serde_json::from_slice(e.bytes()).ok()?;
-            Some((record, e.revision))
-        });
+        let record = found.map(|e| (self.read_record(&e), e.revision));
         follower.observe(record, self.clock.now());
         let Some(write) = follower.claim(self.clock.now()) else {
             return State::Following(follower);
--- a/crates/host/tests/odd_store.rs
+++ b/crates/host/tests/odd_store.rs
@@ -183,6 +183,24 @@
     assert_eq!(lines.count(), 1, "{log}");
 }
 
+/// Guards against a lease that another program has overwritten: no host took it again, so nothing was
+/// reported.
+#[test]
+fn lease_of_another_program_is_taken_over() {
+    for value in ["not json", "{}", "{\"epoch\":\"x\"}"] {
+        let (mut site, key) = site();
+        put(&site, "kv", "lease/report", value);
+        site.start_all();
+        check_usage(&site, &key, "at the start");
+        put(&site, "kv", "lease/report", value);
+        check_usage(&site, &key, "later");
+        put(&site, "kv", "lease/report", value);
+        site.host_mut(0).kill();
+        site.start(0);
+        check_usage(&site, &key, "after a restart");
+    }
+}
+
 /// Guards against one entry of the platform's list that can't be read: hosts and upstreams beside it were not
 /// known, or stayed after they had left.
 #[test]
