Product interface: a reset does not end an answer without a length

Callers: a plain service that answered 200 without a length, sent part of the body and had its connection reset, was answered for: the client got that part as a complete 200, with a length of the host's own.

Cause: the HTTP client of this interface takes a reset for the end of a response without a length.

Change: the transport that sets the timeouts of reads reports a reset as an error of another kind, which fails the response.

--- a/crates/host/src/read_timeout.rs
+++ b/crates/host/src/read_timeout.rs
@@ -1,11 +1,12 @@
-//! Per-read timeout for responses of upstreams: longer for the start of a response than between two
-//! reads within it.
+//! Reads of responses of upstreams: a timeout for each read, longer for the start of a response than
+//! between two reads within it, and a reset that ends no response.
 //!
 //! The HTTP client accepts only one read timeout for a whole request. The transport in this module
 //! applies a thread-local timeout to each read instead, which works because a response is read on
 //! the thread that sent the request.
 
 use std::cell;
+use std::io;
 use std::time;
 
 use base::clock;
@@ -36,6 +37,15 @@
     }
 }
 
+fn is_reset(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::UnexpectedEof
+    )
+}
+
 /// Transport that applies the read timeout of the current thread to each read.
 #[derive(Debug)]
 pub struct Transport<T>(T);
@@ -55,7 +65,11 @@
 
     fn await_input(&mut self, mut timeout: transport::NextTimeout) -> Result<bool, ureq::Error> {
         timeout.per_read = Some(READ_TIMEOUT.get().into());
-        self.0.await_input(timeout)
+        self.0.await_input(timeout).map_err(|e| match e {
+            // The HTTP client takes these kinds for the end of a response without a length.
+            ureq::Error::Io(e) if is_reset(&e) => ureq::Error::Io(io::Error::other(e)),
+            e => e,
+        })
     }
 
     fn is_open(&mut self) -> bool {
