Product interface: responses with a doubtful head are not passed on

Callers: a plain service's answer with status 600 to 999, with a length beside a transfer coding, or in a coding that the host doesn't decode reached clients as an answer.

Cause: the same as on the platform, in another HTTP client.

Evidence: odd_answer_never_reaches_a_client_as_one sends the 591 odd heads for a call that runs once and one that may be repeated. On the code before, the first to reach a client is status 600; the three below 100 were held before.

Change: status and headers are checked by the function that checks them on the platform, which now also refuses lengths that are no number, or several.

Result: the test passes, and the 591 cases of the platform's path still do. Of 14 bodies with odd chunks, this client accepts five: a size of `+4`, and four with a wrong end behind the last chunk.

--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -8,7 +8,8 @@
 use base::{clock, refusal};
 use bytes::Bytes;
 use config::document;
-use router::memory;
+use router::{memory, response_head};
+use smallvec::SmallVec;
 use ureq::unversioned::resolver;
 use ureq::unversioned::transport;
 use ureq::unversioned::transport::Connector as _;
@@ -121,6 +122,7 @@
             .header("X-Request-Id", id)
             .send(body)
             .map_err(|e| transport_error(&e))?;
+        check_head(&response)?;
         match response.status().as_u16() {
             200 => {}
             429 | 503 => return Err(Error::Refused),
@@ -170,6 +172,7 @@
         let response = result
             .map_err(|_| Error::NotSent)?
             .map_err(|e| transport_error(&e))?;
+        check_head(&response)?;
         let response = read_response(response, max_bytes, &self.memory)?;
         if refusal::promises_not_run(response.status) {
             return Err(Error::BadResponse);
@@ -178,6 +181,25 @@
     }
 }
 
+/// Checks what the HTTP client accepts of a response's head.
+fn check_head(response: &ureq::http::Response<ureq::Body>) -> Result<(), Error> {
+    let headers = response.headers().iter();
+    let headers: SmallVec<[_; 16]> = headers
+        .map(|(name, value)| (name.as_str(), value.as_bytes()))
+        .collect();
+    // A transfer coding in HTTP/1.0 is none.
+    let is_old = response.version() < ureq::http::Version::HTTP_11;
+    let is_coded = response.headers().contains_key("transfer-encoding");
+    let checked = match is_old && is_coded {
+        true => Err("transfer coding in HTTP/1.0"),
+        false => response_head::check(response.status().as_u16(), &headers),
+    };
+    checked.map_err(|fault| {
+        tracing::info!(event = "response_invalid", fault);
+        Error::BadResponse
+    })
+}
+
 fn transport_error(e: &ureq::Error) -> Error {
     if ports::http::never_sent(e) {
         return Error::NotSent;
--- a/crates/host/tests/odd_upstreams.rs
+++ b/crates/host/tests/odd_upstreams.rs
@@ -27,6 +27,12 @@
     let delay = time::Duration::from_millis(n as u64 % 8);
     let path = request.head.split_whitespace().nth(1).expect("a path");
     match path.split('/').nth(1) {
+        Some("odd") => Reply::Close(odd::answer(n, "")),
+        Some("chunks") => {
+            let chunks = odd::CHUNKS[n];
+            let head = format!("{head}Transfer-Encoding: chunked\r\n");
+            Reply::Close(format!("{head}\r\n5\r\npiece\r\n{chunks}").into_bytes())
+        }
         Some("reset") => Reply::Reset(part),
         _ => Reply::ResetUnread(part, delay),
     }
@@ -57,6 +63,38 @@
     }
 }
 
+/// Guards against an answer with an odd status, name of a header or framing, which clients got as one.
+#[test]
+fn odd_answer_never_reaches_a_client_as_one() {
+    let (site, key) = start();
+    for case in 0..odd::CASES {
+        let bytes = odd::answer(case, "");
+        let text = String::from_utf8_lossy(&bytes);
+        check_failed(
+            &site,
+            &key,
+            &format!("odd/{case}"),
+            "x",
+            &format!("{text:?}"),
+        );
+    }
+}
+
+/// Guards against a body whose chunks break the grammar, which ended as a complete answer.
+#[test]
+fn product_answer_with_odd_chunks_is_not_passed_on() {
+    let (site, key) = start();
+    for (case, text) in odd::CHUNKS.iter().enumerate() {
+        check_failed(
+            &site,
+            &key,
+            &format!("chunks/{case}"),
+            "x",
+            &format!("{text:?}"),
+        );
+    }
+}
+
 /// Guards against an answer without a length whose connection is reset, also while the upload is still being
 /// written: its part was taken for the whole.
 #[test]
--- a/crates/router/src/response_head.rs
+++ b/crates/router/src/response_head.rs
@@ -1,5 +1,5 @@
-//! Check of the heads of responses beyond those of the HTTP library, which accepts a transfer coding beside
-//! a length, codings that it doesn't decode, and status codes above 599.
+//! Check of the heads of responses beyond those of the HTTP libraries, which accept a transfer coding beside
+//! a length, codings that they don't decode, and status codes above 599.
 
 use std::io;
 use std::pin;
@@ -7,6 +7,7 @@
 use std::task;
 
 use hyper::rt;
+use smallvec::SmallVec;
 
 /// Largest number of bytes read at a time while a head is awaited.
 const MAX_READ_BYTES: usize = 8 << 10;
@@ -46,52 +47,74 @@
             return Ok(());
         };
         head.extend_from_slice(received);
-        loop {
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut response = httparse::Response::new(&mut headers);
-            let length = match response.parse(head) {
-                Ok(httparse::Status::Partial) => return Ok(()),
-                Ok(httparse::Status::Complete(length)) => length,
-                Err(_) => break,
-            };
-            if let Some(fault) = fault(&response) {
-                return Err(fault);
+        while let Some(head_end) = check_bytes(head)? {
+            match head_end {
+                HeadEnd::Missing => return Ok(()),
+                HeadEnd::Interim(length) => drop(head.drain(..length)),
             }
-            let is_interim = matches!(response.code, Some(100 | 102..=199));
-            if !is_interim {
-                break;
-            }
-            head.drain(..length);
         }
         *bytes = None;
         Ok(())
     }
 }
 
-/// Why a head that could be parsed is not valid; `None` if it is.
-fn fault(response: &httparse::Response<'_, '_>) -> Option<&'static str> {
-    if response
-        .code
-        .is_some_and(|code| code >= FIRST_INVALID_STATUS)
-    {
-        return Some("status code above 599");
+/// Where an awaited head stands.
+enum HeadEnd {
+    /// Its end has not been read.
+    Missing,
+    /// An interim response of this length comes before it.
+    Interim(usize),
+}
+
+/// Checks the bytes of a head; `None` if it is valid and final, or left to the library.
+fn check_bytes(head: &[u8]) -> Result<Option<HeadEnd>, &'static str> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(head) {
+        Ok(httparse::Status::Partial) => return Ok(Some(HeadEnd::Missing)),
+        Ok(httparse::Status::Complete(length)) => length,
+        Err(_) => return Ok(None),
+    };
+    let status = response.code.unwrap_or_default();
+    let fields = response.headers.iter().map(|h| (h.name, h.value));
+    check(status, &fields.collect::<SmallVec<[_; 16]>>())?;
+    let is_interim = matches!(status, 100 | 102..=199);
+    Ok(is_interim.then_some(HeadEnd::Interim(length)))
+}
+
+/// Checks the status code and the headers of a head that could be parsed.
+///
+/// # Errors
+///
+/// Why the response is not valid.
+pub fn check(status: u16, headers: &[(&str, &[u8])]) -> Result<(), &'static str> {
+    if status >= FIRST_INVALID_STATUS {
+        return Err("status code above 599");
     }
     let values = |name: &'static str| {
-        let headers = response.headers.iter();
-        let named = headers.filter(move |h| h.name.eq_ignore_ascii_case(name));
-        named.map(|h| h.value.trim_ascii())
+        let named = headers.iter();
+        let named = named.filter(move |(n, _)| n.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.trim_ascii())
     };
+    let mut lengths = values("content-length");
+    let is_length = |v: &[u8]| !v.is_empty() && v.iter().all(u8::is_ascii_digit);
+    let length = lengths.next();
+    if length.is_some_and(|length| !is_length(length) || lengths.any(|other| other != length)) {
+        return Err("content length that is no number, or several");
+    }
     let mut codings = values("transfer-encoding");
-    let coding = codings.next()?;
+    let Some(coding) = codings.next() else {
+        return Ok(());
+    };
     // By section 6.3 of RFC 9112, this may be an attempt to split the response.
-    if values("content-length").next().is_some() {
-        return Some("content length beside a transfer coding");
+    if length.is_some() {
+        return Err("content length beside a transfer coding");
     }
     // The body would keep any other coding, which the client is not told.
     if !coding.eq_ignore_ascii_case(b"chunked") || codings.next().is_some() {
-        return Some("transfer coding other than chunked");
+        return Err("transfer coding other than chunked");
     }
-    None
+    Ok(())
 }
 
 impl<S> CheckedSocket<S> {
