A request whose target has a fragment is refused

Callers: of a target such as `/write/x#y`, a worker got `/write/x`: it ran another request than the client's.

Cause: the HTTP library drops a `#` and what follows, which no target may hold.

Change: the scanner that finds ambiguous lengths looks for a `#` in the request line; such a request gets 400 on both interfaces.

--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -225,7 +225,7 @@
     let active = ActiveRequest::register(context);
     let (reply, response) = oneshot::channel();
     if is_ambiguous {
-        refuse_ambiguous_length(context, reply);
+        refuse_ambiguous_head(context, reply);
     } else if active.over_limit {
         refuse(context, reply, refusal::Reason::HostFull);
     } else {
@@ -240,10 +240,10 @@
     Ok(response.map(|body| client_connection::GuardedBody::new(body, (guard, active))))
 }
 
-/// Refuses a request whose head states both a length and a transfer coding, and closes its connection. A
-/// proxy in front of this host may take the end of such a request, and so the start of the next one, to
-/// be elsewhere.
-fn refuse_ambiguous_length(
+/// Refuses a request whose head states both a length and a transfer coding, or has a `#` in its target, and
+/// closes its connection. A proxy in front of this host may take the end of such a request, and so the start
+/// of the next one, to be elsewhere, or its target to be another one.
+fn refuse_ambiguous_head(
     context: &context::Context,
     reply: oneshot::Sender<http_request::Response>,
 ) {
--- a/crates/router/src/framing.rs
+++ b/crates/router/src/framing.rs
@@ -1,8 +1,9 @@
-//! Detection of request heads with both `Content-Length` and `Transfer-Encoding`.
+//! Detection of request heads that the HTTP library changes without a word.
 //!
-//! The HTTP library uses the transfer coding and drops the length, so the request looks valid to
-//! its handler, while a proxy in front of this host may have used the length (request smuggling).
-//! Such a request is refused, wherever on a connection it comes.
+//! With both `Content-Length` and `Transfer-Encoding`, it uses the transfer coding and drops the length,
+//! while a proxy in front of this host may have used the length (request smuggling). Of a target with a
+//! `#`, which no target may hold, it drops the rest. Such a request is refused, wherever on a connection it
+//! comes.
 
 use std::collections;
 
@@ -46,7 +47,9 @@
     has_line: bool,
     length: Option<u64>,
     has_coding: bool,
-    /// Whether each complete head that was not taken yet is ambiguous.
+    /// Whether the current request line has a `#`.
+    has_fragment: bool,
+    /// Whether each complete head that was not taken yet is to be refused.
     heads: collections::VecDeque<bool>,
 }
 
@@ -59,6 +62,7 @@
             has_line: false,
             length: None,
             has_coding: false,
+            has_fragment: false,
             heads: collections::VecDeque::new(),
         }
     }
@@ -85,7 +89,8 @@
         }
     }
 
-    /// Takes the next complete head; returns whether it contains both a length and a transfer coding.
+    /// Takes the next complete head; returns whether it contains both a length and a transfer coding, or a
+    /// `#` in its request line.
     pub fn take_head(&mut self) -> bool {
         self.heads.pop_front().unwrap_or(false)
     }
@@ -124,6 +129,7 @@
     }
 
     fn push_head_byte(&mut self, b: u8) {
+        self.has_fragment |= b == b'#' && !self.has_line;
         match (b, self.part) {
             (b'\n', _) => self.end_line(),
             (b'\r', _) => {}
@@ -166,7 +172,9 @@
         }
         let length = self.length.take();
         let has_coding = std::mem::take(&mut self.has_coding);
-        self.heads.push_back(has_coding && length.is_some());
+        let has_fragment = std::mem::take(&mut self.has_fragment);
+        self.heads
+            .push_back(has_fragment || has_coding && length.is_some());
         self.part = match length {
             Some(_) if has_coding => Part::Unknown,
             None if has_coding => Part::ChunkSize(0),
--- a/crates/router/src/listeners.rs
+++ b/crates/router/src/listeners.rs
@@ -115,7 +115,7 @@
     let ambiguous = activity.begin_request();
     let guard = client_connection::RequestGuard::new(activity.clone());
     let mut response = if ambiguous {
-        serve::refuse_ambiguous_length(&host)
+        serve::refuse_ambiguous_head(&host)
     } else {
         serve::serve(host.clone(), request).await
     };
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -73,9 +73,9 @@
     }
 }
 
-/// Refuses a request whose head contains both a content length and a transfer coding. Proxies that
-/// forwarded it may have disagreed on where the request ends.
-pub fn refuse_ambiguous_length(host: &host::Host) -> response::Response {
+/// Refuses a request whose head contains both a content length and a transfer coding, or a `#` in its target.
+/// Proxies that forwarded it may have disagreed on where the request ends, or on what it asks for.
+pub fn refuse_ambiguous_head(host: &host::Host) -> response::Response {
     let rejection = Rejection {
         id: String::new(),
         refusal: refusal::Refusal::not_run(refusal::Reason::BadRequest),
--- a/crates/router/tests/framing.rs
+++ b/crates/router/tests/framing.rs
@@ -1,4 +1,4 @@
-//! Tests that request heads with both a length and a transfer coding are detected.
+//! Tests that request heads with both a length and a transfer coding, or a `#` in the target, are detected.
 
 use router::framing;
 
@@ -17,6 +17,9 @@
 fn both_headers_are_found_in_any_order_and_chunking() {
     let cases = [
         (BOTH, true),
+        ("POST /x#y HTTP/1.1\r\nX: y\r\n\r\n", true),
+        ("GET /x:8?y#\r\n\r\n", true),
+        ("POST /x HTTP/1.1\r\nX: #\r\nX#: y\r\n\r\n", false),
         (
             "POST / HTTP/1.1\r\ntransfer-encoding:chunked\r\nX: y\r\ncontent-length:4\r\n\r\n",
             true,
