--- a/crates/host/tests/odd_upstreams.rs
+++ b/crates/host/tests/odd_upstreams.rs
@@ -33,6 +33,7 @@
             let head = format!("{head}Transfer-Encoding: chunked\r\n");
             Reply::Close(format!("{head}\r\n5\r\npiece\r\n{chunks}").into_bytes())
         }
+        Some("whole") => Reply::Close(part),
         Some("reset") => Reply::Reset(part),
         _ => Reply::ResetUnread(part, delay),
     }
@@ -95,6 +96,19 @@
     }
 }
 
+/// Guards against a check of resets that breaks a sound answer, which ends with its connection.
+#[test]
+fn answer_without_a_length_is_whole_when_its_connection_is_closed() {
+    let (site, key) = start();
+    let bearer = format!("Bearer {key}");
+    for n in 0..16 {
+        let url = site.url(0, &format!("/s/ledger/whole/{n}"));
+        let headers = [("Authorization", bearer.as_str())];
+        let response = env::call("POST", &url, &headers, "x").expect("a response");
+        assert_eq!((response.status, response.body.as_str()), (200, odd::BODY));
+    }
+}
+
 /// Guards against an answer without a length whose connection is reset, also while the upload is still being
 /// written: its part was taken for the whole.
 #[test]
