--- a/crates/host/tests/odd_store.rs
+++ b/crates/host/tests/odd_store.rs
@@ -220,3 +220,46 @@
         response.status != 200
     });
 }
+
+/// Overwrites all entries that hosts have written under this prefix.
+fn overwrite(site: &env::Site, prefix: &str) {
+    let list = format!("/list?prefix={prefix}&after=&limit=50");
+    let list = env::get_json(&site.store.url(&list));
+    let entries = list.as_array().expect("entries");
+    assert!(!entries.is_empty(), "{prefix}");
+    for entry in entries {
+        put(
+            site,
+            "kv",
+            entry["key"].as_str().expect("a key"),
+            "not json",
+        );
+    }
+}
+
+/// Checks that usage is reported exactly after the entries under the prefix were overwritten, and after a
+/// restart.
+fn check_overwritten(prefix: &str) {
+    let (mut site, key) = site();
+    site.start_all();
+    check_usage(&site, &key, "before");
+    overwrite(&site, prefix);
+    check_usage(&site, &key, "later");
+    overwrite(&site, prefix);
+    site.host_mut(0).kill();
+    site.start(0);
+    check_usage(&site, &key, "after a restart");
+}
+
+/// Guards against a host's journal that another program has overwritten: its host could not write it again.
+#[test]
+fn overwritten_journal_is_written_again() {
+    check_overwritten("usage/journal/");
+}
+
+/// Guards against the header of the last reported window that another program has overwritten: without its
+/// counters no window is sealed after it.
+#[test]
+fn overwritten_header_of_the_last_window_is_replaced() {
+    check_overwritten("usage/window/");
+}
