--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -57,6 +57,8 @@
     /// Fencing token of this leadership; every later leader has a higher one.
     pub token: u64,
     lease: u64,
+    /// Whether the claim's outcome was read from the store, because the response was lost.
+    is_read_back: bool,
     deadline: cell::Cell<clock::Millis>,
     /// Value of the leader key.
     value: Vec<u8>,
@@ -93,7 +95,8 @@
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
         };
         let token = leadership.token;
-        tracing::info!(event = "duties_taken", token);
+        let (lease, read_back) = (leadership.lease, leadership.is_read_back);
+        tracing::info!(event = "duties_taken", token, lease, read_back);
         host.is_leader.set(true);
         host.leader.set(Some(host.settings.peer_address));
         let why = tokio::select! {
@@ -319,9 +322,11 @@
         peer_address: host.settings.peer_address,
     };
     let value = serde_json::to_vec(&record).ok()?;
-    let token = match write_key(host, expected, &value, lease).await {
+    let written = write_key(host, expected, &value, lease).await;
+    let is_read_back = written == Err(ports::StoreError::Unknown);
+    let token = match written {
         Ok(revision) => Some(revision),
-        Err(ports::StoreError::Unknown) => read_back(host, &value).await,
+        Err(_) if is_read_back => read_back(host, &value).await,
         Err(_) => None,
     };
     let Some(token) = token else {
@@ -335,6 +340,7 @@
     Some(Leadership {
         token,
         lease,
+        is_read_back,
         deadline: cell::Cell::new(lease_deadline(sent)),
         value,
     })
