A claim waits for the calls of a leader that came and went unseen

Callers saw: nothing yet.

Cause: a host that starts again waits for three seconds before its claim and looked only at the last change of the leader key since then. Where that was a removal, another host had led in between, and its calls may still be in flight. Longer waits, as a restored store needs them, make it likelier.

Change: the wait is a watch; any change of the key starts it anew. The claim follows a fresh read.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -208,10 +208,15 @@
     });
     // Revision of a key that no leader has written, and since when it has been there.
     let mut foreign: Option<(u64, clock::Millis)> = None;
+    // Since when there has been no key, and how much longer this host waits than others.
+    let mut gone: Option<(clock::Millis, clock::Millis)> = None;
     loop {
         store_watch::wait_for_store(host).await;
-        match host.store.get(STORE_KEY).await {
+        let read = host.store.get(STORE_KEY).await;
+        let now = host.now();
+        match read {
             Ok((Some(item), at)) => {
+                gone = None;
                 let mut wait = WATCH_TIMEOUT;
                 match parse_record(&item) {
                     Ok(record) => {
@@ -220,7 +225,6 @@
                     }
                     Err(fault) => {
                         log_foreign_key(host, &item, &fault);
-                        let now = host.now();
                         let known = foreign.filter(|(revision, _)| *revision == item.revision);
                         let (_, since) = *foreign.insert(known.unwrap_or((item.revision, now)));
                         let replaced_at = (since + FOREIGN_KEY_TIMEOUT).max(earliest_claim);
@@ -250,9 +254,15 @@
                 } else {
                     CALL_DRAIN_DELAY
                 };
-                let wait = drain_delay.max(earliest_claim.since(host.now()));
-                time::sleep(wait.duration()).await;
-                if has_key_within(host, at, random_delay(MAX_CLAIM_DELAY)).await {
+                let (since, jitter) = *gone.get_or_insert((now, random_delay(MAX_CLAIM_DELAY)));
+                let wait = ((since + drain_delay).max(earliest_claim) + jitter).since(now);
+                if wait > clock::Millis::ZERO {
+                    match host.store.watch(STORE_KEY, at, wait).await {
+                        // A leader may have come and gone, with calls that are still in flight.
+                        Ok((events, _)) if has_key(&events) => gone = None,
+                        Ok(_) => {}
+                        Err(_) => time::sleep(wait.min(RETRY_DELAY).duration()).await,
+                    }
                     continue;
                 }
                 if let Some(leadership) = claim(host, 0).await {
@@ -269,12 +279,11 @@
     clock::Millis(rand::rng().random_range(0..=max.0))
 }
 
-/// Waits for `wait` whether a host creates the leader key after the store's revision `at`. Without
-/// an answer from the store the claim decides.
-async fn has_key_within(host: &host::Host, at: u64, wait: clock::Millis) -> bool {
-    let changes = host.store.watch(STORE_KEY, at, wait).await;
-    changes.is_ok_and(|(events, _)| {
-        matches!(events.last(), Some(ports::WatchEvent::Put(item)) if item.key == STORE_KEY)
+/// Whether the leader key has been written or removed.
+fn has_key(events: &[ports::WatchEvent]) -> bool {
+    events.iter().any(|event| match event {
+        ports::WatchEvent::Put(item) => item.key == STORE_KEY,
+        ports::WatchEvent::Removed(key, _) => key == STORE_KEY,
     })
 }
 
--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -66,6 +66,29 @@
     });
 }
 
+/// A host that waits before its claim, because it was started again, sleeps through another's whole leadership.
+/// It must wait for the calls in flight of that one as well.
+#[test]
+fn new_leader_waits_for_calls_of_a_leader_that_came_and_went_unseen() {
+    for stop_ms in (2_000..2_500).step_by(20) {
+        env::run(|| async move {
+            let cluster = env::Cluster::new();
+            cluster.call_delay.set(clock::Millis(600));
+            let window = clock::Millis(300);
+            let later = env::node_with_window(&cluster, "h2", 1, window);
+            let _later = env::run_later_election(&later);
+            env::sleep_ms(500).await;
+            let first = env::node_with_window(&cluster, "h1", 1, window);
+            let _first = env::run_leader_election(&first);
+            env::sleep_ms(stop_ms).await;
+            first.host.phase.send_replace(host::Phase::Unready);
+            env::sleep_ms(5_000).await;
+            assert!(later.host.is_leader.get(), "stop after {stop_ms} ms");
+            env::check_calls(&cluster, LEASE_MS);
+        });
+    }
+}
+
 /// A short outage of the store does not change the leader, because its lease still exists.
 #[test]
 fn leadership_continues_if_the_lease_outlives_an_outage() {
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -480,6 +480,13 @@
         .wall_time(node.host.now(), node.host.clock.unix_time());
     task::spawn_local(leader::run(node.host.clone(), true))
 }
+pub fn run_later_election(node: &Node) -> task::JoinHandle<()> {
+    node.host
+        .usage_counter
+        .borrow_mut()
+        .wall_time(node.host.now(), node.host.clock.unix_time());
+    task::spawn_local(leader::run(node.host.clone(), false))
+}
 
 /// Route of streams to the service `s` with at most two attempts.
 pub fn route() -> model::Route {
