--- a/crates/router/src/dc_drain.rs
+++ b/crates/router/src/dc_drain.rs
@@ -5,13 +5,13 @@
 use base::name;
 use serde::{Deserialize, Serialize};
 
-use crate::{host, ports};
+use crate::{host, ports, revision};
 
 /// Data centres that are being drained at a revision of the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct DrainedDcs {
     /// Store revision up to which the set is complete.
-    pub revision: u64,
+    pub revision: revision::Revision,
     /// Names of the data centres, each known to the host that sends or keeps the set.
     pub dcs: collections::BTreeSet<name::Dc>,
 }
@@ -26,7 +26,7 @@
 }
 
 /// Applies a complete list of the operators' keys at a store revision.
-pub fn apply_list(host: &host::Host, items: &[ports::Item], revision: u64) {
+pub fn apply_list(host: &host::Host, items: &[ports::Item], revision: revision::Revision) {
     let dcs = items.iter().filter_map(|item| drained_dc(host, item));
     let dcs = dcs.collect();
     apply(host, DrainedDcs { revision, dcs }, "store");
@@ -34,7 +34,7 @@
 
 /// Applies changes of the operators' keys up to a store revision. Changes that the known set contains
 /// already are skipped: another host may have relayed them.
-pub fn apply_events(host: &host::Host, events: &[ports::WatchEvent], revision: u64) {
+pub fn apply_events(host: &host::Host, events: &[ports::WatchEvent], revision: revision::Revision) {
     let known = host.store_cache.drained_dcs().unwrap_or_default();
     let mut dcs = known.dcs.clone();
     for event in events {
@@ -77,11 +77,11 @@
     let mut fleet = host.fleet.borrow_mut();
     for dc in dcs.difference(&before) {
         fleet.begin_dc_drain(dc);
-        tracing::warn!(event = "dc_drain_began", %dc, from, at, drained = dcs.len());
+        tracing::warn!(event = "dc_drain_began", %dc, from, %at, drained = dcs.len());
     }
     for dc in before.difference(&dcs) {
         fleet.end_dc_drain(dc, now);
-        tracing::warn!(event = "dc_drain_ended", %dc, from, at, drained = dcs.len());
+        tracing::warn!(event = "dc_drain_ended", %dc, from, %at, drained = dcs.len());
     }
 }
 
@@ -103,5 +103,5 @@
 
 fn log_fault(host: &host::Host, item: &ports::Item, fault: &str) {
     let faulty_keys = &host.store_cache.faulty_keys;
-    faulty_keys.log("dc_drain_faulty", &item.key, item.revision, fault);
+    faulty_keys.log("dc_drain_faulty", &item.key, item.revision.number(), fault);
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -150,6 +150,17 @@
             .is_some_and(|tracked| tracked.missing_mark == mark)
     }
 
+    /// Whether an entry says of an upstream what was so before its known state: that an earlier process runs,
+    /// or that a process which leaves is ready.
+    pub fn is_step_back(&self, entry: &model::Upstream) -> bool {
+        self.upstreams.get(&entry.name).is_some_and(|tracked| {
+            let known = &tracked.upstream;
+            let is_same = known.started_at == entry.started_at;
+            let leaves = |u: &model::Upstream| u.state == model::UpstreamState::Leaving;
+            known.started_at > entry.started_at || is_same && leaves(known) && !leaves(entry)
+        })
+    }
+
     /// Names of all known upstreams, in no particular order.
     pub fn names(&self) -> Vec<name::Upstream> {
         self.upstreams.keys().cloned().collect()
--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -7,19 +7,39 @@
 use base::{clock, hash};
 use tokio::time;
 
-use crate::{dc_drain, digest, host, link, relay, sources, store_watch};
+use crate::{dc_drain, digest, host, link, relay, revision, sources, store_watch};
 
 /// Delay before another host is tried after the connection to one was lost.
 const RETRY_DELAY: clock::Millis = clock::Millis(200);
 /// Longest delay while no other host has newer information than this one.
 const MAX_RETRY_DELAY: clock::Millis = clock::Millis(1_600);
 
-/// Time for which a host that closed the connection at the handshake for digests is followed without
-/// them: it is of an earlier release.
-const NO_DIGEST_PERIOD: clock::Millis = clock::Millis::secs(300);
+/// Time for which a host that closed the connection at a handshake is followed with an earlier one: it is of
+/// an earlier release.
+const EARLIER_HANDSHAKE_PERIOD: clock::Millis = clock::Millis::secs(300);
 
-/// Hosts that are followed without digests, and until when.
-type WithoutDigest = collections::HashMap<net::SocketAddr, clock::Millis>;
+/// What a host that is followed sends, by its release.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Dialect {
+    /// Revisions with their era, and digests.
+    Eras,
+    /// Digests.
+    Digests,
+    Plain,
+}
+
+impl Dialect {
+    fn earlier(self) -> Option<Self> {
+        match self {
+            Self::Eras => Some(Self::Digests),
+            Self::Digests => Some(Self::Plain),
+            Self::Plain => None,
+        }
+    }
+}
+
+/// Hosts of earlier releases, and until when they are taken for such.
+type EarlierReleases = collections::HashMap<net::SocketAddr, (Dialect, clock::Millis)>;
 
 /// Result of following a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,7 +59,7 @@
 pub async fn follow_peers(host: rc::Rc<host::Host>) {
     let mut delay = RETRY_DELAY;
     let mut sources = sources::Sources::default();
-    let mut without_digest = WithoutDigest::new();
+    let mut earlier = EarlierReleases::new();
     loop {
         if !needs_peer(&host) {
             host.store_health.set_following(false);
@@ -54,7 +74,7 @@
             rand::random,
         );
         let was_followed = match source {
-            Some(source) => match follow(&host, &source, &sources, &mut without_digest).await {
+            Some(source) => match follow(&host, &source, &sources, &mut earlier).await {
                 End::Replaced => continue,
                 End::Failed {
                     failure,
@@ -85,12 +105,12 @@
     host: &rc::Rc<host::Host>,
     source: &sources::Source,
     sources: &sources::Sources,
-    without_digest: &mut WithoutDigest,
+    earlier: &mut EarlierReleases,
 ) -> End {
     let now = host.now();
-    without_digest.retain(|_, until| now < *until);
-    let retry_at = without_digest.get(&source.address).copied();
-    let Ok(mut session) = Session::open(host, source, retry_at).await else {
+    earlier.retain(|_, (_, until)| now < *until);
+    let release = earlier.get(&source.address).copied();
+    let Ok(mut session) = Session::open(host, source, release).await else {
         return End::Failed {
             failure: sources::Failure::Lost,
             was_followed: false,
@@ -101,8 +121,12 @@
     };
     let bytes = session.link.receiver.received_bytes;
     let lasted = host.now().since(session.opened_at);
-    if bytes == 0 && retry_at.is_none() && lasted < relay::HEARTBEAT_TIMEOUT {
-        without_digest.insert(source.address, host.now() + NO_DIGEST_PERIOD);
+    if bytes == 0
+        && lasted < relay::HEARTBEAT_TIMEOUT
+        && let Some(dialect) = session.dialect.earlier()
+    {
+        let until = host.now() + EARLIER_HANDSHAKE_PERIOD;
+        earlier.insert(source.address, (dialect, until));
         return End::Replaced;
     }
     tracing::info!(event = "peer_lost", peer = %source.address, ?failure, bytes);
@@ -123,8 +147,11 @@
     listed: collections::HashSet<String>,
     is_first_list: bool,
     opened_at: clock::Millis,
-    /// When the source is to be asked for digests; `None` if it was.
-    digests_at: Option<clock::Millis>,
+    dialect: Dialect,
+    /// When a source of an earlier release is to be tried with the latest handshake again.
+    retry_at: Option<clock::Millis>,
+    /// Era of what the source has sent, by the latest complete list.
+    source_era: u64,
     /// Whether changes in the store reach the source, by its latest heartbeat.
     source_learns: bool,
     /// Whether the source has known the store's contents up to a recent time.
@@ -135,15 +162,17 @@
     async fn open(
         host: &'a rc::Rc<host::Host>,
         source: &'a sources::Source,
-        digests_at: Option<clock::Millis>,
+        release: Option<(Dialect, clock::Millis)>,
     ) -> Result<Self, link::Closed> {
         let mut link = link::open(source.address).await?;
         let config = host.store_cache.config();
         let config_hash = config.as_ref().map(|bytes| hash::stable_hash(bytes));
-        let handshake = match (digests_at, config_hash) {
-            (None, config_hash) => relay::Handshake::FollowWith { config_hash },
-            (Some(_), Some(config_hash)) => relay::Handshake::FollowFrom(config_hash),
-            (Some(_), None) => relay::Handshake::Follow,
+        let dialect = release.map_or(Dialect::Eras, |(dialect, _)| dialect);
+        let handshake = match (dialect, config_hash) {
+            (Dialect::Eras, config_hash) => relay::Handshake::FollowEras { config_hash },
+            (Dialect::Digests, config_hash) => relay::Handshake::FollowWith { config_hash },
+            (Dialect::Plain, Some(config_hash)) => relay::Handshake::FollowFrom(config_hash),
+            (Dialect::Plain, None) => relay::Handshake::Follow,
         };
         link.sender.send(&handshake).await?;
         Ok(Self {
@@ -154,7 +183,9 @@
             listed: collections::HashSet::new(),
             is_first_list: true,
             opened_at: host.now(),
-            digests_at,
+            dialect,
+            retry_at: release.map(|(_, until)| until),
+            source_era: 0,
             source_learns: false,
             was_followed: false,
         })
@@ -174,7 +205,7 @@
             if now.since(heard_at) >= relay::HEARTBEAT_TIMEOUT {
                 return Err(sources::Failure::Lost);
             }
-            if self.digests_at.is_some_and(|at| now >= at) {
+            if self.retry_at.is_some_and(|at| now >= at) {
                 return Ok(());
             }
             tokio::select! {
@@ -213,15 +244,25 @@
                 self.apply_config(bytes);
             }
             relay::Update::Put(entry) => {
-                store_watch::apply_entry(host, &entry.key, entry.revision, &entry.value);
+                let revision = self.known_revision(entry.revision);
+                store_watch::apply_entry(host, &entry.key, revision, &entry.value);
                 if self.is_first_list {
                     self.listed.insert(entry.key);
                 }
             }
-            relay::Update::Removed(key, at) => store_watch::apply_removal(host, &key, at),
-            relay::Update::Complete(at) => self.complete_list(at),
+            relay::Update::Removed(key, at) => {
+                let at = self.known_revision(at);
+                if at.era() < host.store_cache.revision().era() {
+                    return Err(sources::Failure::Behind);
+                }
+                store_watch::apply_removal(host, &key, at);
+            }
+            relay::Update::Complete(at) => self.complete_list(self.known_revision(at)),
             relay::Update::Leader(leader) => host.leader.set(leader),
-            relay::Update::DrainedDcs(drained) => dc_drain::apply_relayed(host, drained),
+            relay::Update::DrainedDcs(mut drained) => {
+                drained.revision = self.known_revision(drained.revision);
+                dc_drain::apply_relayed(host, drained);
+            }
             relay::Update::Digest(digest) => {
                 digest::apply(host, &digest);
             }
@@ -242,8 +283,21 @@
         self.config = Some(bytes.into());
     }
 
-    fn complete_list(&mut self, at: u64) {
-        if std::mem::take(&mut self.is_first_list) {
+    /// The revision as the source knows it. Of a source that doesn't send the era, the latest one known to this
+    /// host is assumed.
+    fn known_revision(&self, sent: revision::Revision) -> revision::Revision {
+        if self.dialect == Dialect::Eras {
+            return sent;
+        }
+        let era = self.host.store_cache.revision().era();
+        revision::Revision::new(era, sent.number()).unwrap_or(sent)
+    }
+
+    fn complete_list(&mut self, at: revision::Revision) {
+        self.source_era = at.era();
+        // A source of an earlier era may lack entries that were written since.
+        let is_behind = at.era() < self.host.store_cache.revision().era();
+        if std::mem::take(&mut self.is_first_list) && !is_behind {
             let listed = std::mem::take(&mut self.listed);
             for key in self.host.store_cache.keys() {
                 if !listed.contains(&key) {
@@ -265,7 +319,9 @@
         let host = self.host;
         let now = host.now();
         let until = clock::Millis(asked_at.min(now).since(age).0);
-        let is_recent = host.freshness.is_recent(until, now) && self.source_learns;
+        let is_recent = host.freshness.is_recent(until, now)
+            && self.source_learns
+            && self.source_era >= host.store_cache.revision().era();
         if !is_recent || !host.upstreams_listed.get() {
             if age == relay::UNKNOWN_AGE && now.since(self.opened_at) < relay::HEARTBEAT_TIMEOUT {
                 return Ok(());
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{backoff, digest_leader, host, ports, scale, store_watch, usage};
+use crate::{backoff, digest_leader, host, ports, revision, scale, store_watch, usage};
 
 /// Store key of the leader record; it exists while a host holds the lease.
 pub const STORE_KEY: &str = "jacinthslip/duty";
@@ -56,7 +56,9 @@
 pub struct Leadership {
     /// Fencing token of this leadership; every later leader has a higher one.
     pub token: u64,
-    lease: u64,
+    lease: ports::Lease,
+    /// Revision of the claim.
+    revision: revision::Revision,
     /// Whether the claim's outcome was read from the store, because the response was lost.
     is_read_back: bool,
     deadline: cell::Cell<clock::Millis>,
@@ -95,7 +97,7 @@
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
         };
         let token = leadership.token;
-        let (lease, read_back) = (leadership.lease, leadership.is_read_back);
+        let (lease, read_back) = (leadership.lease.id, leadership.is_read_back);
         tracing::info!(event = "duties_taken", token, lease, read_back);
         host.is_leader.set(true);
         host.leader.set(Some(host.settings.peer_address));
@@ -149,7 +151,7 @@
 /// when the key is gone or belongs to another leader.
 async fn keep_key(host: &host::Host, leadership: &Leadership) -> &'static str {
     let mut backoff = backoff::Backoff::default();
-    let mut at = leadership.token;
+    let mut at = leadership.revision;
     loop {
         let is_own = |event: &ports::WatchEvent| match event {
             ports::WatchEvent::Put(item) => item.key != STORE_KEY || item.value == leadership.value,
@@ -207,7 +209,7 @@
         a + host.settings.timing.platform_lease
     });
     // Revision of a key that no leader has written, and since when it has been there.
-    let mut foreign: Option<(u64, clock::Millis)> = None;
+    let mut foreign: Option<(revision::Revision, clock::Millis)> = None;
     // Since when there has been no key, and how much longer this host waits than others.
     let mut gone: Option<(clock::Millis, clock::Millis)> = None;
     loop {
@@ -265,7 +267,7 @@
                     }
                     continue;
                 }
-                if let Some(leadership) = claim(host, 0).await {
+                if let Some(leadership) = claim(host, revision::Revision::NONE).await {
                     return leadership;
                 }
                 time::sleep(RETRY_DELAY.duration()).await;
@@ -298,47 +300,52 @@
 
 fn log_foreign_key(host: &host::Host, item: &ports::Item, fault: &str) {
     let faulty_keys = &host.store_cache.faulty_keys;
-    faulty_keys.log("holder_unreadable", STORE_KEY, item.revision, fault);
+    faulty_keys.log(
+        "holder_unreadable",
+        STORE_KEY,
+        item.revision.number(),
+        fault,
+    );
 }
 
 /// Writes the leader key, which must be at this revision, and returns the revision of the write.
 async fn write_key(
     host: &host::Host,
-    expected: u64,
+    expected: revision::Revision,
     value: &[u8],
-    lease: u64,
-) -> Result<u64, ports::StoreError> {
+    lease: ports::Lease,
+) -> Result<revision::Revision, ports::StoreError> {
     let transaction = ports::Transaction {
         expected: vec![(STORE_KEY.to_owned(), expected)],
         writes: vec![ports::Write {
             key: STORE_KEY.to_owned(),
             value: value.to_vec(),
-            lease,
+            lease: Some(lease),
         }],
         removes: Vec::new(),
     };
     host.store.commit(&transaction).await
 }
 
-/// Claims the leadership if the key is at the revision `expected`, 0 if it must not exist.
-async fn claim(host: &host::Host, expected: u64) -> Option<Leadership> {
+/// Claims the leadership if the key is at the revision `expected`.
+async fn claim(host: &host::Host, expected: revision::Revision) -> Option<Leadership> {
     let sent = host.now();
     let lease = host.store.grant_lease(LEASE_TTL).await.ok()?;
     let record = LeaderRecord {
         host: host.settings.host.clone(),
         boot_id: host.boot_id,
-        lease,
+        lease: lease.id,
         peer_address: host.settings.peer_address,
     };
     let value = serde_json::to_vec(&record).ok()?;
     let written = write_key(host, expected, &value, lease).await;
     let is_read_back = written == Err(ports::StoreError::Unknown);
-    let token = match written {
+    let written = match written {
         Ok(revision) => Some(revision),
         Err(_) if is_read_back => read_back(host, &value).await,
         Err(_) => None,
     };
-    let Some(token) = token else {
+    let Some(revision) = written else {
         // The transaction may still be committed; releasing the lease keeps it from leaving a
         // leader key that belongs to no host.
         if let Err(e) = host.store.release_lease(lease).await {
@@ -347,15 +354,16 @@
         return None;
     };
     Some(Leadership {
-        token,
+        token: revision.number(),
         lease,
+        revision,
         is_read_back,
         deadline: cell::Cell::new(lease_deadline(sent)),
         value,
     })
 }
 
-async fn read_back(host: &host::Host, value: &[u8]) -> Option<u64> {
+async fn read_back(host: &host::Host, value: &[u8]) -> Option<revision::Revision> {
     let (item, _) = host.store.get(STORE_KEY).await.ok()?;
     item.filter(|i| i.value == value).map(|i| i.revision)
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod response;
 pub mod response_head;
 pub mod retry;
+pub mod revision;
 pub mod scale;
 pub mod selection;
 pub mod serve;
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{backoff, host, ports, windows};
+use crate::{backoff, host, ports, revision, windows};
 
 /// Prefix of the store keys under which hosts register.
 const HOSTS_PREFIX: &str = "jacinthslip/hosts/";
@@ -266,7 +266,8 @@
     }
 
     fn log_fault(&self, event: &'static str, item: &ports::Item, fault: &str) {
-        self.faulty_keys.log(event, &item.key, item.revision, fault);
+        let revision = item.revision.number();
+        self.faulty_keys.log(event, &item.key, revision, fault);
     }
 
     /// Sum of the counts of all processes in a window, by team.
@@ -329,7 +330,7 @@
 /// Builds the reports of this process and writes them into the store.
 pub struct ReportWriter {
     key: String,
-    revision: cell::Cell<Option<u64>>,
+    revision: cell::Cell<Option<revision::Revision>>,
     last_report: cell::Cell<clock::Millis>,
 }
 
@@ -341,7 +342,7 @@
                 "{COUNTS_PREFIX}{}",
                 report_name(&host.settings.host, host.boot_id)
             ),
-            revision: cell::Cell::new(Some(0)),
+            revision: cell::Cell::new(Some(revision::Revision::NONE)),
             last_report: cell::Cell::new(host.now()),
         }
     }
@@ -361,7 +362,7 @@
         let write = ports::Write {
             key: self.key.clone(),
             value,
-            lease: 0,
+            lease: None,
         };
         let transaction = ports::Transaction {
             expected: vec![(self.key.clone(), revision)],
@@ -382,12 +383,12 @@
     }
 
     /// Store revision of the last written report, read back if the response to a write was lost.
-    async fn stored_revision(&self, host: &host::Host) -> Option<u64> {
+    async fn stored_revision(&self, host: &host::Host) -> Option<revision::Revision> {
         if let Some(revision) = self.revision.get() {
             return Some(revision);
         }
         let (item, _) = host.store.get(&self.key).await.ok()?;
-        let revision = item.map_or(0, |i| i.revision);
+        let revision = item.map_or(revision::Revision::NONE, |i| i.revision);
         self.revision.set(Some(revision));
         Some(revision)
     }
@@ -443,13 +444,13 @@
     }
 }
 
-async fn register(host: &host::Host, value: &[u8]) -> Option<u64> {
+async fn register(host: &host::Host, value: &[u8]) -> Option<ports::Lease> {
     let lease = host.store.grant_lease(LEASE_TTL).await.ok()?;
     let transaction = ports::Transaction {
         writes: vec![ports::Write {
             key: format!("{HOSTS_PREFIX}{}", host.settings.host),
             value: value.to_vec(),
-            lease,
+            lease: Some(lease),
         }],
         ..ports::Transaction::default()
     };
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -7,8 +7,9 @@
 
 use base::{clock, name};
 use smallvec::SmallVec;
+use tokio::sync::watch;
 
-use crate::model;
+use crate::{model, revision};
 
 /// A boxed future that is not `Send`, because a host runs on a single thread.
 pub type LocalFuture<'a, T> = pin::Pin<Box<dyn future::Future<Output = T> + 'a>>;
@@ -21,10 +22,10 @@
     /// Value of the item, not interpreted by the store.
     pub value: Vec<u8>,
     /// Store revision at which the value was last written.
-    pub revision: u64,
+    pub revision: revision::Revision,
     /// Store revision at which the key was created.
-    pub created: u64,
-    /// Lease with which the key expires, 0 for none; `None` if the store does not say.
+    pub created: revision::Revision,
+    /// Id of the lease with which the key expires, 0 for none; `None` if the store does not say.
     pub lease: Option<u64>,
     /// Why the item can't be read; the value is empty then. `None` for an item that can be read.
     pub fault: Option<&'static str>,
@@ -56,7 +57,16 @@
     /// A key was created or its value was written.
     Put(Item),
     /// The key was removed at this store revision, by a transaction or because its lease ended.
-    Removed(String, u64),
+    Removed(String, revision::Revision),
+}
+
+/// Lease in the store. An id may be given out again in a later era.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// Id of the lease, unique within the era.
+    pub id: u64,
+    /// Era of the store in which the lease was granted.
+    pub era: u64,
 }
 
 /// Error of a store operation.
@@ -64,13 +74,14 @@
 pub enum StoreError {
     /// The store refused the operation or could not be reached; nothing was changed.
     Refused,
-    /// There was no valid response: the write may have been applied, or may be applied later.
+    /// There was no valid response: the write may have been applied, or may be applied later. Also the
+    /// result of a call during which the store was restored.
     Unknown,
     /// A key is not at its expected revision; nothing was changed.
     Conflict,
-    /// The requested part of the store's history has been compacted.
+    /// The requested part of the store's history has been compacted, or is of an earlier era.
     Compacted,
-    /// The lease does not exist; nothing was changed.
+    /// The lease does not exist, or is of an earlier era; nothing was changed.
     NoLease,
 }
 
@@ -100,52 +111,57 @@
     pub key: String,
     /// New value of the key.
     pub value: Vec<u8>,
-    /// Lease with which the key expires; 0 for none.
-    pub lease: u64,
+    /// Lease with which the key expires.
+    pub lease: Option<Lease>,
 }
 
 /// Writes and removals that are applied atomically.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Transaction {
-    /// Keys with the revisions that they must be at; 0 for a key that must not exist.
-    pub expected: Vec<(String, u64)>,
+    /// Keys with the revisions that they must be at; [`revision::Revision::NONE`] for a key that must not
+    /// exist.
+    pub expected: Vec<(String, revision::Revision)>,
     /// Keys to create or overwrite.
     pub writes: Vec<Write>,
     /// Keys to remove.
     pub removes: Vec<String>,
 }
 
+/// Result of a read of the store: what was read, and the store's revision.
+pub type Read<T> = Result<(T, revision::Revision), StoreError>;
+
 /// Access to the key-value store shared by all hosts.
+///
+/// The store may come back from an older copy, without writes and leases that it has acknowledged. That
+/// begins a new era, which shows in its revisions and leases.
 pub trait Store {
+    /// Era of the store by its latest response.
+    fn era(&self) -> watch::Receiver<u64>;
     /// Returns the item at `key`, or `None` if it does not exist, and the store's revision.
-    fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<(Option<Item>, u64), StoreError>>;
+    fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Read<Option<Item>>>;
     /// Returns all items whose keys start with `prefix`, in the order of the keys' bytes, and the store's
     /// revision at the first page. An item that another program wrote may have a [`Item::fault`], or is
     /// left out if its key can't be read. With `stale`, the call is cheaper but the result may be seconds old.
-    fn list<'a>(
-        &'a self,
-        prefix: &'a str,
-        stale: bool,
-    ) -> LocalFuture<'a, Result<(Vec<Item>, u64), StoreError>>;
+    fn list<'a>(&'a self, prefix: &'a str, stale: bool) -> LocalFuture<'a, Read<Vec<Item>>>;
     /// Returns changes of keys that start with `prefix` after the revision `after`, and the
     /// revision up to which they are complete. Waits up to `wait` for the first change.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        after: u64,
+        after: revision::Revision,
         wait: clock::Millis,
-    ) -> LocalFuture<'a, Result<(Vec<WatchEvent>, u64), StoreError>>;
+    ) -> LocalFuture<'a, Read<Vec<WatchEvent>>>;
     /// Applies a transaction and returns its revision.
     fn commit<'a>(
         &'a self,
         transaction: &'a Transaction,
-    ) -> LocalFuture<'a, Result<u64, StoreError>>;
+    ) -> LocalFuture<'a, Result<revision::Revision, StoreError>>;
     /// Creates a lease that expires after `ttl` unless it is renewed.
-    fn grant_lease(&self, ttl: clock::Millis) -> LocalFuture<'_, Result<u64, StoreError>>;
+    fn grant_lease(&self, ttl: clock::Millis) -> LocalFuture<'_, Result<Lease, StoreError>>;
     /// Extends a lease by its time to live.
-    fn renew_lease(&self, lease: u64) -> LocalFuture<'_, Result<(), StoreError>>;
+    fn renew_lease(&self, lease: Lease) -> LocalFuture<'_, Result<(), StoreError>>;
     /// Ends a lease and removes the keys attached to it.
-    fn release_lease(&self, lease: u64) -> LocalFuture<'_, Result<(), StoreError>>;
+    fn release_lease(&self, lease: Lease) -> LocalFuture<'_, Result<(), StoreError>>;
 }
 
 /// Error of an order or usage report.
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net as tokio_net, task, time};
 
-use crate::{dc_drain, delta, digest, host, link, reports};
+use crate::{dc_drain, delta, digest, host, link, reports, revision};
 
 /// Time between heartbeats to a follower.
 const HEARTBEAT_INTERVAL: clock::Millis = clock::Millis(500);
@@ -39,6 +39,11 @@
         /// Hash of the configuration that the sender has.
         config_hash: Option<u64>,
     },
+    /// Like `FollowWith`; revisions are sent with their era. Without it they are numbers alone.
+    FollowEras {
+        /// Hash of the configuration that the sender has.
+        config_hash: Option<u64>,
+    },
 }
 
 /// Update from a host to its followers.
@@ -50,10 +55,10 @@
     Put(StoreEntry),
     /// Key of an upstream's entry that was removed, and the store revision by which it is missing.
     #[serde(rename = "Gone")]
-    Removed(String, u64),
+    Removed(String, revision::Revision),
     /// All entries up to this store revision have been sent.
     #[serde(rename = "Listed")]
-    Complete(u64),
+    Complete(revision::Revision),
     /// Peer address of the leader, if there is one.
     #[serde(rename = "Holder")]
     Leader(Option<net::SocketAddr>),
@@ -84,7 +89,7 @@
     /// Key of the entry.
     pub key: String,
     /// Store revision of the last write.
-    pub revision: u64,
+    pub revision: revision::Revision,
     /// Bytes written.
     pub value: Vec<u8>,
 }
@@ -125,6 +130,14 @@
             };
             send_updates(&host, &mut link, peer, sent).await
         }
+        Ok(Handshake::FollowEras { config_hash }) => {
+            let sent = FollowerState {
+                digest: Some(digest::Version::default()),
+                has_eras: true,
+                ..FollowerState::with_config(&host, config_hash)
+            };
+            send_updates(&host, &mut link, peer, sent).await
+        }
         Ok(Handshake::Report) => reports::receive_counts(&host, &mut link).await,
         Ok(Handshake::ReportFindings) => reports::receive(&host, &mut link).await,
         Ok(Handshake::ReportLoad) => reports::receive_load(&host, &mut link).await,
@@ -136,15 +149,26 @@
 #[derive(Default)]
 struct FollowerState {
     config: Option<rc::Rc<[u8]>>,
-    upstreams: collections::BTreeMap<String, u64>,
-    revision: Option<u64>,
+    upstreams: collections::BTreeMap<String, revision::Revision>,
+    revision: Option<revision::Revision>,
     leader: Option<net::SocketAddr>,
     drained_dcs: Option<collections::BTreeSet<name::Dc>>,
     /// Version of the digest; `None` if the follower takes no digests.
     digest: Option<digest::Version>,
+    /// Whether revisions are sent with their era.
+    has_eras: bool,
 }
 
 impl FollowerState {
+    /// The revision as the follower reads it.
+    fn sent_revision(&self, revision: revision::Revision) -> revision::Revision {
+        if self.has_eras {
+            revision
+        } else {
+            revision::Revision::without_era(revision.number())
+        }
+    }
+
     /// State of a follower that has the configuration with this hash.
     fn with_config(host: &host::Host, config_hash: Option<u64>) -> Self {
         let config = host.store_cache.config();
@@ -220,7 +244,11 @@
         && sent.drained_dcs.as_ref() != Some(&drained.dcs)
     {
         sent.drained_dcs = Some(drained.dcs.clone());
-        updates.push(Update::DrainedDcs(drained));
+        let revision = sent.sent_revision(drained.revision);
+        updates.push(Update::DrainedDcs(dc_drain::DrainedDcs {
+            revision,
+            ..drained
+        }));
     }
     if let Some(config) = cache.config() {
         updates.extend(config_update(&config, sent.config.as_ref()));
@@ -246,12 +274,12 @@
         }
         updates.push(Update::Put(StoreEntry {
             key: key.clone(),
-            revision: *revision,
+            revision: sent.sent_revision(*revision),
             value: value.to_vec(),
         }));
         sent.upstreams.insert(key.clone(), *revision);
     }
-    let at = cache.revision();
+    let at = sent.sent_revision(cache.revision());
     sent.upstreams.retain(|key, _| {
         let exists = upstreams.contains_key(key);
         if !exists {
--- a/crates/router/src/scale.rs
+++ b/crates/router/src/scale.rs
@@ -374,7 +374,7 @@
         writes: vec![ports::Write {
             key: PROVISIONED_KEY.to_owned(),
             value,
-            lease: 0,
+            lease: None,
         }],
         ..ports::Transaction::default()
     };
--- a/crates/router/src/store_cache.rs
+++ b/crates/router/src/store_cache.rs
@@ -7,21 +7,21 @@
 use base::{faulty_keys, name};
 use tokio::sync::watch;
 
-use crate::dc_drain;
+use crate::{dc_drain, revision};
 
 /// Number of keys of removed entries that are remembered, so that delayed messages do not restore
 /// these entries.
 const MAX_REMOVED_KEYS: usize = 4_096;
 
 /// Store revision of a write, and the bytes written.
-type VersionedValue = (u64, rc::Rc<[u8]>);
+type VersionedValue = (revision::Revision, rc::Rc<[u8]>);
 
 /// Contents of the store as last read by this host or relayed to it.
 pub struct StoreCache {
     config: cell::RefCell<Option<rc::Rc<[u8]>>>,
     upstreams: cell::RefCell<collections::BTreeMap<String, VersionedValue>>,
-    removed: cell::RefCell<collections::HashMap<String, u64>>,
-    revision: cell::Cell<u64>,
+    removed: cell::RefCell<collections::HashMap<String, revision::Revision>>,
+    revision: cell::Cell<revision::Revision>,
     drained_dcs: cell::RefCell<Option<dc_drain::DrainedDcs>>,
     /// Entries that were logged as unusable.
     pub faulty_keys: faulty_keys::FaultyKeys,
@@ -34,7 +34,7 @@
             config: cell::RefCell::default(),
             upstreams: cell::RefCell::default(),
             removed: cell::RefCell::default(),
-            revision: cell::Cell::new(0),
+            revision: cell::Cell::new(revision::Revision::NONE),
             drained_dcs: cell::RefCell::default(),
             faulty_keys: faulty_keys::FaultyKeys::default(),
             changes: watch::Sender::new(0),
@@ -56,21 +56,23 @@
 
     /// Stores an upstream's entry. Returns whether it is at least as new as the known one: other
     /// hosts may lag behind the store.
-    pub fn put(&self, key: &str, revision: u64, value: &[u8]) -> bool {
+    pub fn put(&self, key: &str, revision: revision::Revision, value: &[u8]) -> bool {
+        // A restored store has lost the removal, so what its copy holds was written before it.
         if self
             .removed
             .borrow()
             .get(key)
-            .is_some_and(|at| *at >= revision)
+            .is_some_and(|at| *at >= revision || at.number() >= revision.number())
         {
             return false;
         }
-        let mut upstreams = self.upstreams.borrow_mut();
-        match upstreams.get(key) {
-            Some((known, _)) if *known > revision => return false,
-            Some((known, _)) if *known == revision => return true,
-            _ => {}
+        if self.is_newer(key, revision) {
+            return false;
         }
+        if self.has_write(key, revision, value) {
+            return true;
+        }
+        let mut upstreams = self.upstreams.borrow_mut();
         upstreams.insert(key.to_owned(), (revision, value.into()));
         drop(upstreams);
         self.notify_change();
@@ -78,16 +80,34 @@
     }
 
     /// Whether the entry of `key` was written after revision `at`.
-    pub fn is_newer(&self, key: &str, at: u64) -> bool {
+    pub fn is_newer(&self, key: &str, at: revision::Revision) -> bool {
         self.upstreams
             .borrow()
             .get(key)
             .is_some_and(|(r, _)| *r > at)
     }
 
+    /// Whether a write of the entry of `key` is the known one. A restored store returns the writes of its copy
+    /// with their numbers, but in the new era.
+    pub fn has_write(&self, key: &str, revision: revision::Revision, value: &[u8]) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(key).is_some_and(|(known, bytes)| {
+            *known == revision || known.number() == revision.number() && **bytes == *value
+        })
+    }
+
+    /// Whether a write of the entry of `key` may be older than the known one although its era is later: a
+    /// restored store returns writes of its copy, whose numbers are lower than those of the writes it lost.
+    pub fn may_be_copied(&self, key: &str, revision: revision::Revision) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(key).is_some_and(|(known, _)| {
+            known.era() < revision.era() && known.number() >= revision.number()
+        })
+    }
+
     /// Removes an upstream's entry that is missing at store revision `at`, and remembers the
     /// removal.
-    pub fn remove(&self, key: &str, at: u64) {
+    pub fn remove(&self, key: &str, at: revision::Revision) {
         self.upstreams.borrow_mut().remove(key);
         let mut removed = self.removed.borrow_mut();
         if removed.len() >= MAX_REMOVED_KEYS {
@@ -99,7 +119,7 @@
     }
 
     /// Advances the store revision up to which the list of upstreams is complete.
-    pub fn advance_to(&self, revision: u64) {
+    pub fn advance_to(&self, revision: revision::Revision) {
         self.revision.set(self.revision.get().max(revision));
     }
 
@@ -146,7 +166,7 @@
     }
 
     /// Store revision up to which the list of upstreams is complete.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> revision::Revision {
         self.revision.get()
     }
 
--- a/crates/router/src/store_watch.rs
+++ b/crates/router/src/store_watch.rs
@@ -9,7 +9,7 @@
 use tokio::{task, time};
 
 use crate::freshness::WatchTarget;
-use crate::{backoff, dc_drain, homes, host, model, ports};
+use crate::{backoff, dc_drain, homes, host, model, ports, revision};
 
 /// Time between checks whether to follow another host, when no change triggers a check earlier.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(2_000);
@@ -24,14 +24,14 @@
 const FIRST_SOURCE_TIMEOUT: clock::Millis = clock::Millis(1_500);
 /// Time between checks in these waits.
 const FIRST_SOURCE_CHECK_INTERVAL: clock::Millis = clock::Millis(20);
-/// Time after an outage of the store within which an upstream's entry that expired may reappear.
+/// Time after an outage or a restore of the store within which an upstream's entry may reappear.
 const REAPPEAR_PERIOD: clock::Millis = clock::Millis(2_200);
 
 /// Whether the store responds to this host, and whether the host follows another host instead.
 #[derive(Debug)]
 pub struct StoreHealth {
     lost: [cell::Cell<bool>; 2],
-    /// Time of the first successful call since the latest loss of the store.
+    /// Time of the first successful call since the latest loss or restore of the store.
     regained_at: cell::Cell<Option<clock::Millis>>,
     regained: Notify,
     following: cell::Cell<bool>,
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Records that the store came back from an older copy, which may lack entries of upstreams.
+    fn record_restore(&self, now: clock::Millis) {
+        self.regained_at.set(Some(now));
+    }
+
     /// Wakes the tasks in [`Self::wait_for_change`] after a change of the store's health or of the
     /// hosts.
     pub fn notify_change(&self) {
@@ -112,7 +117,7 @@
     }
 
     /// Time until which an entry that is missing now may reappear, because it may have expired in an
-    /// outage of the store; `None` if there was no recent outage.
+    /// outage of the store or be lost in a restore; `None` if there was neither recently.
     fn reappear_deadline(&self, now: clock::Millis) -> Option<clock::Millis> {
         let regained_at = match self.regained_at.get() {
             Some(at) => at,
@@ -162,9 +167,7 @@
 }
 
 /// Reads the operators' entries, or only the configuration where data centres can't be drained.
-async fn read_operator_entries(
-    host: &host::Host,
-) -> Result<(Vec<ports::Item>, u64), ports::StoreError> {
+async fn read_operator_entries(host: &host::Host) -> ports::Read<Vec<ports::Item>> {
     if host.settings.dc_drain_deadline.is_some() {
         return host.store.list(dc_drain::watched_prefix(host), false).await;
     }
@@ -281,6 +284,11 @@
             continue;
         };
         backoff.reset();
+        let known = host.store_cache.revision();
+        if host.upstreams_listed.get() && known.era() < at.era() {
+            tracing::warn!(event = "upstreams_restored", %known, %at, listed = items.len());
+            host.store_health.record_restore(host.now());
+        }
         apply_list(&host, &items, at);
         host.freshness.record_read(WatchTarget::Upstreams, began);
         let mut is_watched = false;
@@ -324,7 +332,7 @@
     }
 }
 
-fn apply_list(host: &rc::Rc<host::Host>, items: &[ports::Item], at: u64) {
+fn apply_list(host: &rc::Rc<host::Host>, items: &[ports::Item], at: revision::Revision) {
     for item in items {
         apply_item(host, item);
     }
@@ -351,7 +359,7 @@
 /// Handles an upstream's entry that is missing from the store at revision `at`: the upstream is
 /// removed at once if the store was available, otherwise after the time within which the entry may
 /// reappear.
-fn handle_missing(host: &rc::Rc<host::Host>, key: &str, at: u64) {
+fn handle_missing(host: &rc::Rc<host::Host>, key: &str, at: revision::Revision) {
     let now = host.now();
     let Some(deadline) = host.store_health.reappear_deadline(now) else {
         return apply_removal(host, key, at);
@@ -374,7 +382,7 @@
 
 /// Removes the upstream whose entry was removed at revision `at`, according to the store or to
 /// another host. An entry written after `at` stays.
-pub fn apply_removal(host: &host::Host, key: &str, at: u64) {
+pub fn apply_removal(host: &host::Host, key: &str, at: revision::Revision) {
     if host.store_cache.is_newer(key, at) {
         return;
     }
@@ -385,7 +393,7 @@
     let removed = host.fleet.borrow_mut().remove(&name);
     if let Some(address) = removed {
         host.pool.close_idle(address);
-        tracing::info!(event = "upstream_gone", upstream = %name, at);
+        tracing::info!(event = "upstream_gone", upstream = %name, %at);
     }
 }
 
@@ -401,21 +409,26 @@
     }
 }
 
-fn log_unreadable(host: &host::Host, key: &str, revision: u64, fault: &str) {
+fn log_unreadable(host: &host::Host, key: &str, revision: revision::Revision, fault: &str) {
     let faulty_keys = &host.store_cache.faulty_keys;
-    faulty_keys.log("upstream_unreadable", key, revision, fault);
+    faulty_keys.log("upstream_unreadable", key, revision.number(), fault);
 }
 
 /// Adds or updates an upstream from its entry in the store, unless a newer entry or removal is
-/// known. An entry that can't be read changes nothing: the upstream whose entry another program has
+/// known. An entry that a restored store has from its copy does not bring back an earlier process or undo that
+/// the upstream leaves. An entry that can't be read changes nothing: the upstream whose entry another program has
 /// overwritten writes it again with its next heartbeat, or the entry expires.
-pub fn apply_entry(host: &host::Host, key: &str, revision: u64, value: &[u8]) {
+pub fn apply_entry(host: &host::Host, key: &str, revision: revision::Revision, value: &[u8]) {
     let upstream = match host.protocol.parse_upstream(key, value) {
         Ok(upstream) => upstream,
         Err(fault) => return log_unreadable(host, key, revision, &fault),
     };
-    let is_written = !host.store_cache.is_newer(key, revision.saturating_sub(1));
-    if !host.store_cache.put(key, revision, value) {
+    let cache = &host.store_cache;
+    if cache.may_be_copied(key, revision) && host.fleet.borrow().is_step_back(&upstream) {
+        return;
+    }
+    let is_written = !cache.is_newer(key, revision) && !cache.has_write(key, revision, value);
+    if !cache.put(key, revision, value) {
         return;
     }
     let (name, address, state) = (upstream.name.clone(), upstream.address, upstream.state);
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{host, leader, membership, ports};
+use crate::{host, leader, membership, ports, revision};
 
 /// Store key of the sealed windows.
 pub const STORE_KEY: &str = "jacinthslip/usage";
@@ -119,7 +119,10 @@
 ///
 /// A record that another program has written is replaced: by `own`, the record that this leader has stored
 /// last, or by one that begins at the current window, which no leader can have sealed.
-async fn load(host: &host::Host, own: Option<&SealedWindows>) -> Option<(SealedWindows, u64)> {
+async fn load(
+    host: &host::Host,
+    own: Option<&SealedWindows>,
+) -> Option<(SealedWindows, revision::Revision)> {
     let (item, _) = host.store.get(STORE_KEY).await.ok()?;
     let timing = &host.settings.timing;
     let wall = host.wall_time();
@@ -128,7 +131,8 @@
         ..SealedWindows::default()
     };
     let Some(item) = item else {
-        return Some((begin_at(wall.since(timing.report_deadline)), 0));
+        let first = begin_at(wall.since(timing.report_deadline));
+        return Some((first, revision::Revision::NONE));
     };
     let current = begin_at(wall);
     let parsed = item.parse().and_then(|record: SealedWindows| {
@@ -141,7 +145,12 @@
     });
     let record = parsed.unwrap_or_else(|fault| {
         let faulty_keys = &host.store_cache.faulty_keys;
-        faulty_keys.log("usage_unreadable", STORE_KEY, item.revision, &fault);
+        faulty_keys.log(
+            "usage_unreadable",
+            STORE_KEY,
+            item.revision.number(),
+            &fault,
+        );
         own.cloned().unwrap_or(current)
     });
     Some((record, item.revision))
@@ -149,7 +158,11 @@
 
 /// Seals the next window in the store and returns the new revision, or `None` if the write is not
 /// known to have succeeded.
-async fn seal(host: &host::Host, record: &mut SealedWindows, revision: u64) -> Option<u64> {
+async fn seal(
+    host: &host::Host,
+    record: &mut SealedWindows,
+    revision: revision::Revision,
+) -> Option<revision::Revision> {
     let expired = read_counts(host).await?;
     let counts = {
         let mut membership = host.membership.borrow_mut();
@@ -164,7 +177,7 @@
         writes: vec![ports::Write {
             key: STORE_KEY.to_owned(),
             value,
-            lease: 0,
+            lease: None,
         }],
         removes: expired.into_iter().take(MAX_REMOVED_KEYS).collect(),
     };
--- a/crates/router/tests/cold_return.rs
+++ b/crates/router/tests/cold_return.rs
@@ -6,7 +6,9 @@
 
 use base::{clock, name};
 use rand::{Rng as _, SeedableRng as _, rngs};
-use router::{fleet, host, location, membership, model, ports, selection, stream_class, warm_up};
+use router::{
+    fleet, host, location, membership, model, ports, revision, selection, stream_class, warm_up,
+};
 
 const HOSTS: usize = 76;
 const DCS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
@@ -62,8 +64,8 @@
             DCS[n % 6]
         )
         .into(),
-        revision: 1,
-        created: 1,
+        revision: revision::Revision::without_era(1),
+        created: revision::Revision::without_era(1),
         lease: Some(0),
         fault: None,
     };
--- a/crates/router/tests/cold_select.rs
+++ b/crates/router/tests/cold_select.rs
@@ -3,7 +3,9 @@
 use std::iter;
 
 use base::{clock, name};
-use router::{fleet, host, location, membership, model, ports, selection, stream_class, warm_up};
+use router::{
+    fleet, host, location, membership, model, ports, revision, selection, stream_class, warm_up,
+};
 
 const NOW: clock::Millis = clock::Millis(10_000);
 
@@ -27,8 +29,8 @@
     let item = ports::Item {
         key: "hosts/h".into(),
         value,
-        revision: 1,
-        created: 1,
+        revision: revision::Revision::without_era(1),
+        created: revision::Revision::without_era(1),
         lease: Some(0),
         fault: None,
     };
--- a/crates/router/tests/dc_drain.rs
+++ b/crates/router/tests/dc_drain.rs
@@ -7,7 +7,7 @@
 
 use base::{clock, name};
 use env::hosts::{registration, start_hosts, start_hosts_at, start_tasks};
-use router::{dc_drain, fleet, location, ports, selection, store_watch, stream_class};
+use router::{dc_drain, fleet, location, ports, revision, selection, store_watch, stream_class};
 use tokio::task;
 
 /// Time within which a host in contact knows of a drain: the deadline for changes of the test hosts.
@@ -299,37 +299,44 @@
         let cluster = cluster();
         let node = start(&cluster);
         env::sleep_ms(50).await;
-        let relay = |revision, dcs: &[&str]| {
+        let at = revision::Revision::without_era;
+        let relay = |number, dcs: &[&str]| {
             let dcs = dcs.iter().map(|dc| (*dc).into()).collect();
-            dc_drain::apply_relayed(&node.host, dc_drain::DrainedDcs { revision, dcs });
+            dc_drain::apply_relayed(
+                &node.host,
+                dc_drain::DrainedDcs {
+                    revision: at(number),
+                    dcs,
+                },
+            );
         };
-        let put = |revision| {
+        let put = |number| {
             ports::WatchEvent::Put(ports::Item {
                 key: "config/drain/a".to_owned(),
                 value: b"{}".to_vec(),
-                revision,
-                created: revision,
+                revision: at(number),
+                created: at(number),
                 lease: Some(0),
                 fault: None,
             })
         };
-        let removed = |at| ports::WatchEvent::Removed("config/drain/a".to_owned(), at);
+        let removed = |number| ports::WatchEvent::Removed("config/drain/a".to_owned(), at(number));
         // Set at 10, revoked at 20, set again at 30.
         relay(20, &[]);
         relay(15, &["a"]);
         assert_eq!(used(&node), ["a", "b"], "a late set");
-        dc_drain::apply_events(&node.host, &[put(10)], 12);
+        dc_drain::apply_events(&node.host, &[put(10)], at(12));
         assert_eq!(used(&node), ["a", "b"], "a late event");
-        dc_drain::apply_events(&node.host, &[put(10), removed(20), put(30)], 30);
+        dc_drain::apply_events(&node.host, &[put(10), removed(20), put(30)], at(30));
         assert_eq!(used(&node), ["b"]);
         relay(20, &[]);
-        dc_drain::apply_events(&node.host, &[removed(20)], 29);
+        dc_drain::apply_events(&node.host, &[removed(20)], at(29));
         assert_eq!(used(&node), ["b"], "a late end");
-        dc_drain::apply_list(&node.host, &[], 25);
+        dc_drain::apply_list(&node.host, &[], at(25));
         assert_eq!(used(&node), ["b"], "a late list");
         relay(31, &["mars", "b"]);
         assert_eq!(used(&node), ["a"], "unknown names are ignored");
-        dc_drain::apply_events(&node.host, &[put(30)], 40);
+        dc_drain::apply_events(&node.host, &[put(30)], at(40));
         assert_eq!(used(&node), ["a"], "a late event of a later response");
     });
 }
--- a/crates/router/tests/duty.rs
+++ b/crates/router/tests/duty.rs
@@ -5,7 +5,7 @@
 use std::collections;
 
 use base::{clock, name};
-use router::{host, membership, ports, usage};
+use router::{host, membership, ports, revision, usage};
 
 const LEASE_MS: u64 = 3_000;
 
@@ -175,8 +175,8 @@
             peer_address: ([127, 0, 0, 1], 1).into(),
         })
         .expect("json"),
-        revision: 1,
-        created: 1,
+        revision: revision::Revision::without_era(1),
+        created: revision::Revision::without_era(1),
         lease: Some(0),
         fault: None,
     };
@@ -277,7 +277,7 @@
         assert!(record.next_window >= 12, "{record:?}");
         for window in 1..record.next_window - 1 {
             assert!(
-                cluster.value(&format!("reported/{window}")).is_some(),
+                cluster.reported_windows().contains(&window),
                 "window {window}"
             );
         }
@@ -305,8 +305,8 @@
             let report = writer.report(&node.host);
             writer.write(&node.host, &report).await;
         }
-        let reported = cluster.value("reported/0").map(String::from_utf8);
-        assert_eq!(reported, Some(Ok(r#"{Team("t"): 1}"#.to_owned())));
+        let reported = cluster.report_of(0);
+        assert_eq!(reported.as_deref(), Some(r#"{Team("t"): 1}"#));
     });
 }
 
--- a/crates/router/tests/env/hosts.rs
+++ b/crates/router/tests/env/hosts.rs
@@ -5,7 +5,7 @@
 use std::rc;
 
 use base::{clock, name};
-use router::{follower, location, membership, model, ports, relay, store_watch};
+use router::{follower, location, membership, model, ports, relay, revision, store_watch};
 use tokio::{net as tokio_net, task, time};
 
 use super::{Cluster, Node};
@@ -67,8 +67,8 @@
     ports::Item {
         key: format!("hosts/{host}"),
         value: serde_json::to_vec(&registration).expect("serialize"),
-        revision: 1,
-        created: 1,
+        revision: revision::Revision::without_era(1),
+        created: revision::Revision::without_era(1),
         lease: Some(0),
         fault: None,
     }
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -11,8 +11,11 @@
 use std::rc;
 
 use base::{clock, diagnostic, name};
-use router::{attempt, budget, host, leader, location, model, offloading, ports, stream_class};
+use router::{
+    attempt, budget, host, leader, location, model, offloading, ports, revision, stream_class,
+};
 use smallvec::smallvec;
+use tokio::sync::watch;
 use tokio::{task, time};
 
 pub use store::{Store, StoreMode};
@@ -23,6 +26,8 @@
     items: cell::RefCell<collections::BTreeMap<String, (ports::Item, u64)>>,
     events: cell::RefCell<Vec<(u64, ports::WatchEvent)>>,
     revision: cell::Cell<u64>,
+    /// Number of restores so far.
+    era: cell::Cell<u64>,
     oldest_revision: cell::Cell<u64>,
     leases: cell::RefCell<collections::HashMap<u64, (clock::Millis, clock::Millis)>>,
     leases_frozen: cell::Cell<bool>,
@@ -33,6 +38,8 @@
     /// Time within which the hosts created from now on leave a drained data centre; `None` if they have no
     /// drains.
     pub dc_drain_deadline: cell::Cell<Option<clock::Millis>>,
+    /// Counts reported for each window, as text.
+    reports: cell::RefCell<collections::BTreeMap<u64, String>>,
     /// Calls received by the platform: time of arrival, name of the calling host, fencing token.
     pub calls: cell::RefCell<Vec<(clock::Millis, String, u64)>>,
 }
@@ -54,6 +61,52 @@
         cluster
     }
 
+    /// Revision with this number in the current era.
+    pub fn revision_at(&self, number: u64) -> revision::Revision {
+        revision::Revision::new(self.era.get(), number).expect("a revision")
+    }
+
+    /// Copies the contents as they are now.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            items: self.items.borrow().clone(),
+            events: self.events.borrow().clone(),
+            revision: self.revision.get(),
+            oldest_revision: self.oldest_revision.get(),
+            leases: self.leases.borrow().clone(),
+        }
+    }
+
+    /// Replaces the contents by a copy. Its leases begin anew, or end if `ends_leases` is set.
+    pub fn restore(&self, copy: &Copy, ends_leases: bool) {
+        *self.items.borrow_mut() = copy.items.clone();
+        *self.events.borrow_mut() = copy.events.clone();
+        self.revision.set(copy.revision);
+        self.oldest_revision.set(copy.oldest_revision);
+        self.era.set(self.era.get() + 1);
+        let mut leases = copy.leases.clone();
+        let ids: Vec<u64> = leases.keys().copied().collect();
+        for (end, ttl) in leases.values_mut() {
+            *end = self.clock.now() + *ttl;
+        }
+        *self.leases.borrow_mut() = leases;
+        if ends_leases {
+            for id in ids {
+                self.revoke_lease(id);
+            }
+        }
+    }
+
+    /// Windows that were reported.
+    pub fn reported_windows(&self) -> Vec<u64> {
+        self.reports.borrow().keys().copied().collect()
+    }
+
+    /// Counts reported for a window, as text.
+    pub fn report_of(&self, window: u64) -> Option<String> {
+        self.reports.borrow().get(&window).cloned()
+    }
+
     /// Number of changes so far.
     pub fn revision(&self) -> u64 {
         self.revision.get()
@@ -75,12 +128,12 @@
 
     fn write(&self, key: &str, value: &[u8], lease: u64, revision: u64) {
         let mut items = self.items.borrow_mut();
-        let created = items.get(key).map_or(revision, |(i, _)| i.created);
+        let created = items.get(key).map_or(revision, |(i, _)| i.created.number());
         let item = ports::Item {
             key: key.to_owned(),
             value: value.to_vec(),
-            revision,
-            created,
+            revision: revision::Revision::without_era(revision),
+            created: revision::Revision::without_era(created),
             lease: Some(lease),
             fault: None,
         };
@@ -92,7 +145,8 @@
     pub fn remove(&self, key: &str) {
         if self.items.borrow_mut().remove(key).is_some() {
             let revision = self.next_revision();
-            let event = ports::WatchEvent::Removed(key.to_owned(), revision);
+            let at = revision::Revision::without_era(revision);
+            let event = ports::WatchEvent::Removed(key.to_owned(), at);
             self.events.borrow_mut().push((revision, event));
         }
     }
@@ -107,6 +161,15 @@
         self.items.borrow().get(key).map(|(i, _)| i.value.clone())
     }
 
+    /// The item as a response of the current era has it.
+    fn labelled(&self, item: &ports::Item) -> ports::Item {
+        ports::Item {
+            revision: self.revision_at(item.revision.number()),
+            created: self.revision_at(item.created.number()),
+            ..item.clone()
+        }
+    }
+
     fn events_since(&self, prefix: &str, after: u64) -> Vec<ports::WatchEvent> {
         let key = |e: &ports::WatchEvent| match e {
             ports::WatchEvent::Put(i) => i.key.clone(),
@@ -116,7 +179,13 @@
         let events = events
             .iter()
             .filter(|(r, e)| *r > after && key(e).starts_with(prefix));
-        events.map(|(_, e)| e.clone()).collect()
+        let events = events.map(|(_, e)| match e {
+            ports::WatchEvent::Put(item) => ports::WatchEvent::Put(self.labelled(item)),
+            ports::WatchEvent::Removed(key, at) => {
+                ports::WatchEvent::Removed(key.clone(), self.revision_at(at.number()))
+            }
+        });
+        events.collect()
     }
 
     /// Stops or resumes the expiry of leases; some stores stop it during an outage.
@@ -156,6 +225,16 @@
     }
 }
 
+/// Contents of the store at one time.
+#[derive(Clone)]
+pub struct Copy {
+    items: collections::BTreeMap<String, (ports::Item, u64)>,
+    events: Vec<(u64, ports::WatchEvent)>,
+    revision: u64,
+    oldest_revision: u64,
+    leases: collections::HashMap<u64, (clock::Millis, clock::Millis)>,
+}
+
 /// Platform interface of one host; records its calls.
 pub struct Orders {
     cluster: rc::Rc<Cluster>,
@@ -197,18 +276,10 @@
         counts: &'a ports::RequestCounts,
     ) -> ports::LocalFuture<'a, Result<(), ports::OrderError>> {
         Box::pin(async move {
-            let key = format!("reported/{window}");
             let text = format!("{counts:?}");
-            let old = self
-                .cluster
-                .value(&key)
-                .unwrap_or_else(|| text.clone().into_bytes());
-            assert_eq!(
-                String::from_utf8(old).unwrap(),
-                text,
-                "reports of window {window} differ"
-            );
-            self.cluster.put(&key, &text);
+            let mut reports = self.cluster.reports.borrow_mut();
+            let reported = reports.entry(window).or_insert_with(|| text.clone());
+            assert_eq!(*reported, text, "reports of window {window} differ");
             self.record_call(term)
         })
     }
@@ -400,6 +471,7 @@
         store: Box::new(Store {
             cluster: cluster.clone(),
             mode: store_mode.clone(),
+            era: watch::Sender::new(cluster.era.get()),
             refused_calls: refused_calls.clone(),
             read_calls: read_calls.clone(),
             watch_calls: watch_calls.clone(),
@@ -480,6 +552,8 @@
         .wall_time(node.host.now(), node.host.clock.unix_time());
     task::spawn_local(leader::run(node.host.clone(), true))
 }
+
+/// Like `run_leader_election`, for a host that starts after the system has.
 pub fn run_later_election(node: &Node) -> task::JoinHandle<()> {
     node.host
         .usage_counter
--- a/crates/router/tests/follow.rs
+++ b/crates/router/tests/follow.rs
@@ -4,7 +4,7 @@
 
 use std::ops;
 
-use router::{host, store_watch};
+use router::{host, revision, store_watch};
 use tokio::task;
 
 /// Time within which a change must take effect: the deadline in the settings of the test hosts.
@@ -217,19 +217,29 @@
         cluster.remove("up/a");
         env::sleep_ms(50).await;
         assert_eq!(node.ready_upstreams(), [""; 0]);
-        store_watch::apply_entry(&node.host, "up/a", 1, b"ready 1 1");
+        store_watch::apply_entry(
+            &node.host,
+            "up/a",
+            revision::Revision::without_era(1),
+            b"ready 1 1",
+        );
         assert_eq!(
             node.ready_upstreams(),
             [""; 0],
             "an entry written before the removal is ignored"
         );
-        store_watch::apply_entry(&node.host, "up/a", 9, b"ready 1 2");
+        store_watch::apply_entry(
+            &node.host,
+            "up/a",
+            revision::Revision::without_era(9),
+            b"ready 1 2",
+        );
         assert_eq!(
             node.ready_upstreams(),
             ["a"],
             "an entry written after the removal is applied"
         );
-        store_watch::apply_removal(&node.host, "up/a", 3);
+        store_watch::apply_removal(&node.host, "up/a", revision::Revision::without_era(3));
         assert_eq!(
             node.ready_upstreams(),
             ["a"],
