Fencing tokens stay unique and rise when the store comes back from a copy

Cause: the token was the store's revision at which the leader wrote its key. A store that comes back from an older copy gives out that revision again, to the next leader. A leader could also go on by a lease whose id the restored store had given to another host, or take up a leadership that had been another's since.

Change: the token is the era and the revision in one number. A leadership ends with its era. The last leader claims again at once while its lease can't have ended before the restore, and acts once its calls in flight have ended; all others wait until every lease of the earlier era and its calls have ended. A key that the copy brings back is no leader's: its record names the era of its lease.

Why it works: within an era the store gives out each revision once, and eras only rise. Whoever acted in the earlier era has stopped before another may act.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -1,9 +1,13 @@
 //! Leader election through a lease in the store, and the work that only the leader does.
 //!
-//! The fencing token is the store's revision at which the leader has written its key. The leader
-//! measures its lease from before it sent the renewal and sends no orders or reports after the
+//! The fencing token is the store's revision, with its era, at which the leader has written its key. The
+//! leader measures its lease from before it sent the renewal and sends no orders or reports after the
 //! lease ends. The next leader waits until the key is gone and calls in flight have ended.
 //!
+//! A leadership ends with the era of the store: a restored store may have lost its key and its lease, or
+//! hold those of an earlier leader. The last leader may claim again at once, for as long as its lease can't
+//! have ended before the restore. Other hosts wait until that lease and its calls have ended.
+//!
 //! Another program may overwrite the key. The leader watches it and writes it again; without a leader that
 //! does so, another host replaces the key after some time.
 
@@ -46,6 +50,8 @@
     #[serde(rename = "boot")]
     boot_id: u64,
     lease: u64,
+    /// Era of the store in which the lease was granted; `None` in the record of an earlier release.
+    era: Option<u64>,
     /// Address at which other hosts connect to the leader.
     #[serde(rename = "peer")]
     peer_address: net::SocketAddr,
@@ -57,8 +63,8 @@
     /// Fencing token of this leadership; every later leader has a higher one.
     pub token: u64,
     lease: ports::Lease,
-    /// Revision of the claim.
-    revision: revision::Revision,
+    /// Revision of the last write of the leader key.
+    key_revision: cell::Cell<revision::Revision>,
     /// Whether the claim's outcome was read from the store, because the response was lost.
     is_read_back: bool,
     deadline: cell::Cell<clock::Millis>,
@@ -75,6 +81,11 @@
         }
     }
 
+    /// Era of the store in which this leadership holds.
+    pub fn era(&self) -> u64 {
+        self.lease.era
+    }
+
     fn record_renewal(&self, sent: clock::Millis) {
         self.deadline.set(lease_deadline(sent));
     }
@@ -88,22 +99,33 @@
 /// `first_start` is true if the whole system starts for the first time.
 pub async fn run(host: rc::Rc<host::Host>, first_start: bool) {
     let mut phase = host.phase.subscribe();
-    // An earlier process of this host may have acted as leader just now, and another host since
-    // then.
-    let mut last_acted = (!first_start).then(|| host.now());
+    let mut claimant = Claimant::new(&host, first_start);
     loop {
         let leadership = tokio::select! {
-            leadership = acquire(&host, last_acted, first_start) => leadership,
+            leadership = acquire(&host, &mut claimant) => leadership,
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
         };
         let token = leadership.token;
-        let (lease, read_back) = (leadership.lease.id, leadership.is_read_back);
-        tracing::info!(event = "duties_taken", token, lease, read_back);
+        if claimant.resumable.is_some() {
+            // Calls with the token before may be in flight.
+            let left_at = claimant.last_acted.unwrap_or_default();
+            let end = left_at + CALL_DRAIN_DELAY;
+            time::sleep(end.since(host.now()).duration()).await;
+        }
+        tracing::info!(
+            event = "duties_taken",
+            token,
+            revision = %leadership.key_revision.get(),
+            lease = leadership.lease.id,
+            read_back = leadership.is_read_back,
+            resumed = claimant.resumable.is_some(),
+        );
         host.is_leader.set(true);
         host.leader.set(Some(host.settings.peer_address));
         let why = tokio::select! {
             why = renew_lease(&host, &leadership) => why,
             why = keep_key(&host, &leadership) => why,
+            () = wait_for_next_era(&host, &leadership) => "store_restored",
             () = usage::run(&host, &leadership) => "usage_ended",
             () = scale::run(&host, &leadership) => "scaling_ended",
             () = digest_leader::run(&host, &leadership) => "digests_ended",
@@ -123,7 +145,80 @@
         if why == "stopping" {
             return;
         }
-        last_acted = Some(host.now());
+        claimant.leave(&host, &leadership, why);
+    }
+}
+
+async fn wait_for_next_era(host: &host::Host, leadership: &Leadership) {
+    let mut era = host.store.era();
+    if era.wait_for(|era| *era != leadership.era()).await.is_err() {
+        // The sender is a field of the store's client, so it outlives this wait.
+        std::future::pending().await
+    }
+}
+
+/// What a host that may claim the leadership knows of the leaders before it.
+struct Claimant {
+    is_first_start: bool,
+    /// When this host may have acted as leader last.
+    last_acted: Option<clock::Millis>,
+    /// Era of the store; `None` before its first response.
+    era: Option<u64>,
+    /// Time up to which leaders of an earlier era may have been granted their leases; `None` if there was no
+    /// such leader.
+    lost_until: Option<clock::Millis>,
+    /// End of the lease of this host's leadership that ended with the era. Until then no other host has been
+    /// leader since.
+    resumable: Option<clock::Millis>,
+}
+
+impl Claimant {
+    fn new(host: &host::Host, is_first_start: bool) -> Self {
+        Self {
+            is_first_start,
+            // An earlier process of this host may have acted as leader just now, and another host since
+            // then.
+            last_acted: (!is_first_start).then(|| host.now()),
+            era: None,
+            lost_until: None,
+            resumable: None,
+        }
+    }
+
+    /// Records the era in which the store responded.
+    fn record_era(&mut self, era: u64, now: clock::Millis) {
+        let known = self.era.replace(era);
+        if known == Some(era) {
+            return;
+        }
+        if known.is_some() || !self.is_first_start {
+            self.lost_until = Some(now);
+        }
+    }
+
+    /// Records the end of a leadership of this host.
+    fn leave(&mut self, host: &host::Host, leadership: &Leadership, why: &str) {
+        let (now, deadline) = (host.now(), leadership.deadline.get());
+        self.last_acted = Some(now.min(deadline));
+        self.resumable = (why == "store_restored" && now < deadline).then_some(deadline);
+    }
+
+    /// Whether this host was leader until the store was restored and its lease has not ended.
+    fn may_resume(&mut self, now: clock::Millis) -> bool {
+        self.resumable = self.resumable.filter(|deadline| now < *deadline);
+        self.resumable.is_some()
+    }
+
+    /// Time before which this host must not claim the leadership: another leader may have come and gone since
+    /// it acted itself, or act until its lease of an earlier era ends.
+    fn earliest_claim(&self, host: &host::Host) -> clock::Millis {
+        let own = self
+            .last_acted
+            .map(|a| a + host.settings.timing.platform_lease);
+        let lost = self
+            .lost_until
+            .map(|until| until + LEASE_TTL + CALL_DRAIN_DELAY);
+        own.max(lost).unwrap_or(clock::Millis::ZERO)
     }
 }
 
@@ -151,7 +246,7 @@
 /// when the key is gone or belongs to another leader.
 async fn keep_key(host: &host::Host, leadership: &Leadership) -> &'static str {
     let mut backoff = backoff::Backoff::default();
-    let mut at = leadership.revision;
+    let mut at = leadership.key_revision.get();
     loop {
         let is_own = |event: &ports::WatchEvent| match event {
             ports::WatchEvent::Put(item) => item.key != STORE_KEY || item.value == leadership.value,
@@ -174,7 +269,10 @@
         }
         match host.store.get(STORE_KEY).await {
             Ok((None, _)) => return "key_removed",
-            Ok((Some(item), revision)) if item.value == leadership.value => at = revision,
+            Ok((Some(item), revision)) if item.value == leadership.value => {
+                leadership.key_revision.set(item.revision);
+                at = revision;
+            }
             Ok((Some(item), _)) => {
                 let Err(fault) = parse_record(&item) else {
                     return "key_replaced";
@@ -184,6 +282,7 @@
                 match written.await {
                     Ok(revision) => {
                         tracing::warn!(event = "holder_restored", token = leadership.token);
+                        leadership.key_revision.set(revision);
                         at = revision;
                     }
                     Err(ports::StoreError::NoLease) => return "lease_gone",
@@ -196,18 +295,9 @@
     }
 }
 
-/// Waits until no host is leader, then claims the leadership. It does not claim within the
-/// platform's lease time since this host last acted as leader, because another leader may have come
-/// and gone in that time.
-async fn acquire(
-    host: &host::Host,
-    last_acted: Option<clock::Millis>,
-    first_start: bool,
-) -> Leadership {
+/// Waits until no host is leader, then claims the leadership.
+async fn acquire(host: &host::Host, claimant: &mut Claimant) -> Leadership {
     let mut backoff = backoff::Backoff::default();
-    let earliest_claim = last_acted.map_or(clock::Millis::ZERO, |a| {
-        a + host.settings.timing.platform_lease
-    });
     // Revision of a key that no leader has written, and since when it has been there.
     let mut foreign: Option<(revision::Revision, clock::Millis)> = None;
     // Since when there has been no key, and how much longer this host waits than others.
@@ -216,23 +306,41 @@
         store_watch::wait_for_store(host).await;
         let read = host.store.get(STORE_KEY).await;
         let now = host.now();
+        if let Ok((_, at)) = &read {
+            claimant.record_era(at.era(), now);
+        }
+        let may_resume = claimant.may_resume(now);
         match read {
             Ok((Some(item), at)) => {
                 gone = None;
                 let mut wait = WATCH_TIMEOUT;
                 match parse_record(&item) {
-                    Ok(record) => {
+                    Ok(record) if record.era.is_none_or(|era| era >= at.era()) => {
                         foreign = None;
                         host.leader.set(Some(record.peer_address));
                     }
+                    Ok(_) => {
+                        // A leader of an earlier era, which does not act any more.
+                        foreign = None;
+                        host.leader.set(None);
+                        let earliest = claimant.earliest_claim(host);
+                        wait = earliest.since(now);
+                        if may_resume || wait == clock::Millis::ZERO {
+                            if let Some(leadership) = claim(host, claimant, item.revision).await {
+                                return leadership;
+                            }
+                            wait = RETRY_DELAY;
+                        }
+                    }
                     Err(fault) => {
                         log_foreign_key(host, &item, &fault);
                         let known = foreign.filter(|(revision, _)| *revision == item.revision);
                         let (_, since) = *foreign.insert(known.unwrap_or((item.revision, now)));
+                        let earliest_claim = claimant.earliest_claim(host);
                         let replaced_at = (since + FOREIGN_KEY_TIMEOUT).max(earliest_claim);
                         wait = replaced_at.since(now);
                         if wait == clock::Millis::ZERO {
-                            if let Some(leadership) = claim(host, item.revision).await {
+                            if let Some(leadership) = claim(host, claimant, item.revision).await {
                                 return leadership;
                             }
                             foreign = None;
@@ -249,15 +357,24 @@
             Ok((None, at)) => {
                 foreign = None;
                 host.leader.set(None);
+                if may_resume {
+                    if let Some(leadership) = claim(host, claimant, revision::Revision::NONE).await
+                    {
+                        return leadership;
+                    }
+                    time::sleep(RETRY_DELAY.duration()).await;
+                    continue;
+                }
                 // The key of a leader that was lost since this first start of the system would still
                 // be there, and one that stopped has waited for its calls.
-                let drain_delay = if first_start && host.is_new() {
+                let drain_delay = if claimant.is_first_start && host.is_new() {
                     clock::Millis::ZERO
                 } else {
                     CALL_DRAIN_DELAY
                 };
                 let (since, jitter) = *gone.get_or_insert((now, random_delay(MAX_CLAIM_DELAY)));
-                let wait = ((since + drain_delay).max(earliest_claim) + jitter).since(now);
+                let earliest = claimant.earliest_claim(host);
+                let wait = ((since + drain_delay).max(earliest) + jitter).since(now);
                 if wait > clock::Millis::ZERO {
                     match host.store.watch(STORE_KEY, at, wait).await {
                         // A leader may have come and gone, with calls that are still in flight.
@@ -267,7 +384,7 @@
                     }
                     continue;
                 }
-                if let Some(leadership) = claim(host, revision::Revision::NONE).await {
+                if let Some(leadership) = claim(host, claimant, revision::Revision::NONE).await {
                     return leadership;
                 }
                 time::sleep(RETRY_DELAY.duration()).await;
@@ -328,13 +445,21 @@
 }
 
 /// Claims the leadership if the key is at the revision `expected`.
-async fn claim(host: &host::Host, expected: revision::Revision) -> Option<Leadership> {
+async fn claim(
+    host: &host::Host,
+    claimant: &Claimant,
+    expected: revision::Revision,
+) -> Option<Leadership> {
     let sent = host.now();
     let lease = host.store.grant_lease(LEASE_TTL).await.ok()?;
+    if Some(lease.era) != claimant.era {
+        return None;
+    }
     let record = LeaderRecord {
         host: host.settings.host.clone(),
         boot_id: host.boot_id,
         lease: lease.id,
+        era: Some(lease.era),
         peer_address: host.settings.peer_address,
     };
     let value = serde_json::to_vec(&record).ok()?;
@@ -345,7 +470,8 @@
         Err(_) if is_read_back => read_back(host, &value).await,
         Err(_) => None,
     };
-    let Some(revision) = written else {
+    // A record that was read back in a later era is no claim in that era.
+    let Some(revision) = written.filter(|revision| revision.era() == lease.era) else {
         // The transaction may still be committed; releasing the lease keeps it from leaving a
         // leader key that belongs to no host.
         if let Err(e) = host.store.release_lease(lease).await {
@@ -354,9 +480,9 @@
         return None;
     };
     Some(Leadership {
-        token: revision.number(),
+        token: revision.token(),
         lease,
-        revision,
+        key_revision: cell::Cell::new(revision),
         is_read_back,
         deadline: cell::Cell::new(lease_deadline(sent)),
         value,
