A window whose seal the store has lost is not sealed again with other counts

Cause: a leader seals a window in the store before it reports it, so that every later leader reports the same counts. A store that comes back from an older copy has lost the latest seals; the next leader sealed those windows again with the counts that it had.

Evidence: window_is_reported_once_although_its_seal_is_lost on the code before: a window with 90 requests, then 45; 80, then none.

Change: the record of sealed windows names its era. A leader that finds one of an earlier era adds the windows that it has sealed itself, and leaves out those that an earlier leader may have sealed unknown to it: up to the time at which it heard of the new era. The last leader, which knows all of them, claims at once or is given a second's start, so mostly none is left out. The seal's condition names the leader key too, so that a late one can't hit a record of the new era by its number.

Windows left out are not reported: their usage is lost.

--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -12,7 +12,7 @@
 use crate::{
     budget, connections, crash_log, digest, digest_leader, fleet, freshness, http_client,
     load_meter, location, membership, memory, metrics, model, offloading, ports, quarantine,
-    quarantine_leader, shutdown, store_cache, store_watch, warm_up, windows,
+    quarantine_leader, shutdown, store_cache, store_watch, usage, warm_up, windows,
 };
 
 /// Checked settings of a host.
@@ -152,6 +152,8 @@
     pub quarantine: cell::RefCell<quarantine::Quarantine>,
     /// Decisions on withheld parts for the hosts that report to this one.
     pub quarantine_leader: cell::RefCell<quarantine_leader::QuarantineLeader>,
+    /// Windows that this host knows to be sealed, as leader or since it was leader.
+    pub sealed_windows: cell::RefCell<usage::SealedWindows>,
     /// Registered hosts and their reports.
     pub membership: cell::RefCell<membership::Membership>,
     /// Entries of the store as last read or relayed by another host.
@@ -216,6 +218,7 @@
             rulings: watch::Sender::new(0),
             quarantine: cell::RefCell::default(),
             quarantine_leader: cell::RefCell::default(),
+            sealed_windows: cell::RefCell::default(),
             membership: cell::RefCell::default(),
             store_cache: store_cache::StoreCache::default(),
             freshness: freshness::Freshness::new(change_limit),
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -40,6 +40,9 @@
 const MAX_CLAIM_DELAY: clock::Millis = clock::Millis(400);
 /// Delay after a failed call to the store, or a failed claim, before the next attempt.
 const RETRY_DELAY: clock::Millis = clock::Millis(400);
+/// Time that a host without sealed windows of an earlier era leaves to others when the store was restored:
+/// the last leader knows windows that the store has lost.
+const KNOWING_HOSTS_DELAY: clock::Millis = clock::Millis(1_000);
 /// Safety margin before the end of the lease: this long before it, the lease is treated as expired.
 const LEASE_MARGIN: clock::Millis = clock::Millis(100);
 
@@ -63,6 +66,11 @@
     /// Fencing token of this leadership; every later leader has a higher one.
     pub token: u64,
     lease: ports::Lease,
+    /// Time up to which leaders of an earlier era may have sealed windows that neither the store nor this
+    /// host knows; `None` if there are none.
+    pub lost_until: Option<clock::Millis>,
+    /// Whether this leader knows all windows that were sealed.
+    pub knows_windows: cell::Cell<bool>,
     /// Revision of the last write of the leader key.
     key_revision: cell::Cell<revision::Revision>,
     /// Whether the claim's outcome was read from the store, because the response was lost.
@@ -86,6 +94,11 @@
         self.lease.era
     }
 
+    /// Condition of a write that only this leader may make.
+    pub fn condition(&self) -> (String, revision::Revision) {
+        (STORE_KEY.to_owned(), self.key_revision.get())
+    }
+
     fn record_renewal(&self, sent: clock::Millis) {
         self.deadline.set(lease_deadline(sent));
     }
@@ -164,12 +177,14 @@
     last_acted: Option<clock::Millis>,
     /// Era of the store; `None` before its first response.
     era: Option<u64>,
+    /// Whether the store was restored since the start of this process.
+    is_restored: bool,
     /// Time up to which leaders of an earlier era may have been granted their leases; `None` if there was no
     /// such leader.
     lost_until: Option<clock::Millis>,
-    /// End of the lease of this host's leadership that ended with the era. Until then no other host has been
-    /// leader since.
-    resumable: Option<clock::Millis>,
+    /// End of the lease of this host's leadership that ended with the era, and whether it knew all sealed
+    /// windows. Until then no other host has been leader since.
+    resumable: Option<(clock::Millis, bool)>,
 }
 
 impl Claimant {
@@ -180,6 +195,7 @@
             // then.
             last_acted: (!is_first_start).then(|| host.now()),
             era: None,
+            is_restored: false,
             lost_until: None,
             resumable: None,
         }
@@ -191,7 +207,8 @@
         if known == Some(era) {
             return;
         }
-        if known.is_some() || !self.is_first_start {
+        self.is_restored = known.is_some();
+        if self.is_restored || !self.is_first_start {
             self.lost_until = Some(now);
         }
     }
@@ -200,12 +217,13 @@
     fn leave(&mut self, host: &host::Host, leadership: &Leadership, why: &str) {
         let (now, deadline) = (host.now(), leadership.deadline.get());
         self.last_acted = Some(now.min(deadline));
-        self.resumable = (why == "store_restored" && now < deadline).then_some(deadline);
+        self.resumable = (why == "store_restored" && now < deadline)
+            .then_some((deadline, leadership.knows_windows.get()));
     }
 
     /// Whether this host was leader until the store was restored and its lease has not ended.
     fn may_resume(&mut self, now: clock::Millis) -> bool {
-        self.resumable = self.resumable.filter(|deadline| now < *deadline);
+        self.resumable = self.resumable.filter(|(deadline, _)| now < *deadline);
         self.resumable.is_some()
     }
 
@@ -220,6 +238,24 @@
             .map(|until| until + LEASE_TTL + CALL_DRAIN_DELAY);
         own.max(lost).unwrap_or(clock::Millis::ZERO)
     }
+
+    /// Time to leave to hosts that know windows which the store has lost.
+    fn extra_delay(&self, host: &host::Host) -> clock::Millis {
+        let knows_some = host.sealed_windows.borrow().next_window > 0;
+        if self.is_restored && !knows_some {
+            KNOWING_HOSTS_DELAY
+        } else {
+            clock::Millis::ZERO
+        }
+    }
+
+    /// Time for [`Leadership::lost_until`] of a leadership that is claimed now.
+    fn unknown_windows_until(&self) -> Option<clock::Millis> {
+        match self.resumable {
+            Some((_, true)) => None,
+            _ => self.lost_until,
+        }
+    }
 }
 
 /// Renews the lease until it is lost and returns the reason. While the store does not answer, no
@@ -323,7 +359,7 @@
                         // A leader of an earlier era, which does not act any more.
                         foreign = None;
                         host.leader.set(None);
-                        let earliest = claimant.earliest_claim(host);
+                        let earliest = claimant.earliest_claim(host) + claimant.extra_delay(host);
                         wait = earliest.since(now);
                         if may_resume || wait == clock::Millis::ZERO {
                             if let Some(leadership) = claim(host, claimant, item.revision).await {
@@ -373,7 +409,7 @@
                     CALL_DRAIN_DELAY
                 };
                 let (since, jitter) = *gone.get_or_insert((now, random_delay(MAX_CLAIM_DELAY)));
-                let earliest = claimant.earliest_claim(host);
+                let earliest = claimant.earliest_claim(host) + claimant.extra_delay(host);
                 let wait = ((since + drain_delay).max(earliest) + jitter).since(now);
                 if wait > clock::Millis::ZERO {
                     match host.store.watch(STORE_KEY, at, wait).await {
@@ -482,6 +518,8 @@
     Some(Leadership {
         token: revision.token(),
         lease,
+        lost_until: claimant.unknown_windows_until(),
+        knows_windows: cell::Cell::new(false),
         key_revision: cell::Cell::new(revision),
         is_read_back,
         deadline: cell::Cell::new(lease_deadline(sent)),
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -3,6 +3,10 @@
 //! A sealed window has exactly one set of counts: the compare-and-swap that seals it names the
 //! revision that it was made from, and only counts that are in the store are reported, also when a
 //! report is repeated.
+//!
+//! A store that is restored from an older copy loses seals. The leader adds those that it knows itself. Windows
+//! that an earlier leader may have sealed and that nobody knows are not sealed again, so their usage is not
+//! reported: a second report could differ from the first.
 
 use std::collections;
 
@@ -45,6 +49,9 @@
     /// Number of the first window that is not sealed.
     #[serde(rename = "next")]
     pub next_window: u64,
+    /// Era of the store in which the record was last written or checked.
+    #[serde(default)]
+    pub era: u64,
     /// Counts of sealed windows whose report has not been confirmed yet, by window number.
     pub sealed: collections::BTreeMap<u64, ports::RequestCounts>,
 }
@@ -72,6 +79,21 @@
         wall.0 >= end + (timing.report_deadline.0 as f64 * EARLIEST_SEAL_SHARE) as u64
     }
 
+    /// Adds the windows of another record of the same history: each window has one set of counts in both.
+    pub fn merge(&mut self, other: &Self) {
+        self.next_window = self.next_window.max(other.next_window);
+        for (window, counts) in &other.sealed {
+            self.sealed.entry(*window).or_insert_with(|| counts.clone());
+        }
+    }
+
+    /// Leaves out the windows that could be sealed up to this wall time.
+    pub fn skip_until(&mut self, wall: clock::Millis, timing: &host::Timing) {
+        while self.is_settled(wall, timing) {
+            self.next_window += 1;
+        }
+    }
+
     /// Seals the next window with `counts` in memory; the caller has to store the result.
     pub fn seal(&mut self, counts: ports::RequestCounts) {
         self.sealed.insert(self.next_window, counts);
@@ -83,10 +105,13 @@
 pub async fn run(host: &host::Host, leadership: &leader::Leadership) {
     let mut own = None;
     loop {
-        let Some((mut record, mut revision)) = load(host, own.as_ref()).await else {
+        let loaded = load(host, leadership, own.as_ref()).await;
+        let Some((mut record, mut revision)) = loaded else {
             time::sleep(RETRY_DELAY.duration()).await;
             continue;
         };
+        *host.sealed_windows.borrow_mut() = record.clone();
+        leadership.knows_windows.set(true);
         loop {
             let timing = &host.settings.timing;
             let wall = host.wall_time();
@@ -100,7 +125,7 @@
             }
             let reported = |at| host.membership.borrow().is_reported_up_to(since, at);
             if record.is_due(wall, timing, reported) {
-                match seal(host, &mut record, revision).await {
+                match seal(host, leadership, &mut record, revision).await {
                     Some(at) => revision = at,
                     None => break,
                 }
@@ -121,9 +146,13 @@
 /// last, or by one that begins at the current window, which no leader can have sealed.
 async fn load(
     host: &host::Host,
+    leadership: &leader::Leadership,
     own: Option<&SealedWindows>,
 ) -> Option<(SealedWindows, revision::Revision)> {
-    let (item, _) = host.store.get(STORE_KEY).await.ok()?;
+    let (item, at) = host.store.get(STORE_KEY).await.ok()?;
+    if at.era() != leadership.era() {
+        return None;
+    }
     let timing = &host.settings.timing;
     let wall = host.wall_time();
     let begin_at = |wall: clock::Millis| SealedWindows {
@@ -132,7 +161,7 @@
     };
     let Some(item) = item else {
         let first = begin_at(wall.since(timing.report_deadline));
-        return Some((first, revision::Revision::NONE));
+        return Some((adopt(host, leadership, first), revision::Revision::NONE));
     };
     let current = begin_at(wall);
     let parsed = item.parse().and_then(|record: SealedWindows| {
@@ -151,15 +180,44 @@
             item.revision.number(),
             &fault,
         );
-        own.cloned().unwrap_or(current)
+        let era = leadership.era();
+        own.cloned().unwrap_or(SealedWindows { era, ..current })
     });
-    Some((record, item.revision))
+    if record.era == leadership.era() {
+        return Some((record, item.revision));
+    }
+    Some((adopt(host, leadership, record), item.revision))
+}
+
+/// Brings a record of an earlier era into the era of this leadership.
+fn adopt(
+    host: &host::Host,
+    leadership: &leader::Leadership,
+    mut record: SealedWindows,
+) -> SealedWindows {
+    let (timing, now) = (&host.settings.timing, host.now());
+    let from = record.next_window;
+    record.merge(&host.sealed_windows.borrow());
+    let known = record.next_window;
+    if let Some(until) = leadership.lost_until {
+        // The clocks of hosts may differ.
+        let margin = clock::Millis(timing.usage_window.0);
+        let until = host.wall_time().since(now.since(until)) + margin;
+        record.skip_until(until, timing);
+    }
+    record.era = leadership.era();
+    if record.next_window != from {
+        let (next, skipped) = (record.next_window, record.next_window - known);
+        tracing::warn!(event = "windows_restored", from, next, skipped);
+    }
+    record
 }
 
 /// Seals the next window in the store and returns the new revision, or `None` if the write is not
 /// known to have succeeded.
 async fn seal(
     host: &host::Host,
+    leadership: &leader::Leadership,
     record: &mut SealedWindows,
     revision: revision::Revision,
 ) -> Option<revision::Revision> {
@@ -173,7 +231,7 @@
     sealed.seal(counts);
     let value = serde_json::to_vec(&sealed).ok()?;
     let transaction = ports::Transaction {
-        expected: vec![(STORE_KEY.to_owned(), revision)],
+        expected: vec![(STORE_KEY.to_owned(), revision), leadership.condition()],
         writes: vec![ports::Write {
             key: STORE_KEY.to_owned(),
             value,
@@ -191,6 +249,7 @@
                 requests
             );
             *record = sealed;
+            *host.sealed_windows.borrow_mut() = record.clone();
             Some(at)
         }
         Err(e) => {
