A leader learns from the era, not from its settings, that seals may be lost

Callers saw: nothing.

Change: windows that may have been sealed unknown are left out whenever the record is of an earlier era. What a leadership ends with is read from the era as well, not from which of its tasks noticed first. The claim of a vacant key and of one from a copy is one path, with the same random delay. The model restores copies whose keys have outlived their leases, too.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -66,6 +66,8 @@
     /// Fencing token of this leadership; every later leader has a higher one.
     pub token: u64,
     lease: ports::Lease,
+    /// Whether no host was leader before: the system starts for the first time.
+    pub is_first: bool,
     /// Time up to which leaders of an earlier era may have sealed windows that neither the store nor this
     /// host knows; `None` if there are none.
     pub lost_until: Option<clock::Millis>,
@@ -147,18 +149,20 @@
         host.is_leader.set(false);
         host.leader.set(None);
         tracing::info!(event = "duties_left", token, why);
+        claimant.leave(&host, &leadership);
         if host.is_new() {
             // Hosts that are as new do not wait for calls in flight, see `acquire`.
             time::sleep(CALL_DRAIN_DELAY.duration()).await;
         }
         let released = host.store.release_lease(leadership.lease).await;
-        if let Err(e) = released {
+        if let Err(e) = released
+            && claimant.resumable.is_none()
+        {
             tracing::warn!(event = "lease_not_released", token, error = e.as_str());
         }
         if why == "stopping" {
             return;
         }
-        claimant.leave(&host, &leadership, why);
     }
 }
 
@@ -179,9 +183,9 @@
     era: Option<u64>,
     /// Whether the store was restored since the start of this process.
     is_restored: bool,
-    /// Time up to which leaders of an earlier era may have been granted their leases; `None` if there was no
-    /// such leader.
-    lost_until: Option<clock::Millis>,
+    /// When this host first heard of the era. Leaders of an earlier one have been granted their leases and sealed
+    /// their windows before.
+    era_since: clock::Millis,
     /// End of the lease of this host's leadership that ended with the era, and whether it knew all sealed
     /// windows. Until then no other host has been leader since.
     resumable: Option<(clock::Millis, bool)>,
@@ -196,7 +200,7 @@
             last_acted: (!is_first_start).then(|| host.now()),
             era: None,
             is_restored: false,
-            lost_until: None,
+            era_since: clock::Millis::ZERO,
             resumable: None,
         }
     }
@@ -208,35 +212,47 @@
             return;
         }
         self.is_restored = known.is_some();
-        if self.is_restored || !self.is_first_start {
-            self.lost_until = Some(now);
-        }
+        self.era_since = now;
     }
 
     /// Records the end of a leadership of this host.
-    fn leave(&mut self, host: &host::Host, leadership: &Leadership, why: &str) {
+    fn leave(&mut self, host: &host::Host, leadership: &Leadership) {
         let (now, deadline) = (host.now(), leadership.deadline.get());
         self.last_acted = Some(now.min(deadline));
-        self.resumable = (why == "store_restored" && now < deadline)
-            .then_some((deadline, leadership.knows_windows.get()));
+        let is_restored = *host.store.era().borrow() != leadership.era();
+        self.resumable =
+            (is_restored && now < deadline).then_some((deadline, leadership.knows_windows.get()));
     }
 
-    /// Whether this host was leader until the store was restored and its lease has not ended.
-    fn may_resume(&mut self, now: clock::Millis) -> bool {
-        self.resumable = self.resumable.filter(|(deadline, _)| now < *deadline);
-        self.resumable.is_some()
+    /// When this host may claim a key that has been vacant since `since`.
+    fn claim_at(&self, host: &host::Host, since: clock::Millis) -> clock::Millis {
+        // The key of a leader that was lost since this first start of the system would still be
+        // there, and one that stopped has waited for its calls.
+        let drain_delay = if self.is_first_start && host.is_new() {
+            clock::Millis::ZERO
+        } else {
+            CALL_DRAIN_DELAY
+        };
+        let extra_delay = self.extra_delay(host);
+        (since + drain_delay).max(self.earliest_claim(host) + extra_delay)
     }
 
     /// Time before which this host must not claim the leadership: another leader may have come and gone since
     /// it acted itself, or act until its lease of an earlier era ends.
     fn earliest_claim(&self, host: &host::Host) -> clock::Millis {
+        if self.is_first() {
+            return clock::Millis::ZERO;
+        }
+        let lost_until = self.era_since + LEASE_TTL + CALL_DRAIN_DELAY;
         let own = self
             .last_acted
             .map(|a| a + host.settings.timing.platform_lease);
-        let lost = self
-            .lost_until
-            .map(|until| until + LEASE_TTL + CALL_DRAIN_DELAY);
-        own.max(lost).unwrap_or(clock::Millis::ZERO)
+        own.unwrap_or_default().max(lost_until)
+    }
+
+    /// Whether no host was leader before, as far as this one knows.
+    fn is_first(&self) -> bool {
+        self.is_first_start && !self.is_restored && self.last_acted.is_none()
     }
 
     /// Time to leave to hosts that know windows which the store has lost.
@@ -253,7 +269,7 @@
     fn unknown_windows_until(&self) -> Option<clock::Millis> {
         match self.resumable {
             Some((_, true)) => None,
-            _ => self.lost_until,
+            _ => Some(self.era_since),
         }
     }
 }
@@ -331,99 +347,97 @@
     }
 }
 
+/// Whose the leader key is.
+enum KeyState {
+    /// A leader that acts, with the address at which other hosts connect to it.
+    Held(net::SocketAddr),
+    /// Nobody's: there is no key, or one of an earlier era at this revision, whose leader does not act any more.
+    Vacant(revision::Revision),
+    /// Another program's, which wrote it at this revision.
+    Foreign(revision::Revision),
+}
+
+fn key_state(host: &host::Host, item: Option<&ports::Item>, era: u64) -> KeyState {
+    let Some(item) = item else {
+        return KeyState::Vacant(revision::Revision::NONE);
+    };
+    match parse_record(item) {
+        Ok(record) if record.era.is_none_or(|granted| granted >= era) => {
+            KeyState::Held(record.peer_address)
+        }
+        Ok(_) => KeyState::Vacant(item.revision),
+        Err(fault) => {
+            log_foreign_key(host, item, &fault);
+            KeyState::Foreign(item.revision)
+        }
+    }
+}
+
 /// Waits until no host is leader, then claims the leadership.
 async fn acquire(host: &host::Host, claimant: &mut Claimant) -> Leadership {
     let mut backoff = backoff::Backoff::default();
     // Revision of a key that no leader has written, and since when it has been there.
     let mut foreign: Option<(revision::Revision, clock::Millis)> = None;
-    // Since when there has been no key, and how much longer this host waits than others.
-    let mut gone: Option<(clock::Millis, clock::Millis)> = None;
+    // Since when the key has been vacant, and how much longer than others this host waits.
+    let mut vacant: Option<(clock::Millis, clock::Millis)> = None;
     loop {
         store_watch::wait_for_store(host).await;
-        let read = host.store.get(STORE_KEY).await;
+        let Ok((item, at)) = host.store.get(STORE_KEY).await else {
+            backoff.wait(host).await;
+            continue;
+        };
         let now = host.now();
-        if let Ok((_, at)) = &read {
-            claimant.record_era(at.era(), now);
+        claimant.record_era(at.era(), now);
+        claimant.resumable = claimant.resumable.filter(|(deadline, _)| now < *deadline);
+        let state = key_state(host, item.as_ref(), at.era());
+        if !matches!(state, KeyState::Foreign(_)) {
+            foreign = None;
         }
-        let may_resume = claimant.may_resume(now);
-        match read {
-            Ok((Some(item), at)) => {
-                gone = None;
-                let mut wait = WATCH_TIMEOUT;
-                match parse_record(&item) {
-                    Ok(record) if record.era.is_none_or(|era| era >= at.era()) => {
-                        foreign = None;
-                        host.leader.set(Some(record.peer_address));
-                    }
-                    Ok(_) => {
-                        // A leader of an earlier era, which does not act any more.
-                        foreign = None;
-                        host.leader.set(None);
-                        let earliest = claimant.earliest_claim(host) + claimant.extra_delay(host);
-                        wait = earliest.since(now);
-                        if may_resume || wait == clock::Millis::ZERO {
-                            if let Some(leadership) = claim(host, claimant, item.revision).await {
-                                return leadership;
-                            }
-                            wait = RETRY_DELAY;
-                        }
-                    }
-                    Err(fault) => {
-                        log_foreign_key(host, &item, &fault);
-                        let known = foreign.filter(|(revision, _)| *revision == item.revision);
-                        let (_, since) = *foreign.insert(known.unwrap_or((item.revision, now)));
-                        let earliest_claim = claimant.earliest_claim(host);
-                        let replaced_at = (since + FOREIGN_KEY_TIMEOUT).max(earliest_claim);
-                        wait = replaced_at.since(now);
-                        if wait == clock::Millis::ZERO {
-                            if let Some(leadership) = claim(host, claimant, item.revision).await {
-                                return leadership;
-                            }
-                            foreign = None;
-                            wait = RETRY_DELAY;
-                        }
-                    }
-                }
-                match host.store.watch(STORE_KEY, at, wait).await {
-                    Ok(_) => backoff.reset(),
-                    Err(ports::StoreError::Compacted) => time::sleep(RETRY_DELAY.duration()).await,
-                    Err(_) => backoff.wait(host).await,
-                }
+        if !matches!(state, KeyState::Vacant(_)) {
+            vacant = None;
+        }
+        let (expected, claim_at) = match state {
+            KeyState::Held(address) => {
+                host.leader.set(Some(address));
+                (revision::Revision::NONE, now + WATCH_TIMEOUT)
             }
-            Ok((None, at)) => {
-                foreign = None;
+            KeyState::Vacant(expected) => {
                 host.leader.set(None);
-                if may_resume {
-                    if let Some(leadership) = claim(host, claimant, revision::Revision::NONE).await
-                    {
-                        return leadership;
-                    }
-                    time::sleep(RETRY_DELAY.duration()).await;
-                    continue;
-                }
-                // The key of a leader that was lost since this first start of the system would still
-                // be there, and one that stopped has waited for its calls.
-                let drain_delay = if claimant.is_first_start && host.is_new() {
-                    clock::Millis::ZERO
+                let new_vacancy = || (now, random_delay(MAX_CLAIM_DELAY));
+                let (since, jitter) = *vacant.get_or_insert_with(new_vacancy);
+                let claim_at = if claimant.resumable.is_some() {
+                    now
                 } else {
-                    CALL_DRAIN_DELAY
+                    claimant.claim_at(host, since) + jitter
                 };
-                let (since, jitter) = *gone.get_or_insert((now, random_delay(MAX_CLAIM_DELAY)));
-                let earliest = claimant.earliest_claim(host) + claimant.extra_delay(host);
-                let wait = ((since + drain_delay).max(earliest) + jitter).since(now);
-                if wait > clock::Millis::ZERO {
-                    match host.store.watch(STORE_KEY, at, wait).await {
-                        // A leader may have come and gone, with calls that are still in flight.
-                        Ok((events, _)) if has_key(&events) => gone = None,
-                        Ok(_) => {}
-                        Err(_) => time::sleep(wait.min(RETRY_DELAY).duration()).await,
-                    }
-                    continue;
-                }
-                if let Some(leadership) = claim(host, claimant, revision::Revision::NONE).await {
-                    return leadership;
+                (expected, claim_at)
+            }
+            KeyState::Foreign(revision) => {
+                let known = foreign.filter(|(known, _)| *known == revision);
+                let (_, since) = *foreign.insert(known.unwrap_or((revision, now)));
+                let replaced_at = since + FOREIGN_KEY_TIMEOUT;
+                (revision, replaced_at.max(claimant.earliest_claim(host)))
+            }
+        };
+        let wait = claim_at.since(now);
+        if wait == clock::Millis::ZERO {
+            if let Some(leadership) = claim(host, claimant, expected).await {
+                return leadership;
+            }
+            foreign = None;
+            time::sleep(RETRY_DELAY.duration()).await;
+            continue;
+        }
+        match host.store.watch(STORE_KEY, at, wait).await {
+            Ok((events, _)) => {
+                backoff.reset();
+                if has_key(&events) {
+                    // A leader may have come and gone, with calls that are still in flight.
+                    vacant = None;
                 }
-                time::sleep(RETRY_DELAY.duration()).await;
+            }
+            Err(ports::StoreError::Compacted) => {
+                time::sleep(wait.min(RETRY_DELAY).duration()).await;
             }
             Err(_) => backoff.wait(host).await,
         }
@@ -518,6 +532,7 @@
     Some(Leadership {
         token: revision.token(),
         lease,
+        is_first: claimant.is_first(),
         lost_until: claimant.unknown_windows_until(),
         knows_windows: cell::Cell::new(false),
         key_revision: cell::Cell::new(revision),
--- a/crates/router/src/revision.rs
+++ b/crates/router/src/revision.rs
@@ -10,7 +10,8 @@
 /// Bits of the number, enough for 17 years at 2,000 changes a second.
 const NUMBER_BITS: u32 = 40;
 const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
-const MAX_ERA: u64 = u64::MAX >> NUMBER_BITS;
+/// Largest era.
+pub const MAX_ERA: u64 = u64::MAX >> NUMBER_BITS;
 
 /// Revision of the store. A revision of a later era is greater than all of an earlier one.
 #[derive(
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -160,8 +160,12 @@
         ..SealedWindows::default()
     };
     let Some(item) = item else {
-        let first = begin_at(wall.since(timing.report_deadline));
-        return Some((adopt(host, leadership, first), revision::Revision::NONE));
+        let mut record = begin_at(wall.since(timing.report_deadline));
+        record.era = leadership.era();
+        if !leadership.is_first {
+            record = adopt(host, leadership, record);
+        }
+        return Some((record, revision::Revision::NONE));
     };
     let current = begin_at(wall);
     let parsed = item.parse().and_then(|record: SealedWindows| {
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Replaces the contents by a copy. Its leases begin anew, or end if `ends_leases` is set.
-    pub fn restore(&self, copy: &Copy, ends_leases: bool) {
+    /// Replaces the contents by a copy.
+    pub fn restore(&self, copy: &Copy, copied: CopiedLeases) {
         *self.items.borrow_mut() = copy.items.clone();
         *self.events.borrow_mut() = copy.events.clone();
         self.revision.set(copy.revision);
@@ -90,9 +90,13 @@
             *end = self.clock.now() + *ttl;
         }
         *self.leases.borrow_mut() = leases;
-        if ends_leases {
-            for id in ids {
-                self.revoke_lease(id);
+        match copied {
+            CopiedLeases::Kept => {}
+            CopiedLeases::Lost => self.leases.borrow_mut().clear(),
+            CopiedLeases::Ended => {
+                for id in ids {
+                    self.revoke_lease(id);
+                }
             }
         }
     }
@@ -225,6 +229,17 @@
     }
 }
 
+/// What a restore does with the leases of the copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CopiedLeases {
+    /// They begin anew.
+    Kept,
+    /// They are gone, and their keys stay.
+    Lost,
+    /// They have ended, and their keys are removed.
+    Ended,
+}
+
 /// Contents of the store at one time.
 #[derive(Clone)]
 pub struct Copy {
--- a/crates/router/tests/restored_store.rs
+++ b/crates/router/tests/restored_store.rs
@@ -86,7 +86,12 @@
                             running.node.store_mode.set(env::StoreMode::Unavailable);
                         }
                         env::sleep_ms(rng.random_range(0..4_000)).await;
-                        cluster.restore(&copy, rng.random_bool(0.5));
+                        let leases = [
+                            env::CopiedLeases::Kept,
+                            env::CopiedLeases::Lost,
+                            env::CopiedLeases::Ended,
+                        ];
+                        cluster.restore(&copy, leases[rng.random_range(0..3)]);
                         for running in running.iter().filter(|_| away) {
                             running.node.store_mode.set(env::StoreMode::Available);
                         }
