--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::{backoff, digest_leader, host, ports, revision, scale, store_watch, usage};
+use crate::{backoff, claimant, digest_leader, host, ports, revision, scale, store_watch, usage};
 
 /// Store key of the leader record; it exists while a host holds the lease.
 pub const STORE_KEY: &str = "jacinthslip/duty";
@@ -28,7 +28,7 @@
 /// the previous leader's key is gone.
 pub const CALL_DRAIN_DELAY: clock::Millis = clock::Millis(700);
 /// Time to live of the leader's lease. It is short so that a lost leader is soon replaced.
-const LEASE_TTL: clock::Millis = clock::Millis(2_000);
+pub const LEASE_TTL: clock::Millis = clock::Millis(2_000);
 /// Time between renewals of the leader's lease.
 const RENEW_INTERVAL: clock::Millis = clock::Millis(600);
 /// Longest time that one watch call waits for the leader key to be removed.
@@ -40,9 +40,6 @@
 const MAX_CLAIM_DELAY: clock::Millis = clock::Millis(400);
 /// Delay after a failed call to the store, or a failed claim, before the next attempt.
 const RETRY_DELAY: clock::Millis = clock::Millis(400);
-/// Time that a host without sealed windows of an earlier era leaves to others when the store was restored:
-/// the last leader knows windows that the store has lost.
-const KNOWING_HOSTS_DELAY: clock::Millis = clock::Millis(1_000);
 /// Safety margin before the end of the lease: this long before it, the lease is treated as expired.
 const LEASE_MARGIN: clock::Millis = clock::Millis(100);
 
@@ -77,7 +74,8 @@
     key_revision: cell::Cell<revision::Revision>,
     /// Whether the claim's outcome was read from the store, because the response was lost.
     is_read_back: bool,
-    deadline: cell::Cell<clock::Millis>,
+    /// Time on the host's clock after which no call may be sent.
+    pub deadline: cell::Cell<clock::Millis>,
     /// Value of the leader key.
     value: Vec<u8>,
 }
@@ -114,26 +112,22 @@
 /// `first_start` is true if the whole system starts for the first time.
 pub async fn run(host: rc::Rc<host::Host>, first_start: bool) {
     let mut phase = host.phase.subscribe();
-    let mut claimant = Claimant::new(&host, first_start);
+    let mut claimant = claimant::Claimant::new(&host, first_start);
     loop {
         let leadership = tokio::select! {
             leadership = acquire(&host, &mut claimant) => leadership,
             _ = phase.wait_for(|p| *p != host::Phase::Serving) => return,
         };
         let token = leadership.token;
-        if claimant.resumable.is_some() {
-            // Calls with the token before may be in flight.
-            let left_at = claimant.last_acted.unwrap_or_default();
-            let end = left_at + CALL_DRAIN_DELAY;
-            time::sleep(end.since(host.now()).duration()).await;
-        }
+        let wait = claimant.earliest_act().since(host.now());
+        time::sleep(wait.duration()).await;
         tracing::info!(
             event = "duties_taken",
             token,
             revision = %leadership.key_revision.get(),
             lease = leadership.lease.id,
             read_back = leadership.is_read_back,
-            resumed = claimant.resumable.is_some(),
+            resumed = claimant.may_resume(),
         );
         host.is_leader.set(true);
         host.leader.set(Some(host.settings.peer_address));
@@ -156,7 +150,7 @@
         }
         let released = host.store.release_lease(leadership.lease).await;
         if let Err(e) = released
-            && claimant.resumable.is_none()
+            && !claimant.may_resume()
         {
             tracing::warn!(event = "lease_not_released", token, error = e.as_str());
         }
@@ -174,106 +168,6 @@
     }
 }
 
-/// What a host that may claim the leadership knows of the leaders before it.
-struct Claimant {
-    is_first_start: bool,
-    /// When this host may have acted as leader last.
-    last_acted: Option<clock::Millis>,
-    /// Era of the store; `None` before its first response.
-    era: Option<u64>,
-    /// Whether the store was restored since the start of this process.
-    is_restored: bool,
-    /// When this host first heard of the era. Leaders of an earlier one have been granted their leases and sealed
-    /// their windows before.
-    era_since: clock::Millis,
-    /// End of the lease of this host's leadership that ended with the era, and whether it knew all sealed
-    /// windows. Until then no other host has been leader since.
-    resumable: Option<(clock::Millis, bool)>,
-}
-
-impl Claimant {
-    fn new(host: &host::Host, is_first_start: bool) -> Self {
-        Self {
-            is_first_start,
-            // An earlier process of this host may have acted as leader just now, and another host since
-            // then.
-            last_acted: (!is_first_start).then(|| host.now()),
-            era: None,
-            is_restored: false,
-            era_since: clock::Millis::ZERO,
-            resumable: None,
-        }
-    }
-
-    /// Records the era in which the store responded.
-    fn record_era(&mut self, era: u64, now: clock::Millis) {
-        let known = self.era.replace(era);
-        if known == Some(era) {
-            return;
-        }
-        self.is_restored = known.is_some();
-        self.era_since = now;
-    }
-
-    /// Records the end of a leadership of this host.
-    fn leave(&mut self, host: &host::Host, leadership: &Leadership) {
-        let (now, deadline) = (host.now(), leadership.deadline.get());
-        self.last_acted = Some(now.min(deadline));
-        let is_restored = *host.store.era().borrow() != leadership.era();
-        self.resumable =
-            (is_restored && now < deadline).then_some((deadline, leadership.knows_windows.get()));
-    }
-
-    /// When this host may claim a key that has been vacant since `since`.
-    fn claim_at(&self, host: &host::Host, since: clock::Millis) -> clock::Millis {
-        // The key of a leader that was lost since this first start of the system would still be
-        // there, and one that stopped has waited for its calls.
-        let drain_delay = if self.is_first_start && host.is_new() {
-            clock::Millis::ZERO
-        } else {
-            CALL_DRAIN_DELAY
-        };
-        let extra_delay = self.extra_delay(host);
-        (since + drain_delay).max(self.earliest_claim(host) + extra_delay)
-    }
-
-    /// Time before which this host must not claim the leadership: another leader may have come and gone since
-    /// it acted itself, or act until its lease of an earlier era ends.
-    fn earliest_claim(&self, host: &host::Host) -> clock::Millis {
-        if self.is_first() {
-            return clock::Millis::ZERO;
-        }
-        let lost_until = self.era_since + LEASE_TTL + CALL_DRAIN_DELAY;
-        let own = self
-            .last_acted
-            .map(|a| a + host.settings.timing.platform_lease);
-        own.unwrap_or_default().max(lost_until)
-    }
-
-    /// Whether no host was leader before, as far as this one knows.
-    fn is_first(&self) -> bool {
-        self.is_first_start && !self.is_restored && self.last_acted.is_none()
-    }
-
-    /// Time to leave to hosts that know windows which the store has lost.
-    fn extra_delay(&self, host: &host::Host) -> clock::Millis {
-        let knows_some = host.sealed_windows.borrow().next_window > 0;
-        if self.is_restored && !knows_some {
-            KNOWING_HOSTS_DELAY
-        } else {
-            clock::Millis::ZERO
-        }
-    }
-
-    /// Time for [`Leadership::lost_until`] of a leadership that is claimed now.
-    fn unknown_windows_until(&self) -> Option<clock::Millis> {
-        match self.resumable {
-            Some((_, true)) => None,
-            _ => Some(self.era_since),
-        }
-    }
-}
-
 /// Renews the lease until it is lost and returns the reason. While the store does not answer, no
 /// orders or reports are sent. If the lease still exists when the store answers again, the
 /// leadership continues: no other host can have held it in between.
@@ -374,7 +268,7 @@
 }
 
 /// Waits until no host is leader, then claims the leadership.
-async fn acquire(host: &host::Host, claimant: &mut Claimant) -> Leadership {
+async fn acquire(host: &host::Host, claimant: &mut claimant::Claimant) -> Leadership {
     let mut backoff = backoff::Backoff::default();
     // Revision of a key that no leader has written, and since when it has been there.
     let mut foreign: Option<(revision::Revision, clock::Millis)> = None;
@@ -388,7 +282,6 @@
         };
         let now = host.now();
         claimant.record_era(at.era(), now);
-        claimant.resumable = claimant.resumable.filter(|(deadline, _)| now < *deadline);
         let state = key_state(host, item.as_ref(), at.era());
         if !matches!(state, KeyState::Foreign(_)) {
             foreign = None;
@@ -405,7 +298,7 @@
                 host.leader.set(None);
                 let new_vacancy = || (now, random_delay(MAX_CLAIM_DELAY));
                 let (since, jitter) = *vacant.get_or_insert_with(new_vacancy);
-                let claim_at = if claimant.resumable.is_some() {
+                let claim_at = if claimant.may_resume() {
                     now
                 } else {
                     claimant.claim_at(host, since) + jitter
@@ -497,12 +390,12 @@
 /// Claims the leadership if the key is at the revision `expected`.
 async fn claim(
     host: &host::Host,
-    claimant: &Claimant,
+    claimant: &claimant::Claimant,
     expected: revision::Revision,
 ) -> Option<Leadership> {
     let sent = host.now();
     let lease = host.store.grant_lease(LEASE_TTL).await.ok()?;
-    if Some(lease.era) != claimant.era {
+    if !claimant.is_in_era(lease.era) {
         return None;
     }
     let record = LeaderRecord {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod blame;
 pub mod bodies;
 pub mod budget;
+pub mod claimant;
 pub mod client_connection;
 pub mod connections;
 pub mod crash_log;
--- a/crates/router/tests/env/mod.rs
+++ b/crates/router/tests/env/mod.rs
@@ -4,6 +4,8 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod hosts;
+pub mod orders;
+pub mod restore;
 pub mod store;
 
 use std::cell;
@@ -18,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::{task, time};
 
+pub use orders::Orders;
 pub use store::{Store, StoreMode};
 
 /// Store and platform shared by all hosts of a test.
@@ -66,41 +69,6 @@
         revision::Revision::new(self.era.get(), number).expect("a revision")
     }
 
-    /// Copies the contents as they are now.
-    pub fn copy(&self) -> Copy {
-        Copy {
-            items: self.items.borrow().clone(),
-            events: self.events.borrow().clone(),
-            revision: self.revision.get(),
-            oldest_revision: self.oldest_revision.get(),
-            leases: self.leases.borrow().clone(),
-        }
-    }
-
-    /// Replaces the contents by a copy.
-    pub fn restore(&self, copy: &Copy, copied: CopiedLeases) {
-        *self.items.borrow_mut() = copy.items.clone();
-        *self.events.borrow_mut() = copy.events.clone();
-        self.revision.set(copy.revision);
-        self.oldest_revision.set(copy.oldest_revision);
-        self.era.set(self.era.get() + 1);
-        let mut leases = copy.leases.clone();
-        let ids: Vec<u64> = leases.keys().copied().collect();
-        for (end, ttl) in leases.values_mut() {
-            *end = self.clock.now() + *ttl;
-        }
-        *self.leases.borrow_mut() = leases;
-        match copied {
-            CopiedLeases::Kept => {}
-            CopiedLeases::Lost => self.leases.borrow_mut().clear(),
-            CopiedLeases::Ended => {
-                for id in ids {
-                    self.revoke_lease(id);
-                }
-            }
-        }
-    }
-
     /// Windows that were reported.
     pub fn reported_windows(&self) -> Vec<u64> {
         self.reports.borrow().keys().copied().collect()
@@ -229,77 +197,6 @@
     }
 }
 
-/// What a restore does with the leases of the copy.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CopiedLeases {
-    /// They begin anew.
-    Kept,
-    /// They are gone, and their keys stay.
-    Lost,
-    /// They have ended, and their keys are removed.
-    Ended,
-}
-
-/// Contents of the store at one time.
-#[derive(Clone)]
-pub struct Copy {
-    items: collections::BTreeMap<String, (ports::Item, u64)>,
-    events: Vec<(u64, ports::WatchEvent)>,
-    revision: u64,
-    oldest_revision: u64,
-    leases: collections::HashMap<u64, (clock::Millis, clock::Millis)>,
-}
-
-/// Platform interface of one host; records its calls.
-pub struct Orders {
-    cluster: rc::Rc<Cluster>,
-    host: String,
-    clock: clock::Clock,
-}
-
-impl Orders {
-    fn record_call(&self, term: ports::Term) -> Result<(), ports::OrderError> {
-        if self.clock.now() >= term.deadline {
-            return Err(ports::OrderError::TermOver);
-        }
-        let cluster = self.cluster.clone();
-        let host = self.host.clone();
-        cluster.calls_sent.set(cluster.calls_sent.get() + 1);
-        let delay = cluster.call_delay.get().0 * (cluster.calls_sent.get() % 2);
-        task::spawn_local(async move {
-            sleep_ms(delay).await;
-            let call = (cluster.clock.now(), host, term.token);
-            cluster.calls.borrow_mut().push(call);
-        });
-        Ok(())
-    }
-}
-
-impl ports::Orders for Orders {
-    fn scale<'a>(
-        &'a self,
-        term: ports::Term,
-        _: &'a ports::Order,
-    ) -> ports::LocalFuture<'a, Result<(), ports::OrderError>> {
-        Box::pin(async move { self.record_call(term) })
-    }
-
-    fn report_usage<'a>(
-        &'a self,
-        term: ports::Term,
-        window: u64,
-        counts: &'a ports::RequestCounts,
-    ) -> ports::LocalFuture<'a, Result<(), ports::OrderError>> {
-        Box::pin(async move {
-            let text = format!("{counts:?}");
-            let mut reports = self.cluster.reports.borrow_mut();
-            let reported = reports.entry(window).or_insert_with(|| text.clone());
-            assert_eq!(*reported, text, "reports of window {window} differ");
-            self.record_call(term)
-        })
-    }
-}
-
 /// Protocol with entries as text: a configuration starts with a line that is its version number, an
 /// upstream is `STATE PORT BORN`, or `STATE PORT BORN DC` outside the data centre `a`.
 pub struct TestProtocol;
--- a/crates/router/tests/restored_store.rs
+++ b/crates/router/tests/restored_store.rs
@@ -89,9 +89,9 @@
                         }
                         env::sleep_ms(rng.random_range(0..4_000)).await;
                         let leases = [
-                            env::CopiedLeases::Kept,
-                            env::CopiedLeases::Lost,
-                            env::CopiedLeases::Ended,
+                            env::restore::CopiedLeases::Kept,
+                            env::restore::CopiedLeases::Lost,
+                            env::restore::CopiedLeases::Ended,
                         ];
                         cluster.restore(&copy, leases[rng.random_range(0..3)]);
                         for running in running.iter().filter(|_| away) {
@@ -152,7 +152,7 @@
         cluster.put("up/c", "ready 3 1");
         env::sleep_ms(500).await;
         assert_eq!(node.ready_upstreams(), ["a", "b", "c"]);
-        cluster.restore(&copy, env::CopiedLeases::Kept);
+        cluster.restore(&copy, env::restore::CopiedLeases::Kept);
         for _ in 0..15 {
             env::sleep_ms(100).await;
             assert_eq!(node.ready_upstreams(), ["a", "b", "c"]);
@@ -195,7 +195,7 @@
             (node.ready_upstreams(), address()),
             (vec!["a".to_owned()], Some(4))
         );
-        cluster.restore(&copy, env::CopiedLeases::Kept);
+        cluster.restore(&copy, env::restore::CopiedLeases::Kept);
         for _ in 0..40 {
             env::sleep_ms(100).await;
             assert_eq!(
@@ -239,7 +239,7 @@
         })
         .await;
         let reads = nodes[2].read_calls.get() + nodes[3].read_calls.get();
-        cluster.restore(&copy, env::CopiedLeases::Kept);
+        cluster.restore(&copy, env::restore::CopiedLeases::Kept);
         cluster.put("up/a", "leaving 1 1");
         cluster.put("up/c", "ready 3 1");
         cluster.put("up/b", "ready 2 1");
@@ -258,7 +258,7 @@
 fn hosts_of_an_earlier_release_get_revisions_without_era() {
     env::run_real_time(|| async {
         let cluster = env::Cluster::new();
-        cluster.restore(&cluster.copy(), env::CopiedLeases::Kept);
+        cluster.restore(&cluster.copy(), env::restore::CopiedLeases::Kept);
         cluster.put("config", "3");
         cluster.put("up/a", "ready 1 1");
         let [node] = start_hosts(&cluster, ["h"]);
