A follower keeps the first list of a source that is behind until it has caught up

Callers saw: nothing; read in the diff. A source of an earlier era whose list came first used up the one comparison that removes entries which the source doesn't have, so that an entry could stay with this follower alone.

--- a/crates/router/src/follower.rs
+++ b/crates/router/src/follower.rs
@@ -297,7 +297,7 @@
         self.source_era = at.era();
         // A source of an earlier era may lack entries that were written since.
         let is_behind = at.era() < self.host.store_cache.revision().era();
-        if std::mem::take(&mut self.is_first_list) && !is_behind {
+        if !is_behind && std::mem::take(&mut self.is_first_list) {
             let listed = std::mem::take(&mut self.listed);
             for key in self.host.store_cache.keys() {
                 if !listed.contains(&key) {
