--- a/review/rig-3/drained_after_restore.rs
+++ b/review/rig-3/drained_after_restore.rs
@@ -25,9 +25,7 @@
     let folder = Folder::create();
     let (store, platform) = Store::start(record);
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-    let manner = Manner {
-        work: Duration::from_millis(60),
-    };
+    let manner = Manner::plain(60);
     let worker = |id, zone| Worker::new(id, "ledger", zone, &store, record, &runs, manner);
     let (near, far) = (worker("i-near", "za"), worker("i-far", "zb"));
     store.write("op/config", &site::manifest(1, 2));
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -4,6 +4,7 @@
 mod drained_after_restore;
 mod http;
 mod json;
+mod paused_stream;
 mod record;
 mod site;
 mod store;
@@ -27,6 +28,7 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "drained-after-restore" => drained_after_restore::run(&record, trouble),
+        "paused-stream" => paused_stream::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let (text, code) = match verdict {
--- a/review/rig-3/site.rs
+++ b/review/rig-3/site.rs
@@ -169,7 +169,24 @@
 /// How a worker treats requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Manner {
+    /// Time until the answer, or until the first event of a stream.
     pub work: Duration,
+    /// Events of a stream, and the time between two; 0 for a plain answer.
+    pub events: u64,
+    pub gap: Duration,
+    /// Event after which a stream pauses, and for how long.
+    pub pause: Option<(u64, Duration)>,
+}
+
+impl Manner {
+    pub fn plain(work_ms: u64) -> Self {
+        Self {
+            work: Duration::from_millis(work_ms),
+            events: 0,
+            gap: Duration::ZERO,
+            pause: None,
+        }
+    }
 }
 
 struct WorkerState {
@@ -302,9 +319,38 @@
             if writer.write_all(text.as_bytes()).is_err() {
                 return;
             }
+            let is_stream = text.contains("text/event-stream");
+            if is_stream && !self.stream(&request, &mut writer) {
+                return;
+            }
         }
     }
 
+    /// Sends the events of a stream. Returns whether the client took all of them.
+    fn stream(&self, request: &Message, writer: &mut TcpStream) -> bool {
+        let id = request.header("request-id").unwrap_or("");
+        let last = request.header("last-event-id").and_then(|l| l.parse().ok());
+        let first = last.map_or(1, |last: u64| last + 1);
+        for n in first..=self.manner.events {
+            let event = format!("id: {n}\ndata: {id} {n}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if writer.write_all(chunk.as_bytes()).is_err() {
+                self.record.line(&format!("{id} at {}: cancelled at event {n}", self.id));
+                return false;
+            }
+            match self.manner.pause {
+                Some((after, pause)) if after == n => {
+                    self.record.line(&format!("{id} at {}: pauses after event {n}", self.id));
+                    thread::sleep(pause);
+                    self.record.line(&format!("{id} at {}: goes on", self.id));
+                }
+                _ => thread::sleep(self.manner.gap),
+            }
+        }
+        self.record.line(&format!("{id} at {}: all events written", self.id));
+        writer.write_all(b"0\r\n\r\n").is_ok()
+    }
+
     fn respond(&self, request: &Message, born: u128) -> String {
         let id = request.header("request-id").unwrap_or("").to_owned();
         let (is_draining, is_alive) = {
@@ -329,6 +375,11 @@
         }
         thread::sleep(self.manner.work);
         headers.push_str("Server-Signature: s\r\nLoad-Report: 1,0,6\r\n");
+        if self.manner.events > 0 {
+            return format!(
+                "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+        }
         http::response(200, &headers, &format!("done {id}"))
     }
 }
@@ -356,6 +407,78 @@
     )
 }
 
+/// A manifest with one service for quotes, by the figures of `full-quote` in SYSTEM.md.
+pub fn quote_manifest(version: u64) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"quote\",\"host\":\"h.example\",\
+         \"path_prefix\":\"/quote/\",\"route_kind\":\"streaming\",\"timeout_ms\":10000,\"goal_ms\":2000,\
+         \"priority\":2,\"service\":\"drafter\",\"attempts\":2,\"public\":false,\"sticky\":true,\
+         \"resumable\":true,\"gap_target_ms\":1000}}],\"services\":[{{\"name\":\"drafter\",\
+         \"health_path\":\"/healthz\",\"max_conns\":620,\"engine\":{{\"slots\":128,\
+         \"kv_capacity\":925761,\"stride\":5}}}}],\"limits\":{{\"max_header_bytes\":16384,\
+         \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
+         \"tenants\":[{{\"name\":\"{TENANT}\",\"api_keys\":[\"{KEY}\"],\"priority\":0}}]}}"
+    )
+}
+
+/// What a client got of a stream.
+#[derive(Debug, Default)]
+pub struct Stream {
+    pub status: u16,
+    pub events: u64,
+    /// Whether the answer came to its end.
+    pub is_complete: bool,
+    /// Longest time without an event, from the first one on.
+    pub longest_gap: Duration,
+}
+
+/// Asks for a quote as a client does, and reads the stream to its end or until the client's patience ends.
+pub fn quote(record: &Record, host: &Host, id: &str, patience: Duration) -> Stream {
+    let head = format!(
+        "POST /quote/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nModel: m\r\n\
+         Token-Usage: 17020,120\r\nPrefix-Hash: 5c1e07a2:13300,e4402b7d:3720\r\nDeadline-Ms: 10000\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: 5\r\n\r\nquote"
+    );
+    record.line(&format!("{id} sent to {}", host.name));
+    let mut got = Stream::default();
+    let result = read_stream(host.front, &head, patience, &mut got);
+    let end = match &result {
+        Ok(()) => "complete".to_owned(),
+        Err(e) => format!("incomplete: {e}"),
+    };
+    got.is_complete = result.is_ok();
+    let gap = got.longest_gap.as_millis();
+    record.line(&format!("{id} answered: {}, {} events, {end}; longest gap {gap} ms", got.status, got.events));
+    got
+}
+
+fn read_stream(
+    front: SocketAddr,
+    head: &str,
+    patience: Duration,
+    got: &mut Stream,
+) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(patience))?;
+    stream.write_all(head.as_bytes())?;
+    let mut reader = Reader::new(stream);
+    let answer = reader.head()?;
+    got.status = answer.status();
+    if answer.header("transfer-encoding").is_none() {
+        reader.body(&answer)?;
+        return Ok(());
+    }
+    let mut last: Option<Instant> = None;
+    while let Some(chunk) = reader.chunk()? {
+        let now = Instant::now();
+        got.events += chunk.windows(2).filter(|w| w == b"\n\n").count() as u64;
+        if let Some(last) = last.replace(now) {
+            got.longest_gap = got.longest_gap.max(now - last);
+        }
+    }
+    Ok(())
+}
+
 /// Sends a booking as a client does, and records what came of it.
 pub fn book(record: &Record, host: &Host, id: &str) -> http::Answer {
     let head = format!(
