--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -2,6 +2,7 @@
 //! and 2 if the case couldn't run.
 
 mod drained_after_restore;
+mod foreign_entry;
 mod http;
 mod json;
 mod paused_stream;
@@ -28,6 +29,7 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "drained-after-restore" => drained_after_restore::run(&record, trouble),
+        "foreign-entry" => foreign_entry::run(&record, trouble),
         "paused-stream" => paused_stream::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/rig-3/site.rs
+++ b/review/rig-3/site.rs
@@ -353,20 +353,17 @@
 
     fn respond(&self, request: &Message, born: u128) -> String {
         let id = request.header("request-id").unwrap_or("").to_owned();
-        let (is_draining, is_alive) = {
+        let (said, is_alive) = {
             let state = self.state.lock().unwrap();
-            (state.state == "draining", state.is_alive && state.born == born)
+            (state.state, state.is_alive && state.born == born)
         };
         let mut headers = format!("Request-Id: {id}\r\nInstance-Id: {}\r\nKeep-Alive: timeout=5\r\n", self.id);
-        if is_draining {
-            headers.push_str("Server-Leaving: 1\r\nConnection: close\r\n");
-        }
         if request.header("expect-instance").is_some_and(|wanted| wanted != self.id) {
             self.record.line(&format!("{id} at {}: 421", self.id));
             return http::response(421, &headers, "");
         }
         if is_alive {
-            self.record.line(&format!("{id} runs at {}{}", self.id, if is_draining { ", which leaves" } else { "" }));
+            self.record.line(&format!("{id} runs at {} ({said})", self.id));
             self.runs.lock().unwrap().push(Run {
                 id: id.clone(),
                 worker: self.id.clone(),
@@ -375,6 +372,9 @@
         }
         thread::sleep(self.manner.work);
         headers.push_str("Server-Signature: s\r\nLoad-Report: 1,0,6\r\n");
+        if self.state.lock().unwrap().state == "draining" {
+            headers.push_str("Server-Leaving: 1\r\nConnection: close\r\n");
+        }
         if self.manner.events > 0 {
             return format!(
                 "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -382,6 +382,20 @@
         }
         http::response(200, &headers, &format!("done {id}"))
     }
+
+    /// Waits until just after the next write of the worker's entry.
+    pub fn wait_for_beat(&self) {
+        let seq = || self.state.lock().unwrap().seq;
+        let before = seq();
+        while seq() == before {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Address at which the worker is registered.
+    pub fn port(&self) -> u16 {
+        *self.port.lock().unwrap()
+    }
 }
 
 /// A manifest with one service for bookings and a number of further routes.
@@ -488,7 +502,10 @@
     record.line(&format!("{id} sent to {}", host.name));
     let answer = http::send(host.front, &head, "deposit", Duration::from_millis(2_500));
     let text = match &answer {
-        Ok(a) => format!("{} {}", a.status(), a.text().lines().next().unwrap_or("")),
+        Ok(a) => {
+            let leaving = a.header("server-leaving").map_or("", |_| ", Server-Leaving");
+            format!("{} {}{leaving}", a.status(), a.text().lines().next().unwrap_or(""))
+        }
         Err(e) => format!("no answer: {e}"),
     };
     record.line(&format!("{id} answered: {text}"));
