--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -119,6 +119,17 @@
         Ok((size > 0).then_some(chunk))
     }
 
+    /// Reads to the end of the connection.
+    pub fn to_end(&mut self) -> io::Result<Vec<u8>> {
+        loop {
+            match self.fill() {
+                Ok(()) => {}
+                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return Ok(self.buffer.split_off(0)),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Reads a message with its whole body.
     pub fn message(&mut self) -> io::Result<Message> {
         let mut message = self.head()?;
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -5,6 +5,7 @@
 mod foreign_entry;
 mod http;
 mod json;
+mod old_head;
 mod paused_stream;
 mod record;
 mod site;
@@ -30,6 +31,7 @@
     let verdict = match case.as_str() {
         "drained-after-restore" => drained_after_restore::run(&record, trouble),
         "foreign-entry" => foreign_entry::run(&record, trouble),
+        "old-head" => old_head::run(&record, trouble),
         "paused-stream" => paused_stream::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/rig-3/paused_stream.rs
+++ b/review/rig-3/paused_stream.rs
@@ -25,6 +25,7 @@
         events: EVENTS,
         gap: Duration::from_millis(80),
         pause: trouble.then_some((18, PAUSE)),
+        spoil: None,
     };
     let worker = |id, zone| Worker::new(id, "drafter", zone, &store, record, &runs, manner);
     let (kept, leaving) = (worker("i-kept", "za"), worker("i-leaving", "zb"));
@@ -63,7 +64,7 @@
     let host = &hosts[0];
     let streams: Vec<site::Stream> = thread::scope(|scope| {
         let streams = (0..STREAMS).map(|n| {
-            scope.spawn(move || site::quote(record, host, &format!("q{n}"), PATIENCE))
+            scope.spawn(move || site::quote(record, host, "quote", &format!("q{n}"), PATIENCE))
         });
         let streams: Vec<_> = streams.collect();
         thread::sleep(Duration::from_millis(1_000));
--- a/review/rig-3/site.rs
+++ b/review/rig-3/site.rs
@@ -176,6 +176,9 @@
     pub gap: Duration,
     /// Event after which a stream pauses, and for how long.
     pub pause: Option<(u64, Duration)>,
+    /// How a faulty worker spoils its streams: a head of HTTP/1.0, and a break in the middle of the event after
+    /// this one.
+    pub spoil: Option<u64>,
 }
 
 impl Manner {
@@ -185,6 +188,7 @@
             events: 0,
             gap: Duration::ZERO,
             pause: None,
+            spoil: None,
         }
     }
 }
@@ -333,7 +337,16 @@
         let first = last.map_or(1, |last: u64| last + 1);
         for n in first..=self.manner.events {
             let event = format!("id: {n}\ndata: {id} {n}\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if self.manner.spoil.is_some_and(|last| n > last) {
+                let _ = writer.write_all(&event.as_bytes()[..event.len() / 2]);
+                let _ = writer.shutdown(std::net::Shutdown::Both);
+                self.record.line(&format!("{id} at {}: broken off in event {n}", self.id));
+                return false;
+            }
+            let chunk = match self.manner.spoil {
+                Some(_) => event,
+                None => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
             if writer.write_all(chunk.as_bytes()).is_err() {
                 self.record.line(&format!("{id} at {}: cancelled at event {n}", self.id));
                 return false;
@@ -375,6 +388,9 @@
         if self.state.lock().unwrap().state == "draining" {
             headers.push_str("Server-Leaving: 1\r\nConnection: close\r\n");
         }
+        if self.manner.spoil.is_some() {
+            return format!("HTTP/1.0 200 OK\r\n{headers}Content-Type: text/event-stream\r\n\r\n");
+        }
         if self.manner.events > 0 {
             return format!(
                 "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -421,13 +437,16 @@
     )
 }
 
-/// A manifest with one service for quotes, by the figures of `full-quote` in SYSTEM.md.
+/// A manifest with one service for quotes, by the figures of `full-quote` and `job-sheet` in SYSTEM.md.
 pub fn quote_manifest(version: u64) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"quote\",\"host\":\"h.example\",\
          \"path_prefix\":\"/quote/\",\"route_kind\":\"streaming\",\"timeout_ms\":10000,\"goal_ms\":2000,\
          \"priority\":2,\"service\":\"drafter\",\"attempts\":2,\"public\":false,\"sticky\":true,\
-         \"resumable\":true,\"gap_target_ms\":1000}}],\"services\":[{{\"name\":\"drafter\",\
+         \"resumable\":true,\"gap_target_ms\":1000}},{{\"name\":\"sheet\",\"host\":\"h.example\",\
+         \"path_prefix\":\"/sheet/\",\"route_kind\":\"streaming\",\"timeout_ms\":5000,\"goal_ms\":600,\
+         \"priority\":1,\"service\":\"drafter\",\"attempts\":1,\"public\":false,\"sticky\":true,\
+         \"resumable\":false,\"gap_target_ms\":400}}],\"services\":[{{\"name\":\"drafter\",\
          \"health_path\":\"/healthz\",\"max_conns\":620,\"engine\":{{\"slots\":128,\
          \"kv_capacity\":925761,\"stride\":5}}}}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
@@ -439,6 +458,8 @@
 #[derive(Debug, Default)]
 pub struct Stream {
     pub status: u16,
+    /// First line of the answer.
+    pub line: String,
     pub events: u64,
     /// Whether the answer came to its end.
     pub is_complete: bool,
@@ -446,10 +467,10 @@
     pub longest_gap: Duration,
 }
 
-/// Asks for a quote as a client does, and reads the stream to its end or until the client's patience ends.
-pub fn quote(record: &Record, host: &Host, id: &str, patience: Duration) -> Stream {
+/// Asks for a stream of a route as a client does, and reads it to its end or until the client's patience ends.
+pub fn quote(record: &Record, host: &Host, route: &str, id: &str, patience: Duration) -> Stream {
     let head = format!(
-        "POST /quote/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nModel: m\r\n\
+        "POST /{route}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nModel: m\r\n\
          Token-Usage: 17020,120\r\nPrefix-Hash: 5c1e07a2:13300,e4402b7d:3720\r\nDeadline-Ms: 10000\r\n\
          Authorization: Bearer {KEY}\r\nContent-Length: 5\r\n\r\nquote"
     );
@@ -462,7 +483,7 @@
     };
     got.is_complete = result.is_ok();
     let gap = got.longest_gap.as_millis();
-    record.line(&format!("{id} answered: {}, {} events, {end}; longest gap {gap} ms", got.status, got.events));
+    record.line(&format!("{id} answered: {}: {} events, {end}; longest gap {gap} ms", got.line, got.events));
     got
 }
 
@@ -478,10 +499,17 @@
     let mut reader = Reader::new(stream);
     let answer = reader.head()?;
     got.status = answer.status();
-    if answer.header("transfer-encoding").is_none() {
+    got.line = answer.line.clone();
+    if answer.header("content-length").is_some() {
         reader.body(&answer)?;
         return Ok(());
     }
+    if answer.header("transfer-encoding").is_none() {
+        // Neither a length nor chunks: the end of the connection is the end of the answer.
+        let body = reader.to_end()?;
+        got.events = body.windows(2).filter(|w| w == b"\n\n").count() as u64;
+        return Ok(());
+    }
     let mut last: Option<Instant> = None;
     while let Some(chunk) = reader.chunk()? {
         let now = Instant::now();
