--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -152,7 +152,7 @@
 }
 
 impl Server {
-    /// Serves connections with `serve` on `port`, or on a free one if it is 0.
+    /// Serves connections with `serve` on `port`.
     pub fn start<F>(port: u16, serve: F) -> io::Result<Self>
     where
         F: Fn(TcpStream) + Clone + Send + 'static,
@@ -210,8 +210,18 @@
     Reader::new(stream).message()
 }
 
-/// Returns a port that is free at the moment.
+/// Ports below those that systems give to outgoing connections.
+const PORTS: std::ops::Range<u32> = 20_000..32_000;
+
+/// Returns a port that is free at the moment, another one each time.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound").port()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id().wrapping_mul(131);
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::SeqCst).wrapping_add(offset);
+        let port = (PORTS.start + n % (PORTS.end - PORTS.start)) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
--- a/review/rig-3/json.rs
+++ b/review/rig-3/json.rs
@@ -214,22 +214,3 @@
     }
     out
 }
-
-/// Decodes standard base64; other characters are skipped.
-pub fn from_base64(text: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    let (mut bits, mut count) = (0u32, 0);
-    for byte in text.bytes() {
-        let Some(value) = BASE64.iter().position(|b| *b == byte) else {
-            continue;
-        };
-        bits = bits << 6 | value as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            out.push((bits >> count) as u8);
-            bits &= (1 << count) - 1;
-        }
-    }
-    out
-}
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -3,6 +3,7 @@
 
 mod drained_after_restore;
 mod foreign_entry;
+mod gone_after_outage;
 mod http;
 mod json;
 mod old_head;
@@ -32,6 +33,7 @@
         "drained-after-restore" => drained_after_restore::run(&record, trouble),
         "foreign-entry" => foreign_entry::run(&record, trouble),
         "old-head" => old_head::run(&record, trouble),
+        "gone-after-outage" => gone_after_outage::run(&record, trouble),
         "paused-stream" => paused_stream::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/rig-3/site.rs
+++ b/review/rig-3/site.rs
@@ -16,8 +16,7 @@
 
 /// Interval of a worker's writes to the store, by the settings in DEPLOY.md.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// The bounds of `himal-wetroom` in SYSTEM.md.
-pub const CONTACT: Duration = Duration::from_millis(4_000);
+/// Bound of `himal-wetroom` in SYSTEM.md.
 pub const DRAIN: Duration = Duration::from_millis(2_500);
 pub const KEY: &str = "k-quotes";
 pub const TENANT: &str = "quotes";
@@ -210,7 +209,7 @@
     runs: Arc<Mutex<Vec<Run>>>,
     state: Arc<Mutex<WorkerState>>,
     server: Mutex<Option<Server>>,
-    port: Mutex<u16>,
+    port: u16,
     manner: Manner,
 }
 
@@ -238,7 +237,7 @@
                 is_alive: false,
             })),
             server: Mutex::new(None),
-            port: Mutex::new(0),
+            port: http::free_port(),
             manner,
         })
     }
@@ -256,11 +255,8 @@
             };
         }
         let worker = self.clone();
-        let mut port = self.port.lock().unwrap();
-        let server = Server::start(*port, move |stream| worker.serve(stream, born)).expect("a port");
-        *port = server.address.port();
-        drop(port);
-        *self.server.lock().unwrap() = Some(server);
+        let server = Server::start(self.port(), move |stream| worker.serve(stream, born));
+        *self.server.lock().unwrap() = Some(server.expect("the port of the worker"));
         self.record.line(&format!("worker {} starts, born {born}", self.id));
         let worker = self.clone();
         thread::spawn(move || {
@@ -273,7 +269,7 @@
     /// Writes the worker's entry. Returns whether this process of the worker still runs.
     fn beat(&self, born: u128) -> bool {
         let mut state = self.state.lock().unwrap();
-        if !state.is_alive || state.born != born {
+        if !state.is_alive || state.born != born || state.state == "leaving" {
             return false;
         }
         state.seq += 1;
@@ -281,7 +277,7 @@
             "{{\"service\":\"{}\",\"addr\":\"127.0.0.1:{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
              \"state\":\"{}\",\"cold_left_ms\":0,\"seq\":{},\"born\":{born}}}",
             self.service,
-            self.port.lock().unwrap(),
+            self.port,
             self.zone,
             state.state,
             state.seq
@@ -304,6 +300,11 @@
         self.beat(born).then(Instant::now)
     }
 
+    /// The worker leaves without reporting that it drains: it writes no more, and its answers say so.
+    pub fn leave(&self) {
+        self.state.lock().unwrap().state = "leaving";
+    }
+
     /// The process ends.
     pub fn end(&self) {
         self.state.lock().unwrap().is_alive = false;
@@ -385,7 +386,7 @@
         }
         thread::sleep(self.manner.work);
         headers.push_str("Server-Signature: s\r\nLoad-Report: 1,0,6\r\n");
-        if self.state.lock().unwrap().state == "draining" {
+        if self.state.lock().unwrap().state != "ready" {
             headers.push_str("Server-Leaving: 1\r\nConnection: close\r\n");
         }
         if self.manner.spoil.is_some() {
@@ -410,7 +411,7 @@
 
     /// Address at which the worker is registered.
     pub fn port(&self) -> u16 {
-        *self.port.lock().unwrap()
+        self.port
     }
 }
 
--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -59,8 +60,7 @@
     changed: Condvar,
     record: Arc<Record>,
     server: Mutex<Option<Server>>,
-    /// Decides on each duty call before it is answered.
-    pub on_duty: Mutex<Option<Box<dyn Fn(&Message) + Send>>>,
+    doors: Mutex<Vec<Server>>,
 }
 
 /// A copy from which the store can be restored.
@@ -178,10 +178,10 @@
             changed: Condvar::new(),
             record: record.clone(),
             server: Mutex::new(None),
-            on_duty: Mutex::new(None),
+            doors: Mutex::default(),
         });
         let shared = store.clone();
-        let server = Server::start(0, move |stream| shared.serve(stream)).expect("a port");
+        let server = Server::start(http::free_port(), move |stream| shared.serve(stream)).expect("a port");
         let address = server.address;
         *store.server.lock().unwrap() = Some(server);
         let shared = store.clone();
@@ -194,6 +194,19 @@
         (store, address)
     }
 
+    /// Opens another address of the store, which turns calls away while the returned flag is set.
+    pub fn open_door(self: &Arc<Self>) -> (SocketAddr, Arc<AtomicBool>) {
+        let is_shut: Arc<AtomicBool> = Arc::default();
+        let (store, flag) = (self.clone(), is_shut.clone());
+        let server = Server::start(http::free_port(), move |stream| {
+            store.serve_door(stream, &flag);
+        });
+        let server = server.expect("a port");
+        let address = server.address;
+        self.doors.lock().unwrap().push(server);
+        (address, is_shut)
+    }
+
     /// Writes as operators and workers do. Returns the revision, or `None` while the store is away.
     pub fn write(&self, key: &str, text: &str) -> Option<u64> {
         let mut state = self.state.lock().unwrap();
@@ -220,13 +233,6 @@
         (state.contents.rev, state.era)
     }
 
-    /// Decoded value of a key.
-    pub fn read(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        let item = state.contents.items.get(key)?;
-        String::from_utf8(json::from_base64(&item.value)).ok()
-    }
-
     /// Copies the contents.
     pub fn copy(&self) -> Copy {
         Copy(self.state.lock().unwrap().contents.clone())
@@ -239,6 +245,7 @@
         if let Some(server) = &*self.server.lock().unwrap() {
             server.reset();
         }
+        self.doors.lock().unwrap().iter().for_each(Server::reset);
     }
 
     /// The store comes back as it was.
@@ -260,6 +267,10 @@
     }
 
     fn serve(&self, stream: TcpStream) {
+        self.serve_door(stream, &AtomicBool::new(false));
+    }
+
+    fn serve_door(&self, stream: TcpStream, is_shut: &AtomicBool) {
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
@@ -272,6 +283,13 @@
             if begun.1 {
                 return;
             }
+            if is_shut.load(Ordering::SeqCst) {
+                let headers = format!("Store-Era: {}\r\n", begun.0);
+                if writer.write_all(http::response(503, &headers, "").as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let (status, body) = self.respond(&request);
             {
                 let state = self.state.lock().unwrap();
@@ -339,9 +357,6 @@
                 let token = request.header("fencing-token").unwrap_or("");
                 let body = request.text();
                 self.record.line(&format!("duty {path} holder={holder} token={token} {body}"));
-                if let Some(check) = &*self.on_duty.lock().unwrap() {
-                    check(request);
-                }
                 (200, "{}".to_owned())
             }
             _ => {
