--- a/review/rig-3/drained_after_restore.rs
+++ b/review/rig-3/drained_after_restore.rs
@@ -13,7 +13,7 @@
 /// Pause between two bookings at a host, more than the drain deadline.
 const BOOKING_PAUSE: f64 = 3.0;
 /// Changes of the manifest in quick succession, and the pause between two of them.
-const MANIFESTS: u64 = 16;
+const MANIFESTS: u64 = 28;
 const MANIFEST_PAUSE: Duration = Duration::from_millis(225);
 
 fn sleep_until(start: Instant, seconds: f64) {
@@ -70,7 +70,7 @@
         sleep_until(start, until);
     };
 
-    book_until(5.2);
+    book_until(3.6);
     let copy = store.copy();
     record.line(&format!("the copy is made at revision {}", store.position().0));
     let storm = {
@@ -85,22 +85,22 @@
     };
     // A restart in place: the worker says that it leaves, serves on for the drain deadline and a little longer,
     // ends, and starts again under its id.
-    book_until(7.3);
+    book_until(7.2);
     if near.drain().is_none() {
         return Verdict::NotRun("the store did not accept that the worker leaves".to_owned());
     }
-    book_until(10.4);
+    book_until(10.2);
     near.end();
     store.remove("servers/i-near");
     record.line(&format!("entry of i-near removed, revision {}", store.position().0));
-    book_until(11.4);
+    book_until(10.4);
     let _ = storm.join();
     near.start();
-    book_until(12.4);
+    book_until(10.9);
     if trouble {
         record.line("the store is away");
         store.leave();
-        book_until(13.2);
+        book_until(11.7);
         store.restore(copy);
         let (rev, era) = store.position();
         record.line(&format!("the store is back from the copy: revision {rev}, era {era}"));
@@ -110,16 +110,16 @@
         let rev = store.write("op/config", &site::manifest(version, 2 + version % 3));
         record.line(&format!("manifest {version} written again, revision {rev:?}"));
     } else {
-        book_until(13.2);
+        book_until(11.7);
     }
-    // Bookings at 16 s and 19 s; the worker leaves just after the second, 6 s after the end of the disturbance.
-    book_until(19.3);
+    // Bookings at 13 s and 16 s; the worker leaves just after the second, 4.6 s after the end of the disturbance.
+    book_until(16.3);
     let Some(left_at) = near.drain() else {
         return Verdict::NotRun("the store did not accept that the worker leaves".to_owned());
     };
     record.line("i-near has said in the store that it leaves");
-    // Bookings at 22 s and 25 s.
-    book_until(26.0);
+    // A booking at 19 s.
+    book_until(20.0);
     let is_late = |run: &&Run| run.worker == "i-near" && run.at > left_at + site::DRAIN;
     let runs = runs.lock().unwrap();
     let late: Vec<&Run> = runs.iter().filter(is_late).collect();
