--- a/review/rig-3/site.rs
+++ b/review/rig-3/site.rs
@@ -112,8 +112,8 @@
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let pid = child.id().to_string();
-            let _ = Command::new("kill").args([name, &pid]).status();
+            // The shell's own command: some systems have no program of this name.
+            let _ = Command::new("sh").arg("-c").arg(format!("kill {name} {}", child.id())).status();
         }
     }
 
